Serve the whole path, thin: inventory, daemon, engine, caller

Cause: the repository was empty; a thin path through every part shows where the interfaces lie before the parts grow.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark commands; each writes JSON and names its seed."""
--- /dev/null
+++ b/persimmonspan/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: listeners, peer links and adapters."""
--- /dev/null
+++ b/persimmonspan/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the process: actors, membership, leases, command line."""
--- /dev/null
+++ b/persimmonspan/process/daemon.py
@@ -0,0 +1,152 @@
+"""The daemon: start, wiring and planned stop.
+
+A planned stop fails readiness at once, refuses new work, waits for each request
+in flight and then ends. Only a second signal cuts requests.
+"""
+
+import collections.abc
+import contextlib
+import logging
+import secrets
+import signal
+import threading
+
+from persimmonspan import errors
+from persimmonspan.connection import listener
+from persimmonspan.process import metrics
+from persimmonspan.process import scheduler_actor
+from persimmonspan.process import settings
+from persimmonspan.request import events
+from persimmonspan.request import handler
+from persimmonspan.version import check
+from persimmonspan.version import model
+
+_SEED_BITS = 64
+EXIT_CUT = 3
+
+_logger = logging.getLogger(__name__)
+
+
+class Daemon:
+    """State of one daemon process."""
+
+    def __init__(self, options: settings.Settings) -> None:
+        self.metrics = metrics.Metrics()
+        self._settings = options
+        self._scheduler = scheduler_actor.SchedulerActor.start(
+            self.metrics, secrets.randbits(_SEED_BITS))
+        self._configuration: model.Configuration | None = None
+        self._in_flight = 0
+        self._idle = threading.Condition()
+        self._is_draining = False
+
+    def adopt(self, configuration: model.Configuration) -> None:
+        """Takes a configuration into force for new requests."""
+        self._configuration = configuration
+        self._scheduler.tell(
+            events.TargetsChanged(
+                configuration.revision,
+                tuple(target for service in configuration.services
+                      for target in service.targets), configuration.kinds,
+                tuple(
+                    events.WorkspaceShare(item.name, item.share)
+                    for item in configuration.workspaces)))
+        for name in configuration.leaving:
+            self._scheduler.tell(events.TargetLeaving(name))
+        _logger.info("configuration in force",
+                     extra={"revision": configuration.revision})
+
+    def begin_request(self) -> handler.Context:
+        """Counts a request in.
+
+        Raises:
+            errors.RefusalError: The daemon drains or has no configuration.
+        """
+        with self._idle:
+            if self._is_draining:
+                raise errors.RefusalError(errors.Code.DRAINING,
+                                          "this daemon is stopping", 1.0)
+            if self._configuration is None:
+                raise errors.RefusalError(errors.Code.CONFIG_UNVERIFIED,
+                                          "no configuration is in force", 1.0)
+            self._in_flight += 1
+            return handler.Context(self._configuration, self._scheduler,
+                                   self.metrics)
+
+    def end_request(self, context: handler.Context) -> None:
+        """Counts a request out."""
+        del context
+        with self._idle:
+            self._in_flight -= 1
+            self._idle.notify_all()
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer may send new work."""
+        return not self._is_draining and self._configuration is not None
+
+    def drain(self) -> None:
+        """Refuses new work and waits until nothing is in flight."""
+        with self._idle:
+            self._is_draining = True
+            _logger.info("draining", extra={"in_flight": self._in_flight})
+            self._idle.wait_for(lambda: self._in_flight == 0)
+
+    @contextlib.contextmanager
+    def listening(self) -> collections.abc.Iterator[None]:
+        """Serves callers until the block ends."""
+        server = listener.make_server(
+            settings.split_address(self._settings.listen_address), self,
+            self._settings.max_streams, self._settings.max_body_bytes)
+        server.prepare()
+        thread = threading.Thread(target=server.serve, name="listener")
+        thread.start()
+        try:
+            yield
+        finally:
+            server.stop()
+            thread.join()
+            self._scheduler.stop()
+
+
+def run(options: settings.Settings) -> int:
+    """Runs a daemon until it is told to stop; returns the exit code."""
+    daemon = Daemon(options)
+    if options.inventory is not None:
+        daemon.adopt(load_configuration(options.inventory, options.rules))
+    stopping = threading.Event()
+    cutting = threading.Event()
+
+    def stop(signal_number: int, frame: object) -> None:
+        del signal_number, frame
+        if stopping.is_set():
+            cutting.set()
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    with daemon.listening():
+        _logger.info("serving", extra={"address": options.listen_address})
+        stopping.wait()
+        drained = threading.Thread(target=daemon.drain, daemon=True)
+        drained.start()
+        while drained.is_alive() and not cutting.is_set():
+            drained.join(0.05)
+    return EXIT_CUT if cutting.is_set() else 0
+
+
+def load_configuration(inventory_file: str,
+                       rules_file: str | None) -> model.Configuration:
+    """Loads and checks the documents of a start without a table service.
+
+    Raises:
+        errors.ConfigurationError: A document is not valid; the message holds
+            all problems, one a line.
+    """
+    inventory = check.load_file(inventory_file)
+    rules = check.load_file(rules_file) if rules_file is not None else {}
+    problems = check.check_documents(inventory, rules, inventory_file,
+                                     rules_file or "rules")
+    if problems:
+        raise errors.ConfigurationError(errors.Code.BAD_REQUEST,
+                                        "\n".join(map(str, problems)))
+    return check.build(1, inventory, rules)
--- /dev/null
+++ b/persimmonspan/process/metrics.py
@@ -0,0 +1,88 @@
+"""Counters per reason and latency percentiles.
+
+Counters are kept by the Prometheus client library; latencies are recorded in
+HDR histograms, from which the exposition takes the percentiles, since fixed
+Prometheus buckets would round the tail.
+"""
+
+import collections.abc
+import threading
+
+import prometheus_client
+from hdrh import histogram
+from prometheus_client import core
+
+_QUANTILES = (0.5, 0.95, 0.99)
+_MAX_LATENCY_US = 3_600_000_000
+_SIGNIFICANT_DIGITS = 2
+_US_PER_S = 1e6
+
+
+class LatencySummary:
+    """A latency with HDR percentiles, exposed as a Prometheus summary."""
+
+    def __init__(self, name: str, documentation: str) -> None:
+        self._name = name
+        self._documentation = documentation
+        self._histogram = histogram.HdrHistogram(1, _MAX_LATENCY_US,
+                                                 _SIGNIFICANT_DIGITS)
+        self._sum_s = 0.0
+        self._lock = threading.Lock()
+
+    def observe(self, latency_s: float) -> None:
+        """Records one latency in seconds."""
+        with self._lock:
+            self._histogram.record_value(max(1, int(latency_s * _US_PER_S)))
+            self._sum_s += latency_s
+
+    def quantile_s(self, quantile: float) -> float:
+        """Returns the latency at a quantile between 0 and 1, in seconds."""
+        with self._lock:
+            return self._histogram.get_value_at_percentile(
+                quantile * 100) / _US_PER_S
+
+    def collect(self) -> collections.abc.Iterator[core.Metric]:
+        """Yields the summary and its quantile gauges."""
+        with self._lock:
+            count = self._histogram.get_total_count()
+            sum_s = self._sum_s
+        yield core.SummaryMetricFamily(self._name,
+                                       self._documentation,
+                                       count_value=count,
+                                       sum_value=sum_s)
+        gauge = core.GaugeMetricFamily(self._name + "_quantile",
+                                       self._documentation + ", by quantile",
+                                       labels=["quantile"])
+        for quantile in _QUANTILES:
+            gauge.add_metric([str(quantile)], self.quantile_s(quantile))
+        yield gauge
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._reasons = prometheus_client.Counter(
+            "persimmonspan_events",
+            "Refusals, retries and other counted events", ["reason"],
+            registry=self.registry)
+        self.tokens = prometheus_client.Counter("persimmonspan_tokens",
+                                                "Tokens relayed to callers",
+                                                registry=self.registry)
+        self.first_token = LatencySummary(
+            "persimmonspan_first_token_seconds",
+            "Time from arrival to the first token")
+        self.between_tokens = LatencySummary(
+            "persimmonspan_between_tokens_seconds",
+            "Time between two tokens of a stream")
+        self.registry.register(self.first_token)
+        self.registry.register(self.between_tokens)
+
+    def count(self, reason: str) -> None:
+        """Raises the counter of a reason."""
+        self._reasons.labels(reason).inc()
+
+    def exposition(self) -> bytes:
+        """Returns the Prometheus text exposition."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/persimmonspan/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: scheduling, streams and the ledger."""
--- /dev/null
+++ b/persimmonspan/request/events.py
@@ -0,0 +1,223 @@
+"""Events and commands of the request scheduler.
+
+Worker threads and actors turn what they observe into events; the scheduler
+answers with commands that they carry out. All values are immutable, so that a
+recorded sequence of events replays to the same commands.
+
+Times named `*_s` are seconds; `deadline_s` is a point on the monotonic clock of
+the daemon.
+
+See Also:
+    `persimmonspan.request.scheduler`: the decision that consumes the events.
+"""
+
+import enum
+import typing
+
+from persimmonspan import errors
+
+
+class Outcome(enum.StrEnum):
+    """How one attempt on one target ended."""
+
+    COMPLETED = "completed"
+    REFUSED = "refused"  # The target confirmed that it did not run it.
+    CONNECT_FAILED = "connect_failed"  # No byte of the request was sent.
+    FAILED_BEFORE_FIRST_TOKEN = "failed_before_first_token"
+    FAILED_AFTER_FIRST_TOKEN = "failed_after_first_token"
+    CANCELLED = "cancelled"
+
+
+class Target(typing.NamedTuple):
+    """A replica that requests can be sent to."""
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    kv_capacity_tokens: int = 0  # Zero for plain services.
+    max_running: int = 64
+
+
+class KindPolicy(typing.NamedTuple):
+    """What the configuration says of one request kind."""
+
+    name: str
+    service: str
+    worth: float
+    is_short: bool
+    is_idempotent: bool
+    deadline_s: float
+
+
+class WorkspaceShare(typing.NamedTuple):
+    """Weight of a workspace in fair sharing."""
+
+    name: str
+    share: float
+
+
+class Arrived(typing.NamedTuple):
+    """A caller's request passed authentication and limits."""
+
+    request_id: str
+    workspace: str
+    kind: str
+    service: str
+    prompt_tokens: int
+    max_output_tokens: int
+    deadline_s: float
+    fingerprint: str
+    prefix_hashes: tuple[int, ...] = ()
+    is_idempotent: bool = True
+
+
+class FirstToken(typing.NamedTuple):
+    """The first token of a generation came from the target."""
+
+    request_id: str
+    target: str
+
+
+class Progressed(typing.NamedTuple):
+    """Total tokens received so far; sent at most every 0.25 s per stream."""
+
+    request_id: str
+    target: str
+    tokens: int
+
+
+class AttemptEnded(typing.NamedTuple):
+    """An attempt on a target ended."""
+
+    request_id: str
+    target: str
+    outcome: Outcome
+    tokens: int = 0
+
+
+class Abandoned(typing.NamedTuple):
+    """The caller left."""
+
+    request_id: str
+
+
+class LoadReported(typing.NamedTuple):
+    """A target reported its load, measured `age_s` ago."""
+
+    target: str
+    age_s: float
+    kv_used_tokens: int
+    kv_capacity_tokens: int
+    running: int
+    waiting: int
+    preemptions: int
+
+
+class TargetLoad(typing.NamedTuple):
+    """What one daemon has outstanding on one target."""
+
+    target: str
+    outstanding: int
+    predicted_tokens: int
+
+
+class PeerLoad(typing.NamedTuple):
+    """A peer daemon told what it has outstanding."""
+
+    daemon: str
+    loads: tuple[TargetLoad, ...]
+
+
+class TargetsChanged(typing.NamedTuple):
+    """A configuration version was adopted."""
+
+    revision: int
+    targets: tuple[Target, ...]
+    kinds: tuple[KindPolicy, ...]
+    workspaces: tuple[WorkspaceShare, ...]
+
+
+class TargetLeaving(typing.NamedTuple):
+    """A target is leaving: no new work, running work finishes."""
+
+    target: str
+
+
+class TargetDied(typing.NamedTuple):
+    """A target's process died (connection refused or a new incarnation)."""
+
+    target: str
+
+
+class CacheEvent(typing.NamedTuple):
+    """Prefix-cache changes of an engine, numbered without gaps by it."""
+
+    target: str
+    sequence: int
+    added: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+class QuarantineShared(typing.NamedTuple):
+    """A peer reports a fingerprint that crashed targets."""
+
+    fingerprint: str
+    crashes: int
+    ttl_s: float
+
+
+class QuarantineLifted(typing.NamedTuple):
+    """An operator lifted the quarantine of a fingerprint."""
+
+    fingerprint: str
+
+
+class Tick(typing.NamedTuple):
+    """Time passed; sent about every 50 ms."""
+
+
+class Dispatch(typing.NamedTuple):
+    """Send the request to the target."""
+
+    request_id: str
+    target: str
+    priority: int
+    attempt: int
+    is_hedge: bool = False
+
+
+class Refuse(typing.NamedTuple):
+    """End the request with an error."""
+
+    request_id: str
+    reason: errors.Code
+    retry_after_s: float | None
+    run_state: errors.RunState
+
+
+class CancelAttempt(typing.NamedTuple):
+    """Cancel the attempt at the target."""
+
+    request_id: str
+    target: str
+
+
+class ShareQuarantine(typing.NamedTuple):
+    """Tell peers about a fingerprint."""
+
+    fingerprint: str
+    crashes: int
+    ttl_s: float
+
+
+class Count(typing.NamedTuple):
+    """Raise the counter of a refusal, retry or health reason."""
+
+    reason: str
+
+
+Event = (Arrived | FirstToken | Progressed | AttemptEnded | Abandoned |
+         LoadReported | PeerLoad | TargetsChanged | TargetLeaving | TargetDied |
+         CacheEvent | QuarantineShared | QuarantineLifted | Tick)
+Command = Dispatch | Refuse | CancelAttempt | ShareQuarantine | Count
--- /dev/null
+++ b/persimmonspan/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a configuration version: documents, checks and adoption."""
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform."""
--- /dev/null
+++ b/testbed/engine.py
@@ -0,0 +1,186 @@
+"""Stand-in for a model engine: continuous decoding over the real wire format.
+
+Each generation keeps its tokens, so that it can be resumed. The
+text of token `i` is `<prompt hash>-<i>` and a space, by which a caller can check
+that an answer is its own, whole and in order.
+"""
+
+import argparse
+import hashlib
+import random
+import threading
+import time
+import typing
+import uuid
+
+import msgspec
+from cheroot import server
+
+from persimmonspan.connection import engine
+
+_WORD_HASH_CHARS = 6
+_MS_PER_S = 1000.0
+
+
+class Options(typing.NamedTuple):
+    """Behaviour of the stand-in."""
+
+    token_interval_s: float = 0.01
+    mean_tokens: int = 40
+    kv_capacity_tokens: int = 65536
+    max_running: int = 64
+
+
+class Generation:
+    """One generation and whether it was cancelled."""
+
+    def __init__(self, request: engine.GenerateDocument, tokens: int) -> None:
+        self.request = request
+        self.tokens = tokens
+        self.started_s = time.monotonic()
+        self.is_cancelled = False
+
+    def token(self, index: int) -> engine.TokenDocument:
+        """Returns the token at an index."""
+        is_last = index == self.tokens - 1
+        return engine.TokenDocument(
+            r=self.request["request_id"],
+            g=self.request["generation_id"],
+            i=index,
+            t=f"{word(self.request['prompt'])}-{index} ",
+            f="stop" if is_last else None)
+
+
+def word(prompt: str) -> str:
+    """Returns the text by which the answer to a prompt is recognised."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:_WORD_HASH_CHARS]
+
+
+class Engine:
+    """State of the stand-in."""
+
+    def __init__(self, options: Options, seed: int) -> None:
+        self.options = options
+        self.incarnation = uuid.uuid4().hex
+        self.generations: dict[str, Generation] = {}
+        self.runs: dict[str, int] = {}
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+
+    def start(self, request: engine.GenerateDocument) -> Generation | None:
+        """Starts a generation, or returns None when the engine is full."""
+        with self._lock:
+            if len(self.generations) >= self.options.max_running:
+                return None
+            tokens = min(
+                request["max_tokens"],
+                1 + int(self._random.expovariate(1 / self.options.mean_tokens)))
+            generation = Generation(request, tokens)
+            self.generations[request["generation_id"]] = generation
+            self.runs[request["request_id"]] = self.runs.get(
+                request["request_id"], 0) + 1
+            return generation
+
+    def load(self) -> engine.LoadDocument:
+        """Returns the load report."""
+        with self._lock:
+            running = len(self.generations)
+        return engine.LoadDocument(
+            kv_used_tokens=running * self.options.mean_tokens,
+            kv_capacity_tokens=self.options.kv_capacity_tokens,
+            running=running,
+            waiting=0,
+            preemptions=0,
+            measured_age_s=0.0,
+            incarnation=self.incarnation)
+
+    def cancel(self, request_id: str) -> None:
+        """Cancels the generations of a request."""
+        with self._lock:
+            for generation in self.generations.values():
+                if generation.request["request_id"] == request_id:
+                    generation.is_cancelled = True
+
+    def end(self, generation: Generation) -> None:
+        """Forgets a generation that was read to its end or cancelled."""
+        with self._lock:
+            self.generations.pop(generation.request["generation_id"], None)
+
+
+def make_server(address: tuple[str, int], state: Engine) -> server.HTTPServer:
+    """Returns a server for the stand-in."""
+
+    class _Gateway(server.Gateway):
+
+        def respond(self) -> None:
+            """Serves one request."""
+            _respond(self.req, state)
+
+    threads = state.options.max_running + 8
+    return server.HTTPServer(address, _Gateway, threads, threads)
+
+
+def _respond(request: server.HTTPRequest, state: Engine) -> None:
+    body = request.rfile.read()
+    match request.path:
+        case b"/v1/generate":
+            generation = state.start(
+                msgspec.json.decode(body, type=engine.GenerateDocument))
+            _stream(request, state, generation, 0)
+        case b"/v1/resume":
+            document = msgspec.json.decode(body)
+            generation = state.generations.get(document["generation_id"])
+            _stream(request, state, generation, document["from_index"])
+        case b"/v1/cancel":
+            state.cancel(msgspec.json.decode(body)["request_id"])
+            _answer(request, b"200 OK", {})
+        case b"/v1/load":
+            _answer(request, b"200 OK", state.load())
+        case b"/v1/runs":
+            _answer(request, b"200 OK", state.runs)
+        case _:
+            _answer(request, b"404 Not Found", {})
+
+
+def _stream(request: server.HTTPRequest, state: Engine,
+            generation: Generation | None, index: int) -> None:
+    if generation is None:
+        _answer(request, b"503 Service Unavailable", {"run_state": "not_run"})
+        return
+    request.status = b"200 OK"
+    request.outheaders = [(b"Content-Type", b"text/event-stream")]
+    request.ensure_headers_sent()
+    while index < generation.tokens and not generation.is_cancelled:
+        ready_s = (generation.started_s +
+                   (index + 1) * state.options.token_interval_s)
+        time.sleep(max(0.0, ready_s - time.monotonic()))
+        request.write(engine.encode_token(generation.token(index)))
+        index += 1
+    state.end(generation)
+
+
+def _answer(request: server.HTTPRequest, status: bytes, body: object) -> None:
+    request.status = status
+    request.outheaders = [(b"Content-Type", b"application/json")]
+    request.ensure_headers_sent()
+    request.write(msgspec.json.encode(body))
+
+
+def main() -> None:
+    """Runs the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--token-interval-ms", type=float, default=10.0)
+    parser.add_argument("--mean-tokens", type=int, default=40)
+    parser.add_argument("--max-running", type=int, default=64)
+    parser.add_argument("--seed", type=int, default=0)
+    parsed = parser.parse_args()
+    options = Options(parsed.token_interval_ms / _MS_PER_S,
+                      parsed.mean_tokens,
+                      max_running=parsed.max_running)
+    make_server(("127.0.0.1", parsed.port), Engine(options,
+                                                   parsed.seed)).safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testbed/plain_service.py
@@ -0,0 +1,68 @@
+"""Stand-in for a plain service that records each call it runs."""
+
+import argparse
+import threading
+
+import msgspec
+from cheroot import server
+
+from persimmonspan.connection import plain_service
+
+_THREADS = 32
+
+
+class Desk:
+    """Counts runs per request id and per body."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def run(self, key: str) -> int:
+        """Records one run and returns how often the key has run."""
+        with self._lock:
+            self.runs[key] = self.runs.get(key, 0) + 1
+            return self.runs[key]
+
+
+def make_server(address: tuple[str, int], state: Desk) -> server.HTTPServer:
+    """Returns a server for the stand-in."""
+
+    class _Gateway(server.Gateway):
+
+        def respond(self) -> None:
+            """Serves one request."""
+            _respond(self.req, state)
+
+    return server.HTTPServer(address, _Gateway, _THREADS, _THREADS)
+
+
+def _respond(request: server.HTTPRequest, state: Desk) -> None:
+    body = request.rfile.read()
+    request_id = request.inheaders.get(b"X-Request-Id", b"")
+    if request.path == b"/v1/runs":
+        answer = msgspec.json.encode(state.runs)
+    else:
+        runs = state.run(body.decode())
+        answer = msgspec.json.encode({
+            "path": request.path.decode(),
+            "runs": runs
+        })
+    request.status = b"200 OK"
+    request.outheaders = [(b"Content-Type", b"application/json"),
+                          (plain_service.REQUEST_ID_HEADER.encode(), request_id)
+                         ]
+    request.ensure_headers_sent()
+    request.write(answer)
+
+
+def main() -> None:
+    """Runs the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parsed = parser.parse_args()
+    make_server(("127.0.0.1", parsed.port), Desk()).safe_start()
+
+
+if __name__ == "__main__":
+    main()
