--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -1,8 +1,8 @@
 """Stand-in for a model engine: continuous decoding over the real wire format.
 
-Each generation keeps its tokens, so that it can be resumed. The
-text of token `i` is `<prompt hash>-<i>` and a space, by which a caller can check
-that an answer is its own, whole and in order.
+Each generation keeps its tokens, so that it can be resumed. The text of token
+`i` is the hash of the prompt, a dash and `i`, by which a caller can check that
+an answer is its own, whole and in order.
 """
 
 import argparse
