Add the administration API and the operators' subcommands

Cause: operators had no way to read or change a running daemon. The daemon does not serve the routes yet.

--- a/persimmonspan/errors.py
+++ b/persimmonspan/errors.py
@@ -28,6 +28,7 @@
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     CONFLICT = "conflict"
     BODY_TOO_LARGE = "body_too_large"
     LIMIT_EXCEEDED = "limit_exceeded"
@@ -50,6 +51,7 @@
     Code.UNAUTHORIZED: 401,
     Code.FORBIDDEN: 403,
     Code.NOT_FOUND: 404,
+    Code.METHOD_NOT_ALLOWED: 405,
     Code.CONFLICT: 409,
     Code.OUTCOME_UNKNOWN: 409,
     Code.BODY_TOO_LARGE: 413,
--- /dev/null
+++ b/persimmonspan/process/access.py
@@ -0,0 +1,99 @@
+"""Identities of callers and operators, and what each may do.
+
+Workspace keys and operator tokens are random strings of 256 bits; only their
+SHA-256 is kept. A plain hash suffices, since random keys of that length cannot
+be guessed by trying candidates.
+
+Roles form a ladder: a `reader` sees everything but changes nothing; a
+`workspace_admin` also manages the keys and unknown outcomes of one workspace;
+an `operator` may do everything.
+
+>>> key, digest = new_secret("key")
+>>> digest == digest_of(key)
+True
+"""
+
+import enum
+import hashlib
+import secrets
+import typing
+
+from persimmonspan import errors
+from persimmonspan.version import model
+
+_SECRET_BYTES = 32
+_SCHEME = "Bearer "
+
+
+class Role(enum.StrEnum):
+    """Role of an operator."""
+
+    READER = "reader"
+    WORKSPACE_ADMIN = "workspace_admin"
+    OPERATOR = "operator"
+
+
+class Principal(typing.NamedTuple):
+    """An authenticated operator."""
+
+    name: str
+    role: Role
+    workspace: str | None = None
+
+
+def new_secret(prefix: str) -> tuple[str, str]:
+    """Returns a new random secret and its digest.
+
+    Args:
+        prefix: Start of the secret, by which a leaked one is recognised.
+    """
+    secret = f"{prefix}_{secrets.token_urlsafe(_SECRET_BYTES)}"
+    return secret, digest_of(secret)
+
+
+def digest_of(secret: str) -> str:
+    """Returns the SHA-256 of a secret in hex."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def identify(authorization: str | None,
+             configuration: model.Configuration) -> Principal:
+    """Returns the operator that a request's `Authorization` header names.
+
+    Raises:
+        errors.RefusalError: The token is missing or not known.
+    """
+    digest = digest_of((authorization or "").removeprefix(_SCHEME))
+    for item in configuration.operators:
+        if secrets.compare_digest(digest, item.token_sha256):
+            return Principal(item.name, Role(item.role), item.workspace)
+    raise errors.RefusalError(errors.Code.UNAUTHORIZED,
+                              "the operator token is missing or not known")
+
+
+def require_operator(principal: Principal) -> None:
+    """Checks that the principal may change anything.
+
+    Raises:
+        errors.RefusalError: The role does not allow it.
+    """
+    if principal.role is not Role.OPERATOR:
+        raise errors.RefusalError(
+            errors.Code.FORBIDDEN,
+            f"role {principal.role} may not do this; it needs role operator")
+
+
+def require_workspace(principal: Principal, workspace: str | None) -> None:
+    """Checks that the principal may administer the workspace.
+
+    Args:
+        principal: Who asks.
+        workspace: The workspace, or None for all of them.
+
+    Raises:
+        errors.RefusalError: The role does not allow it.
+    """
+    if (principal.role is Role.WORKSPACE_ADMIN and workspace is not None and
+            principal.workspace == workspace):
+        return
+    require_operator(principal)
--- a/persimmonspan/process/cli.py
+++ b/persimmonspan/process/cli.py
@@ -1,7 +1,6 @@
 """Command line of persimmonspan.
 
-Exit codes: 0 success, 1 a document or setting is not valid, 2 wrong usage, 3 a
-stop that cut requests.
+The exit codes are part of the public interface and are listed in the help text.
 """
 
 import argparse
@@ -9,11 +8,32 @@
 import sys
 
 from persimmonspan import errors
+from persimmonspan.process import commands
 from persimmonspan.process import daemon
 from persimmonspan.process import logs
 from persimmonspan.process import settings
 
 EXIT_INVALID = 1
+EXIT_CONFLICT = 4
+EXIT_UNAVAILABLE = 5
+
+_EXIT_CODES = """exit codes:
+  0  success
+  1  a document, setting or request is not valid, or not allowed
+  2  wrong usage of the command line
+  3  a second signal cut requests in flight
+  4  another change came first; read the configuration and try again
+  5  the daemon or the store is not reachable, or the outcome is not known
+  6  the target still has work outstanding (drain --wait)
+"""
+
+_EXIT_BY_CODE = {
+    errors.Code.CONFLICT: EXIT_CONFLICT,
+    errors.Code.NO_TARGET: EXIT_UNAVAILABLE,
+    errors.Code.OUTCOME_UNKNOWN: EXIT_UNAVAILABLE,
+    errors.Code.STORE_UNAVAILABLE: EXIT_UNAVAILABLE,
+    errors.Code.CONFIG_UNVERIFIED: EXIT_UNAVAILABLE,
+}
 
 
 def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
@@ -23,24 +43,27 @@
         return parsed.run(parsed)
     except errors.PersimmonspanError as error:
         print(error, file=sys.stderr)
-        return EXIT_INVALID
+        return _EXIT_BY_CODE.get(error.code, EXIT_INVALID)
+    except KeyboardInterrupt:
+        return 0
 
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="persimmonspan",
         description="Serves generations of unknown length on crowded engines.",
-        epilog="Exit codes: 0 success, 1 a document or setting is not valid, "
-        "2 wrong usage, 3 a stop that cut requests.")
-    commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    serve = commands.add_parser("serve", help="run the daemon")
+        epilog=_EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter)
+    subcommands = parser.add_subparsers(required=True, metavar="COMMAND")
+    serve = subcommands.add_parser("serve", help="run the daemon")
     settings.add_arguments(serve)
     serve.set_defaults(run=_serve)
-    check = commands.add_parser("check",
-                                help="validate an inventory and rules offline")
+    check = subcommands.add_parser(
+        "check", help="validate an inventory and rules offline")
     check.add_argument("inventory", help="inventory file")
     check.add_argument("rules", nargs="?", help="rules file")
     check.set_defaults(run=_check)
+    commands.add_parsers(subcommands)
     return parser
 
 
--- a/persimmonspan/version/check.py
+++ b/persimmonspan/version/check.py
@@ -52,8 +52,8 @@
                     rules_file: str = "rules") -> list[Problem]:
     """Returns all problems of the two decoded JSON documents."""
     problems = [
-        *_shape_problems(inventory, model.InventoryDocument, inventory_file),
-        *_shape_problems(rules, model.RulesDocument, rules_file),
+        *shape_problems(inventory, model.InventoryDocument, inventory_file),
+        *shape_problems(rules, model.RulesDocument, rules_file),
     ]
     if problems:
         return problems
@@ -104,6 +104,7 @@
             for kind in inventory["request_kinds"]),
         timeouts=_timeouts(rules.get("timeouts", {})),
         leaving=frozenset(leaving),
+        leaving_daemons=frozenset(rules.get("leaving_daemons", ())),
         operators=tuple(
             model.Operator(item["name"], item["token_sha256"], item["role"],
                            item.get("workspace"))
@@ -143,14 +144,21 @@
 @functools.cache
 def _validator(document_type: type) -> jsonschema.Draft202012Validator:
     schema = msgspec.json.schema(document_type)
-    for definition in schema.get("$defs", {}).values():
+    for definition in [schema, *schema.get("$defs", {}).values()]:
         if definition.get("type") == "object":
             definition["additionalProperties"] = False
     return jsonschema.Draft202012Validator(schema)
 
 
-def _shape_problems(document: object, document_type: type,
-                    file: str) -> list[Problem]:
+def shape_problems(document: object, document_type: type,
+                   file: str) -> list[Problem]:
+    """Returns the problems of a document's shape.
+
+    Args:
+        document: Decoded JSON.
+        document_type: `TypedDict` that describes it; unknown fields are wrong.
+        file: Name of the document in the problems.
+    """
     return sorted(
         _problem(error, file)
         for error in _validator(document_type).iter_errors(document))
--- a/persimmonspan/version/model.py
+++ b/persimmonspan/version/model.py
@@ -123,6 +123,7 @@
     timeouts: typing.NotRequired[TimeoutsDocument]
     default_limits: typing.NotRequired[LimitsDocument]
     leaving: typing.NotRequired[list[Name]]
+    leaving_daemons: typing.NotRequired[list[Name]]
     operators: typing.NotRequired[list[OperatorDocument]]
 
 
@@ -182,4 +183,5 @@
     kinds: tuple[events.KindPolicy, ...]
     timeouts: Timeouts
     leaving: frozenset[str]
+    leaving_daemons: frozenset[str]
     operators: tuple[Operator, ...]
