--- a/persimmonspan/process/cli.py
+++ b/persimmonspan/process/cli.py
@@ -5,13 +5,18 @@
 
 import argparse
 import collections.abc
+import json
 import sys
+import typing
 
 from persimmonspan import errors
 from persimmonspan.process import commands
 from persimmonspan.process import daemon
+from persimmonspan.process import load
 from persimmonspan.process import logs
 from persimmonspan.process import settings
+from persimmonspan.version import check
+from persimmonspan.version import model
 
 EXIT_INVALID = 1
 EXIT_CONFLICT = 4
@@ -58,12 +63,30 @@
     serve = subcommands.add_parser("serve", help="run the daemon")
     settings.add_arguments(serve)
     serve.set_defaults(run=_serve)
-    check = subcommands.add_parser(
+    validate = subcommands.add_parser(
         "check", help="validate an inventory and rules offline")
-    check.add_argument("inventory", help="inventory file")
-    check.add_argument("rules", nargs="?", help="rules file")
-    check.set_defaults(run=_check)
+    validate.add_argument("inventory", help="inventory file")
+    validate.add_argument("rules", nargs="?", help="rules file")
+    validate.set_defaults(run=_check)
     commands.add_parsers(subcommands)
+    send = subcommands.add_parser(
+        "load",
+        help="send a bounded mixed load to daemons and report what callers see")
+    send.add_argument("inventory", help="inventory file: kinds and workspaces")
+    send.add_argument("keys",
+                      help="JSON file with a workspace key by workspace name")
+    send.add_argument("--daemon",
+                      action="append",
+                      help="address and port of a daemon; may be repeated "
+                      "(default 127.0.0.1:8080)")
+    send.add_argument("--rate", type=float, default=10.0, help="requests/s")
+    send.add_argument("--duration", type=float, default=10.0, help="seconds")
+    send.add_argument("--tries",
+                      type=int,
+                      default=1,
+                      help="how often a request without an answer is sent")
+    send.add_argument("--seed", type=int, default=0)
+    send.set_defaults(run=_load)
     return parser
 
 
@@ -80,3 +103,27 @@
           f"{len(configuration.workspaces)} workspaces, "
           f"{len(configuration.kinds)} request kinds")
     return 0
+
+
+def _load(parsed: argparse.Namespace) -> int:
+    inventory = typing.cast(model.InventoryDocument,
+                            check.load_file(parsed.inventory))
+    problems = check.check_documents(inventory, {}, parsed.inventory)
+    if problems:
+        raise errors.ConfigurationError(errors.Code.BAD_REQUEST,
+                                        "\n".join(map(str, problems)))
+    keys = typing.cast(dict[str, str], check.load_file(parsed.keys))
+    missing = [
+        item["name"]
+        for item in inventory["workspaces"]
+        if item["name"] not in keys
+    ]
+    if missing:
+        raise errors.ConfigurationError(
+            errors.Code.BAD_REQUEST,
+            f"{parsed.keys}: no key for the workspaces {', '.join(missing)}")
+    planned = load.plan(inventory, parsed.rate, parsed.duration, parsed.seed)
+    with load.balancing(parsed.daemon or ["127.0.0.1:8080"]) as balancer:
+        results = load.run(planned, balancer, keys, parsed.tries)
+    print(json.dumps(load.summarise(results), indent=2))
+    return 0
