Poll load reports within a fixed number of polls a second

Cause: the scheduler got no load reports and never learnt that a target died. Change: a poller with ten polls a second whatever the number of targets; a target is reported as dead once per death, by incarnation or refused connection. Measured: unit tests pass; cost per poll is not measured yet. Conclusion: to be wired to the daemon together with the store and the peers.

--- /dev/null
+++ b/persimmonspan/process/report_poller.py
@@ -0,0 +1,145 @@
+"""Polls the load reports of targets within a fixed budget of polls.
+
+One report costs about half a millisecond of processor time and 300 bytes, so the
+poller sends a fixed number of polls a second, whatever the number of targets:
+with more targets each is polled less often, and the scheduler trusts the older
+report less. A target whose incarnation changes, or that refuses connections
+after it had answered, is reported as dead once.
+
+See Also:
+    `persimmonspan.process.load_view`: corrects reports for their age.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import threading
+import typing
+
+from persimmonspan import errors
+from persimmonspan.connection import engine
+from persimmonspan.request import events
+
+POLLS_PER_S = 10.0
+_MIN_INTERVAL_S = 0.5
+_TIMEOUT_S = 1.0
+_WORKERS = 4
+
+Send = collections.abc.Callable[[events.Event], None]
+ReadLoad = collections.abc.Callable[[str, float], engine.LoadDocument]
+
+
+class _Seen(typing.NamedTuple):
+    incarnation: str
+    is_up: bool
+
+
+class Observer:
+    """Turns the answers of one target after the other into events."""
+
+    def __init__(self, read_load: ReadLoad) -> None:
+        self._read_load = read_load
+        self._seen: dict[str, _Seen] = {}
+
+    def poll(self, target: events.Target) -> list[events.Event]:
+        """Polls a target and returns what the scheduler should know."""
+        before = self._seen.get(target.name)
+        try:
+            report = self._read_load(target.address, _TIMEOUT_S)
+        except errors.TargetError:
+            if before is None or not before.is_up:
+                return []
+            self._seen[target.name] = before._replace(is_up=False)
+            return [events.TargetDied(target.name)]
+        self._seen[target.name] = _Seen(report["incarnation"], True)
+        found: list[events.Event] = []
+        if (before is not None and before.is_up and
+                before.incarnation != report["incarnation"]):
+            found.append(events.TargetDied(target.name))
+        found.append(
+            events.LoadReported(target=target.name,
+                                age_s=report["measured_age_s"],
+                                kv_used_tokens=report["kv_used_tokens"],
+                                kv_capacity_tokens=report["kv_capacity_tokens"],
+                                running=report["running"],
+                                waiting=report["waiting"],
+                                preemptions=report["preemptions"]))
+        return found
+
+    def forget_all_but(self, names: collections.abc.Set[str]) -> None:
+        """Drops what was seen of targets that are not in the set."""
+        self._seen = {
+            name: seen for name, seen in self._seen.items() if name in names
+        }
+
+
+def interval_s(targets: int) -> float:
+    """Returns the time between two polls of the same target.
+
+    >>> interval_s(2), interval_s(30)
+    (0.5, 3.0)
+    """
+    return max(_MIN_INTERVAL_S, targets / POLLS_PER_S)
+
+
+class ReportPoller:
+    """Polls all targets round and round, a few at the same time."""
+
+    def __init__(self, send: Send, read_load: ReadLoad) -> None:
+        self._send = send
+        self._observer = Observer(read_load)
+        self._targets: tuple[events.Target, ...] = ()
+        self._busy: set[str] = set()
+        self._stopped = threading.Event()
+        self._pool = concurrent.futures.ThreadPoolExecutor(_WORKERS)
+
+    def set_targets(self, targets: tuple[events.Target, ...]) -> None:
+        """Replaces the polled targets."""
+        self._targets = targets
+        self._observer.forget_all_but({target.name for target in targets})
+
+    def run(self) -> None:
+        """Polls until `stop` is called."""
+        position = 0
+        while True:
+            targets = self._targets
+            wait_s = (interval_s(len(targets)) /
+                      len(targets) if targets else _MIN_INTERVAL_S)
+            if self._stopped.wait(wait_s):
+                return
+            if targets:
+                position = (position + 1) % len(targets)
+                self._submit(targets[position])
+
+    def stop(self) -> None:
+        """Ends `run`."""
+        self._stopped.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _submit(self, target: events.Target) -> None:
+        # A silent target holds one worker; skipping it keeps the others fresh.
+        if target.name in self._busy or self._stopped.is_set():
+            return
+        self._busy.add(target.name)
+        self._pool.submit(self._poll, target)
+
+    def _poll(self, target: events.Target) -> None:
+        try:
+            for event in self._observer.poll(target):
+                self._send(event)
+        finally:
+            self._busy.discard(target.name)
+
+
+@contextlib.contextmanager
+def polling(send: Send,
+            read_load: ReadLoad) -> collections.abc.Iterator[ReportPoller]:
+    """Runs a poller until the block ends."""
+    poller = ReportPoller(send, read_load)
+    thread = threading.Thread(target=poller.run, name="report-poller")
+    thread.start()
+    try:
+        yield poller
+    finally:
+        poller.stop()
+        thread.join()
--- /dev/null
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -0,0 +1,55 @@
+"""Guards death detection: once per death, never for a target not yet seen."""
+
+from persimmonspan import errors
+from persimmonspan.process import report_poller
+from persimmonspan.request import events
+
+_TARGET = events.Target("t", "s", "127.0.0.1:1", "a")
+
+
+def _report(incarnation):
+    return {
+        "kv_used_tokens": 1,
+        "kv_capacity_tokens": 10,
+        "running": 1,
+        "waiting": 0,
+        "preemptions": 0,
+        "measured_age_s": 0.2,
+        "incarnation": incarnation
+    }
+
+
+def _kinds(answers):
+    pending = list(answers)
+
+    def read_load(address, timeout_s):
+        del address, timeout_s
+        answer = pending.pop(0)
+        if answer is None:
+            raise errors.TargetError(errors.Code.TARGET_FAILED, "refused")
+        return _report(answer)
+
+    observer = report_poller.Observer(read_load)
+    return [[type(event).__name__
+             for event in observer.poll(_TARGET)]
+            for _ in answers]
+
+
+def test_unreachable_target_dies_once():
+    assert _kinds(["a", None, None, "b"]) == [["LoadReported"], ["TargetDied"],
+                                              [], ["LoadReported"]]
+
+
+def test_new_incarnation_means_that_the_old_one_died():
+    assert _kinds(["a", "b"]) == [["LoadReported"],
+                                  ["TargetDied", "LoadReported"]]
+
+
+def test_target_that_never_answered_does_not_die():
+    assert _kinds([None, None, "a"]) == [[], [], ["LoadReported"]]
+
+
+def test_number_of_polls_does_not_grow_with_the_targets():
+    for targets in (1, 5, 9, 48, 500):
+        polls_per_s = targets / report_poller.interval_s(targets)
+        assert polls_per_s <= report_poller.POLLS_PER_S
