--- a/persimmonspan/process/load.py
+++ b/persimmonspan/process/load.py
@@ -54,7 +54,8 @@
 
     `outcome` is `complete`, `status_<n>`, a code of `errors.Code`, `cut` for a
     stream that ended with an error event, `truncated` for one that ended
-    without its end mark, or `no_answer`.
+    without its end mark, or `no_answer`. `run_states` holds one state a try;
+    the request id of try `n` is `request_id(planned, n)`, counted from 1.
     """
 
     planned: Planned
@@ -63,7 +64,7 @@
     first_token_s: float
     gaps_s: tuple[float, ...]
     events: tuple[bytes, ...]
-    tries: int
+    run_states: tuple[str, ...]
 
 
 class Summary(typing.TypedDict):
@@ -192,19 +193,27 @@
 
 def _send_until_answered(planned: Planned, balancer: Balancer, key: str,
                          max_tries: int) -> Result:
-    tries = 1
+    run_states: tuple[str, ...] = ()
     while True:
-        result = _send(planned, balancer.pick(), key)._replace(tries=tries)
+        result = _send(planned, balancer.pick(), key,
+                       request_id(planned,
+                                  len(run_states) + 1))
+        run_states += (result.run_state,)
         is_answered = (result.outcome != "no_answer" and
                        result.run_state != errors.RunState.NOT_RUN)
-        if is_answered or tries >= max_tries:
-            return result
-        tries += 1
+        if is_answered or len(run_states) >= max_tries:
+            return result._replace(run_states=run_states)
         time.sleep(_REPEAT_PAUSE_S)
 
 
-def _send(planned: Planned, address: str, key: str) -> Result:
+def request_id(planned: Planned, number: int) -> str:
+    """Returns the request id of a try, counted from 1."""
+    return f"{planned.idempotency_key}-{number}"
+
+
+def _send(planned: Planned, address: str, key: str, sent_id: str) -> Result:
     headers = {
+        "X-Request-Id": sent_id,
         "Authorization": f"Bearer {key}",
         "X-Request-Kind": planned.kind,
         "Idempotency-Key": planned.idempotency_key,
@@ -227,7 +236,7 @@
             return _read(planned, response, start_s)
     except (urllib3.exceptions.HTTPError, OSError):
         return Result(planned, "no_answer", errors.RunState.UNKNOWN, 0.0, (),
-                      (), 1)
+                      (), ())
 
 
 def _refused(planned: Planned, response: urllib3.BaseHTTPResponse) -> Result:
@@ -237,7 +246,7 @@
     except (msgspec.DecodeError, KeyError, TypeError):
         outcome = f"status_{response.status}"
         run_state = errors.RunState.UNKNOWN
-    return Result(planned, outcome, run_state, 0.0, (), (), 1)
+    return Result(planned, outcome, run_state, 0.0, (), (), ())
 
 
 def _read(planned: Planned, response: urllib3.BaseHTTPResponse,
@@ -245,7 +254,7 @@
     if not planned.is_streamed:
         data = response.read()
         return Result(planned, "complete", errors.RunState.RAN,
-                      time.monotonic() - start_s, (), (data,), 1)
+                      time.monotonic() - start_s, (), (data,), ())
     events: list[bytes] = []
     times_s: list[float] = []
     buffer = b""
@@ -263,7 +272,7 @@
         after - before for before, after in zip(times_s, times_s[1:]))
     first_s = times_s[0] - start_s if times_s else 0.0
     return Result(planned, outcome, errors.RunState.RAN, first_s, gaps_s,
-                  tuple(events), 1)
+                  tuple(events), ())
 
 
 def summarise(results: collections.abc.Sequence[Result]) -> Summary:
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -1,6 +1,6 @@
 """Polls the load reports of targets within a fixed budget of polls.
 
-One report costs about half a millisecond of processor time and 300 bytes, so the
+Each report costs processor time and bytes, which are bounded for control. The
 poller sends a fixed number of polls a second, whatever the number of targets:
 with more targets each is polled less often, and the scheduler trusts the older
 report less. A target whose incarnation changes, or that refuses connections
--- a/persimmonspan/process/tests/test_load.py
+++ b/persimmonspan/process/tests/test_load.py
@@ -25,7 +25,7 @@
     planned = load.plan(_inventory(), 20.0, 2.0, 1)
     results = [
         load.Result(item, "complete" if i % 2 else "overloaded", "ran", 0.1,
-                    (0.01,), (b"x", b"data: [DONE]"), 1)
+                    (0.01,), (b"x", b"data: [DONE]"), ("ran",))
         for i, item in enumerate(planned)
     ]
     summary = load.summarise(results)
