Link daemons by gossip over pyzmq with CURVE

Cause: daemons know nothing of each other; loads, quarantines, leaving targets and configuration changes stay local, and no daemon can tell whether it hears a majority.

--- /dev/null
+++ b/persimmonspan/connection/peer.py
@@ -0,0 +1,324 @@
+"""Links between daemons: ZeroMQ ROUTER and DEALER sockets with CURVE.
+
+A link is one connection in use in both directions: the dialing daemon has a
+DEALER socket, the accepting daemon answers over its ROUTER socket. The ROUTER
+accepts keys of the public keys file only and learns from the key, not from the
+message, which daemon it talks to; the DEALER checks the key of the daemon that
+it dials. A connection that is not established takes no messages, so that
+nothing stale is delivered after an outage.
+
+One thread polls all sockets. After it wakes it waits for `_GATHER_S`, so that
+messages that arrive close together cost one wakeup.
+
+See Also:
+    `persimmonspan.process.gossip`: finds silent links and has them reopened.
+
+References:
+    ZeroMQ RFC 26 (CurveZMQ) and RFC 27 (ZAP).
+"""
+
+import contextlib
+import logging
+import os
+import queue
+import threading
+import time
+import typing
+
+import zmq
+from zmq.utils import z85
+
+from persimmonspan import errors
+from persimmonspan.connection import peer_keys
+from persimmonspan.connection import peer_messages
+from persimmonspan.process import gossip_state
+
+_GATHER_S = 0.01
+TICK_INTERVAL_S = 0.25
+_ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+_ZAP_DOMAIN = b"persimmonspan"
+_ZAP_VERSION = b"1.0"
+_QUEUED_MESSAGES = 256
+_MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 2000
+_HANDSHAKE_MS = 3000
+# The ROUTER drops connections whose other end does not answer pings.
+_PING_MS = 15_000
+_FRAME_BYTES = 35  # CURVE adds this to each frame.
+
+_logger = logging.getLogger(__name__)
+
+
+class Traffic(typing.NamedTuple):
+    """Messages and bytes since the start, with CURVE framing, without TCP."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    dropped_messages: int = 0
+
+
+class Batch(typing.NamedTuple):
+    """What one wakeup brought, in order."""
+
+    received: tuple[gossip_state.Received, ...]
+    is_tick: bool
+
+
+class Links:
+    """Sockets to all peers and the thread that polls them.
+
+    Args:
+        address: Address and port to accept links on.
+        keys: Key pair of the own daemon.
+        public_keys: Public key of each daemon.
+        deliver: Called with each batch, on the polling thread.
+        count: Called with the reason of each counted event.
+        is_blocked: Says of a peer whether its messages are dropped in both
+            directions, by which tests and benchmarks cut links.
+    """
+
+    def __init__(
+            self,
+            address: str,
+            keys: peer_keys.KeyPair,
+            public_keys: dict[str, str],
+            deliver: typing.Callable[[Batch], None],
+            count: typing.Callable[[str], None],
+            is_blocked: typing.Callable[[str],
+                                        bool] = lambda peer: False) -> None:
+        self.traffic = Traffic()
+        self._keys = keys
+        self._deliver = deliver
+        self._count = count
+        self._is_blocked = is_blocked
+        self._names: dict[bytes, str] = {}
+        self._public_keys: dict[str, str] = {}
+        self.set_public_keys(public_keys)
+        self._dealers: dict[str, zmq.Socket] = {}
+        self._peers: dict[zmq.Socket, str] = {}
+        self._routes: dict[str, bytes] = {}
+        self._commands: queue.SimpleQueue[gossip_state.Send |
+                                          gossip_state.Open |
+                                          gossip_state.Close] = (
+                                              queue.SimpleQueue())
+        self._wake = os.eventfd(0, os.EFD_NONBLOCK)
+        self._is_stopping = False
+        self._context = zmq.Context()
+        self._context.set(zmq.MAX_SOCKETS, 4096)
+        self._poller = zmq.Poller()
+        self._zap = self._context.socket(zmq.REP)
+        self._zap.linger = 0
+        self._zap.bind(_ZAP_ENDPOINT)
+        self._router = self._make_router(address)
+        self._poller.register(self._wake, zmq.POLLIN)
+        self._poller.register(self._zap, zmq.POLLIN)
+        self._poller.register(self._router, zmq.POLLIN)
+        self._thread = threading.Thread(target=self._run,
+                                        name="peer-links",
+                                        daemon=True)
+
+    def start(self) -> None:
+        """Starts the polling thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes all links and ends the thread."""
+        self._is_stopping = True
+        os.eventfd_write(self._wake, 1)
+        self._thread.join()
+        os.close(self._wake)
+
+    def set_public_keys(self, public_keys: dict[str, str]) -> None:
+        """Replaces the known keys; others are neither heard nor sent to."""
+        self._public_keys = dict(public_keys)
+        self._names = {
+            z85.decode(key): name for name, key in public_keys.items()
+        }
+
+    def carry_out(
+        self, commands: typing.Iterable[gossip_state.Send | gossip_state.Open |
+                                        gossip_state.Close]
+    ) -> None:
+        """Queues commands for the polling thread."""
+        is_empty = True
+        for command in commands:
+            self._commands.put(command)
+            is_empty = False
+        if not is_empty and not self._is_stopping:
+            os.eventfd_write(self._wake, 1)
+
+    def _make_router(self, address: str) -> zmq.Socket:
+        router = self._context.socket(zmq.ROUTER)
+        _set_common(router, self._keys)
+        router.curve_server = True
+        router.zap_domain = _ZAP_DOMAIN
+        router.router_mandatory = True
+        router.heartbeat_ivl = _PING_MS
+        router.heartbeat_timeout = _PING_MS
+        try:
+            router.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise errors.ConfigurationError(
+                errors.Code.BAD_REQUEST,
+                f"--peer-address {address}: {error}") from error
+        return router
+
+    def _run(self) -> None:
+        next_tick_s = time.monotonic()
+        while not self._is_stopping:
+            wait_s = next_tick_s - time.monotonic()
+            ready = self._poller.poll(max(0.0, wait_s) * 1000)
+            if ready and not self._is_stopping:
+                time.sleep(_GATHER_S)
+            received: list[gossip_state.Received] = []
+            for socket, _ in ready:
+                if socket == self._wake:
+                    os.eventfd_read(self._wake)
+                elif socket is self._zap:
+                    self._authenticate()
+                elif socket is self._router:
+                    self._drain_router(received)
+                else:
+                    self._drain_dealer(socket, received)
+            self._run_commands()
+            now_s = time.monotonic()
+            is_tick = now_s >= next_tick_s
+            if is_tick:
+                next_tick_s = now_s + TICK_INTERVAL_S
+            if received or is_tick:
+                self._deliver(Batch(tuple(received), is_tick))
+        self._context.destroy(linger=0)
+
+    def _authenticate(self) -> None:
+        with contextlib.suppress(zmq.Again):
+            while True:
+                frames = self._zap.recv_multipart(zmq.NOBLOCK)
+                name = self._names.get(frames[6]) if len(frames) > 6 else None
+                status, text = (b"200", b"OK")
+                if name is None:
+                    status, text = (b"400", b"unknown key")
+                    self._count("peer_key_refused")
+                self._zap.send_multipart([
+                    _ZAP_VERSION, frames[1], status, text, (name or
+                                                            "").encode(), b""
+                ])
+
+    def _drain_router(self, received: list[gossip_state.Received]) -> None:
+        with contextlib.suppress(zmq.Again):
+            while True:
+                frames = self._router.recv_multipart(zmq.NOBLOCK, copy=False)
+                peer = str(frames[-1].get("User-Id"))
+                if peer in self._public_keys and not self._is_blocked(peer):
+                    self._routes[peer] = frames[0].bytes
+                self._take(peer, frames[-1].bytes, received)
+
+    def _drain_dealer(self, socket: zmq.Socket,
+                      received: list[gossip_state.Received]) -> None:
+        with contextlib.suppress(zmq.Again):
+            while True:
+                data = socket.recv_multipart(zmq.NOBLOCK)[-1]
+                self._take(self._peers[socket], data, received)
+
+    def _take(self, peer: str, data: bytes,
+              received: list[gossip_state.Received]) -> None:
+        if peer not in self._public_keys or self._is_blocked(peer):
+            return
+        self.traffic = self.traffic._replace(
+            received_messages=self.traffic.received_messages + 1,
+            received_bytes=self.traffic.received_bytes + len(data) +
+            _FRAME_BYTES)
+        try:
+            received.append(
+                gossip_state.Received(peer, peer_messages.decode(data)))
+        except peer_messages.PeerMessageError as error:
+            self._count("peer_message_malformed")
+            _logger.warning("malformed message",
+                            extra={
+                                "peer": peer,
+                                "reason": str(error)
+                            })
+
+    def _run_commands(self) -> None:
+        with contextlib.suppress(queue.Empty):
+            while True:
+                command = self._commands.get_nowait()
+                if isinstance(command, gossip_state.Send):
+                    data = peer_messages.encode(command.message)
+                    for peer in command.peers:
+                        self._send(peer, data)
+                elif isinstance(command, gossip_state.Open):
+                    self._open(command)
+                else:
+                    self._close(command.peer)
+
+    def _send(self, peer: str, data: bytes) -> None:
+        if self._is_blocked(peer) or peer not in self._public_keys:
+            return
+        if not self._send_dealer(peer, data) and not self._send_router(
+                peer, data):
+            self.traffic = self.traffic._replace(
+                dropped_messages=self.traffic.dropped_messages + 1)
+            return
+        self.traffic = self.traffic._replace(
+            sent_messages=self.traffic.sent_messages + 1,
+            sent_bytes=self.traffic.sent_bytes + len(data) + _FRAME_BYTES)
+
+    def _send_dealer(self, peer: str, data: bytes) -> bool:
+        dealer = self._dealers.get(peer)
+        if dealer is None:
+            return False
+        try:
+            dealer.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    def _send_router(self, peer: str, data: bytes) -> bool:
+        route = self._routes.get(peer)
+        if route is None:
+            return False
+        try:
+            self._router.send_multipart([route, data], zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        except zmq.ZMQError:  # The connection of the route has ended.
+            del self._routes[peer]
+            return False
+        return True
+
+    def _open(self, command: gossip_state.Open) -> None:
+        self._close(command.peer)
+        public_key = self._public_keys.get(command.peer)
+        if public_key is None:
+            self._count("peer_key_unknown")
+            return
+        dealer = self._context.socket(zmq.DEALER)
+        _set_common(dealer, self._keys)
+        dealer.curve_serverkey = public_key.encode()
+        dealer.immediate = True
+        dealer.reconnect_ivl = _RECONNECT_MS
+        dealer.reconnect_ivl_max = _RECONNECT_MAX_MS
+        dealer.connect(f"tcp://{command.address}")
+        self._dealers[command.peer] = dealer
+        self._peers[dealer] = command.peer
+        self._poller.register(dealer, zmq.POLLIN)
+
+    def _close(self, peer: str) -> None:
+        dealer = self._dealers.pop(peer, None)
+        if dealer is not None:
+            del self._peers[dealer]
+            self._poller.unregister(dealer)
+            dealer.close(linger=0)
+
+
+def _set_common(socket: zmq.Socket, keys: peer_keys.KeyPair) -> None:
+    socket.linger = 0
+    socket.sndhwm = _QUEUED_MESSAGES
+    socket.rcvhwm = _QUEUED_MESSAGES
+    socket.maxmsgsize = _MAX_MESSAGE_BYTES
+    socket.handshake_ivl = _HANDSHAKE_MS
+    socket.curve_publickey = keys.public_key.encode()
+    socket.curve_secretkey = keys.secret_key.encode()
--- /dev/null
+++ b/persimmonspan/connection/peer_messages.py
@@ -0,0 +1,151 @@
+"""Messages between daemons and their encoding.
+
+A message is one kind byte followed by its fields as a msgpack array, so that a
+new field can be appended without breaking older daemons. Times are durations:
+no daemon relies on the clock of another one.
+
+>>> decode(encode(Ask(7)))
+Ask(revision=7)
+
+See Also:
+    `persimmonspan.process.gossip`: decides what is sent to whom.
+"""
+
+import typing
+
+import msgspec
+
+from persimmonspan import errors
+from persimmonspan.request import events
+
+
+class PeerMessageError(errors.PersimmonspanError):
+    """A peer sent bytes that are not a message."""
+
+
+class Hello(typing.NamedTuple):
+    """Identity of a daemon, sent over a link until the peer answers."""
+
+    daemon: str
+    incarnation: int
+    failure_domain: str
+    region: str
+    address: str
+    revision: int = 0
+
+
+class Summary(typing.NamedTuple):
+    """What a reporter hears from the daemons of its own failure domain.
+
+    `members_hash` names the set of (daemon, incarnation) pairs; a receiver that
+    lacks the set asks for it. `age_s` is the age of the oldest evidence in it;
+    relaying daemons add the time that they hold the summary.
+    """
+
+    failure_domain: str
+    reporter: str
+    incarnation: int
+    sequence: int
+    age_s: float
+    members_hash: int
+    revision_min: int
+    revision_max: int
+    facts_hash: int
+    draining: tuple[str, ...] = ()
+    loads: tuple[events.TargetLoad, ...] = ()
+
+
+class Digest(typing.NamedTuple):
+    """Heartbeat with what a daemon knows of itself."""
+
+    daemon: str
+    incarnation: int
+    sequence: int
+    revision: int
+    store_age_s: float
+    members_hash: int
+    loads: tuple[events.TargetLoad, ...]
+    draining: bool
+    facts_hash: int = 0
+    summaries: tuple[Summary, ...] = ()
+
+
+class Change(typing.NamedTuple):
+    """A configuration revision as a difference to its base."""
+
+    revision: int
+    base_revision: int
+    difference: bytes
+
+
+class Ask(typing.NamedTuple):
+    """Asks for all that is newer than a revision."""
+
+    revision: int
+
+
+class Whole(typing.NamedTuple):
+    """A whole configuration document."""
+
+    revision: int
+    document: bytes
+
+
+class Quarantine(typing.NamedTuple):
+    """A fingerprint that crashed targets; `crashes` 0 lifts it.
+
+    Of two statements on a fingerprint the one of the higher version holds.
+    """
+
+    fingerprint: str
+    crashes: int
+    ttl_s: float
+    version: int = 0
+
+
+class Leaving(typing.NamedTuple):
+    """A target is leaving."""
+
+    target: str
+    ttl_s: float = 600.0
+
+
+class AskMembers(typing.NamedTuple):
+    """Asks for the members of a failure domain that a summary refers to."""
+
+    failure_domain: str
+
+
+class Members(typing.NamedTuple):
+    """Identities of daemons that the sender has heard of."""
+
+    members: tuple[Hello, ...]
+
+
+Message = (Hello | Digest | Summary | Change | Ask | Whole | Quarantine |
+           Leaving | AskMembers | Members)
+
+_TYPES = (Hello, Digest, Change, Ask, Whole, Quarantine, Leaving, Summary,
+          AskMembers, Members)
+_KINDS = {message_type: kind for kind, message_type in enumerate(_TYPES)}
+_encoder = msgspec.msgpack.Encoder()
+_decoders = tuple(
+    msgspec.msgpack.Decoder(message_type) for message_type in _TYPES)
+
+
+def encode(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    return bytes((_KINDS[type(message)],)) + _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message of the bytes.
+
+    Raises:
+        PeerMessageError: The bytes are not a message.
+    """
+    try:
+        return _decoders[data[0]].decode(memoryview(data)[1:])
+    except (IndexError, msgspec.DecodeError) as error:
+        raise PeerMessageError(errors.Code.BAD_REQUEST,
+                               f"not a peer message: {error}") from error
--- /dev/null
+++ b/persimmonspan/process/gossip_round.py
@@ -0,0 +1,212 @@
+"""What a daemon sends in each round: digests, summaries, links and questions.
+
+The budget is shared by all links of a round. What the fixed parts of a digest
+leave of it is filled with loads, so that a larger failure domain hears each
+load less often instead of exceeding the budget.
+"""
+
+import math
+import random
+
+from persimmonspan.connection import peer_messages
+from persimmonspan.process import gossip_facts
+from persimmonspan.process import gossip_plan
+from persimmonspan.process import gossip_state as types
+from persimmonspan.process import membership
+from persimmonspan.request import events
+
+# Half of the budget is for sending; the rest of that half is for urgent
+# messages and repairs.
+_DIGEST_SHARE = 0.4
+_DIGEST_BYTES = 70
+_SUMMARY_BYTES = 80
+_DOMAIN_LOADS = 3
+# CURVE adds nonce, authenticator and command name to each frame.
+FRAME_BYTES = 35
+_SUMMARY_HOLD_S = 10.0
+_ACCEPTED_FORGET_S = 60.0
+_MAX_REOPEN_WAIT_S = 20.0
+# Age that stands for "the store was never read".
+_NEVER_S = 1e6
+
+
+def hello(state: types.State) -> peer_messages.Hello:
+    """Returns the identity of the own daemon."""
+    return peer_messages.Hello(*state.members.own, state.revision)
+
+
+def cross_peers(state: types.State, now_s: float) -> tuple[str, ...]:
+    """Returns linked and heard daemons of other failure domains."""
+    if state.plan.is_mesh:
+        return ()
+    domain = state.members.own.failure_domain
+    return tuple(peer for peer, link in state.links.items()
+                 if peer not in state.plan.mates and now_s -
+                 link.heard_s <= membership.SILENT_TIMEOUT_S and
+                 peer in state.members.members and
+                 state.members.members[peer].identity.failure_domain != domain)
+
+
+def own_pairs(state: types.State,
+              now_s: float) -> tuple[tuple[tuple[str, int], ...], float]:
+    """Returns the own failure domain's heard members and the oldest age."""
+    own = state.members.own
+    pairs, age_s = [(own.daemon, own.incarnation)], 0.0
+    for member in membership.live(state.members, own.failure_domain):
+        if now_s - member.heard_s <= state.options.link_silent_s:
+            pairs.append((member.identity.daemon, member.identity.incarnation))
+            age_s = max(age_s, now_s - member.heard_s)
+    return tuple(sorted(pairs)), age_s
+
+
+def identities_hash(state: types.State) -> int:
+    """Returns a hash of all identities that mates should agree on."""
+    members = state.members
+    pairs = [(members.own.daemon, members.own.incarnation)]
+    for name in state.plan.mates:
+        member = members.members.get(name)
+        if member is not None and (not member.is_silent or
+                                   name in members.registered):
+            pairs.append((name, member.identity.incarnation))
+    return gossip_plan.members_hash(pairs)
+
+
+def run(state: types.State, now_s: float, rng: random.Random) -> types.Result:
+    """Runs one round."""
+    options = state.options
+    state = state._replace(plan=gossip_plan.make_plan(state.members, now_s,
+                                                      options.mesh_limit),
+                           facts=gossip_facts.expire(state.facts, now_s),
+                           sequence=state.sequence + 1)
+    state, commands = _keep_links(state, now_s, rng)
+    round_s = options.mesh_round_s if state.plan.is_mesh else options.round_s
+    state = state._replace(next_round_s=now_s + round_s)
+    greeted = tuple(peer for peer, link in state.links.items()
+                    if link.is_dialed and link.heard_s < link.opened_s)
+    if greeted:
+        commands.append(types.Send(greeted, hello(state)))
+    state, more = _digest(state, now_s, round_s)
+    return state, commands + more + _summarize(state, now_s)
+
+
+def _digest(state: types.State, now_s: float, round_s: float) -> types.Result:
+    mates = tuple(name for name in state.plan.mates if name in state.links)
+    relayed = () if state.plan.is_mesh else _relayed(state, now_s, round_s)
+    limit = (state.options.budget_bytes_per_s * _DIGEST_SHARE * round_s /
+             max(1, len(mates)))
+    limit -= _DIGEST_BYTES + FRAME_BYTES + _SUMMARY_BYTES * len(relayed)
+    loads, told = gossip_plan.choose_loads(state.loads, state.told,
+                                           state.sequence, int(limit))
+    digest = peer_messages.Digest(state.members.own.daemon,
+                                  state.members.own.incarnation, state.sequence,
+                                  state.revision, store_age_s(state, now_s),
+                                  identities_hash(state), loads,
+                                  state.is_draining,
+                                  gossip_facts.digest(state.facts), relayed)
+    keep = {
+        key: held
+        for key, held in state.summaries.items()
+        if now_s - held.received_s > _SUMMARY_HOLD_S
+    }
+    for key in keep:
+        state = state._replace(summaries=state.summaries.delete(key))
+    return state._replace(
+        told=told), [types.Send(mates, digest)] if mates else []
+
+
+def store_age_s(state: types.State, now_s: float) -> float:
+    """Returns the age of the last read of the store."""
+    age_s = now_s - state.store_read_s
+    return _NEVER_S if math.isinf(age_s) else round(age_s, 2)
+
+
+def _relayed(state: types.State, now_s: float,
+             round_s: float) -> tuple[peer_messages.Summary, ...]:
+    return tuple(
+        held.summary._replace(age_s=round(
+            held.summary.age_s + now_s - held.received_s, 2),
+                              loads=())
+        for held in state.summaries.values()
+        if held.is_direct and now_s - held.received_s <= round_s)
+
+
+def _summarize(state: types.State, now_s: float) -> list[types.Command]:
+    peers = cross_peers(state, now_s)
+    if not peers:
+        return []
+    own = state.members.own
+    pairs, age_s = own_pairs(state, now_s)
+    mates = [
+        member for name, _ in pairs
+        if (member := state.members.members.get(name)) is not None
+    ]
+    revisions = [member.revision for member in mates] + [state.revision]
+    draining = [item.identity.daemon for item in mates if item.is_draining]
+    if state.is_draining:
+        draining.append(own.daemon)
+    summary = peer_messages.Summary(own.failure_domain, own.daemon,
+                                    own.incarnation, state.sequence,
+                                    round(age_s, 2),
+                                    gossip_plan.members_hash(pairs),
+                                    min(revisions), max(revisions),
+                                    gossip_facts.digest(state.facts),
+                                    tuple(draining), _domain_loads(state))
+    return [types.Send(peers, summary)]
+
+
+def _domain_loads(state: types.State) -> tuple[events.TargetLoad, ...]:
+    sums: dict[str, events.TargetLoad] = dict(state.loads)
+    for name in state.plan.mates:
+        for target, load in state.peer_loads.get(name, {}).items():
+            known = sums.get(target, events.TargetLoad(target, 0, 0))
+            sums[target] = events.TargetLoad(
+                target, known.outstanding + load.outstanding,
+                known.predicted_tokens + load.predicted_tokens)
+    return tuple(
+        sorted(sums.values(),
+               key=lambda load: -load.predicted_tokens)[:_DOMAIN_LOADS])
+
+
+def _keep_links(state: types.State, now_s: float,
+                rng: random.Random) -> types.Result:
+    commands: list[types.Command] = []
+    links = state.links
+    wanted = state.plan.mates | state.plan.dialed
+    for peer, link in list(links.items()):
+        if link.is_dialed and peer not in wanted:
+            commands.append(types.Close(peer))
+            links = links.delete(peer)
+        elif now_s - max(link.opened_s, link.heard_s) > _ACCEPTED_FORGET_S and (
+                not link.is_dialed):
+            links = links.delete(peer)
+    for peer in wanted:
+        link = links.get(peer) or types.Link(False, now_s)
+        address = state.members.members[peer].identity.address
+        is_due, reason = _is_dial_due(state, peer, link, address, now_s)
+        if is_due and address:
+            wait_s = 0.0
+            if reason:
+                commands.append(types.Count(reason))
+                wait_s = min(
+                    _MAX_REOPEN_WAIT_S,
+                    2 * link.silent_wait_s + state.options.link_silent_s)
+                wait_s *= rng.uniform(0.5, 1.0)
+            commands.append(types.Open(peer, address))
+            link = link._replace(is_dialed=True,
+                                 opened_s=now_s,
+                                 silent_wait_s=wait_s,
+                                 address=address)
+        links = links.set(peer, link)
+    return state._replace(links=links), commands
+
+
+def _is_dial_due(state: types.State, peer: str, link: types.Link, address: str,
+                 now_s: float) -> tuple[bool, str]:
+    silent_s = now_s - max(link.opened_s, link.heard_s)
+    if link.is_dialed:
+        if link.address != address:
+            return True, ""
+        limit_s = state.options.link_silent_s + link.silent_wait_s
+        return silent_s > limit_s, "peer_link_reopened"
+    return (peer in state.plan.dialed or state.members.own.daemon > peer or
+            silent_s > state.options.dial_anyway_s), ""
--- /dev/null
+++ b/persimmonspan/process/gossip_state.py
@@ -0,0 +1,190 @@
+"""State, events and commands of gossip."""
+
+import math
+import typing
+
+import immutables
+
+from persimmonspan.connection import peer_messages
+from persimmonspan.process import gossip_facts
+from persimmonspan.process import gossip_plan
+from persimmonspan.process import membership
+from persimmonspan.request import events
+
+
+class Options(typing.NamedTuple):
+    """Intervals and budget of gossip."""
+
+    # Sent and received bytes together (design page, section 1.5).
+    budget_bytes_per_s: float = 15_000.0
+    # Up to this many daemons all are linked with all.
+    mesh_limit: int = 12
+    mesh_round_s: float = 0.5
+    round_s: float = 1.0
+    # Two missed rounds and a half.
+    link_silent_s: float = 2.5
+    # A peer without a link is dialed by both sides after this time.
+    dial_anyway_s: float = 2.0
+    # Flooded copies of a change arrive within this time; asking earlier would
+    # transfer it twice.
+    ask_grace_s: float = 0.3
+    ask_timeout_s: float = 1.0
+    wholes_per_s: float = 4.0
+    # Changes kept for peers that ask; older ones get the whole document.
+    kept_changes: int = 32
+    repair_interval_s: float = 3.0
+    facts_per_repair: int = 64
+    urgent_bytes_per_s: float = 20_000.0
+    urgent_burst_bytes: float = 400_000.0
+
+
+class Link(typing.NamedTuple):
+    """A link to a peer, dialed by this daemon or accepted from the peer."""
+
+    is_dialed: bool
+    opened_s: float
+    heard_s: float = -math.inf
+    silent_wait_s: float = 0.0
+    repaired_s: float = -math.inf
+    address: str = ""
+
+
+class HeldSummary(typing.NamedTuple):
+    """The last summary of a reporter, and when it came."""
+
+    summary: peer_messages.Summary
+    received_s: float
+    is_direct: bool
+
+
+class Asking(typing.NamedTuple):
+    """A question for newer revisions."""
+
+    behind_since_s: float = math.inf
+    asked_s: float = -math.inf
+
+
+class Bucket(typing.NamedTuple):
+    """A token bucket."""
+
+    tokens: float
+    filled_s: float
+
+
+class State(typing.NamedTuple):
+    """State of gossip."""
+
+    options: Options
+    members: membership.State
+    plan: gossip_plan.Plan
+    sequence: int = 0
+    next_round_s: float = -math.inf
+    revision: int = 0
+    whole: peer_messages.Whole | None = None
+    changes: immutables.Map[int, peer_messages.Change] = immutables.Map()
+    store_read_s: float = -math.inf
+    is_draining: bool = False
+    loads: immutables.Map[str, events.TargetLoad] = immutables.Map()
+    told: immutables.Map[str, gossip_plan.Told] = immutables.Map()
+    peer_loads: immutables.Map[str, immutables.Map[
+        str, events.TargetLoad]] = immutables.Map()
+    facts: gossip_facts.Facts = immutables.Map()
+    links: immutables.Map[str, Link] = immutables.Map()
+    summaries: immutables.Map[str, HeldSummary] = immutables.Map()
+    rosters: immutables.Map[int, tuple[tuple[str, int], ...]] = immutables.Map()
+    asking: Asking = Asking()
+    wholes: Bucket = Bucket(4.0, 0.0)
+    urgent: Bucket = Bucket(400_000.0, 0.0)
+
+
+class Received(typing.NamedTuple):
+    """A message came over the link of an authenticated peer."""
+
+    peer: str
+    message: peer_messages.Message
+
+
+class LoadsPublished(typing.NamedTuple):
+    """All loads of the own daemon."""
+
+    loads: tuple[events.TargetLoad, ...]
+
+
+class FactPublished(typing.NamedTuple):
+    """The own daemon quarantines, lifts, or says that a target leaves."""
+
+    message: gossip_facts.FactMessage
+
+
+class ChangePublished(typing.NamedTuple):
+    """The own daemon committed or found a change."""
+
+    change: peer_messages.Change
+
+
+class WholeAdopted(typing.NamedTuple):
+    """The own daemon is at this revision; the document serves peers."""
+
+    whole: peer_messages.Whole
+
+
+class StoreRead(typing.NamedTuple):
+    """The own daemon read the configuration head now."""
+
+
+class DrainStarted(typing.NamedTuple):
+    """The own daemon drains."""
+
+
+class Tick(typing.NamedTuple):
+    """Time passed."""
+
+
+class Send(typing.NamedTuple):
+    """Send a message to each of the peers that has a link."""
+
+    peers: tuple[str, ...]
+    message: peer_messages.Message
+
+
+class Open(typing.NamedTuple):
+    """Connect to a peer, closing an earlier connection."""
+
+    peer: str
+    address: str
+
+
+class Close(typing.NamedTuple):
+    """Close the connection to a peer."""
+
+    peer: str
+
+
+class Deliver(typing.NamedTuple):
+    """Hand an event to the rest of the daemon."""
+
+    event: (events.PeerLoad | events.QuarantineShared |
+            events.QuarantineLifted | events.TargetLeaving |
+            peer_messages.Change | peer_messages.Whole |
+            membership.MajorityHeard)
+
+
+class Count(typing.NamedTuple):
+    """Raise a counter."""
+
+    reason: str
+
+
+Event = (Received | LoadsPublished | FactPublished | ChangePublished |
+         WholeAdopted | StoreRead | DrainStarted | Tick | membership.Event)
+Command = Send | Open | Close | Deliver | Count
+Result = tuple[State, list[Command]]
+
+
+def take(bucket: Bucket, amount: float, rate_per_s: float, burst: float,
+         now_s: float) -> tuple[Bucket, bool]:
+    """Takes tokens from a bucket if it has enough."""
+    tokens = min(burst, bucket.tokens + (now_s - bucket.filled_s) * rate_per_s)
+    if tokens < amount:
+        return Bucket(tokens, now_s), False
+    return Bucket(tokens - amount, now_s), True
--- /dev/null
+++ b/persimmonspan/process/membership.py
@@ -0,0 +1,282 @@
+"""Membership: which daemons there are and which of them are heard.
+
+A daemon is known by its name and has one incarnation at a time. The highest
+incarnation ever seen of a name is kept, so that no message of an older one has
+an effect. A daemon whose wall clock went back starts with an incarnation that
+is too low; it learns so from a peer and takes a higher one.
+
+Evidence that a daemon runs is a sequence number that is higher than the last
+one, with the age of that evidence. Rows of the table and the VM list introduce
+daemons but are no evidence, as both lag.
+
+A majority is heard when more than half of the registered daemons, the own one
+included, gave evidence within `HEARD_WINDOW_S`. Registered is a daemon with a
+`member/` row as last read.
+
+References:
+    Das, Gupta, Motivala: "SWIM", 2002 (incarnations and refutation).
+"""
+
+import functools
+import math
+import random
+import typing
+
+import immutables
+
+# A daemon withdraws when it neither reads the store nor hears a majority for
+# 3 s (design page, section 4).
+HEARD_WINDOW_S = 3.0
+# Two windows, so that a late digest does not move links between daemons.
+SILENT_TIMEOUT_S = 6.0
+
+
+class Identity(typing.NamedTuple):
+    """Name, incarnation and place of a daemon."""
+
+    daemon: str
+    incarnation: int
+    failure_domain: str
+    region: str
+    address: str
+
+
+class Member(typing.NamedTuple):
+    """What is known of another daemon."""
+
+    identity: Identity
+    sequence: int = -1
+    heard_s: float = -math.inf
+    revision: int = 0
+    store_age_s: float = math.inf
+    is_draining: bool = False
+    is_silent: bool = True
+
+
+class State(typing.NamedTuple):
+    """Members other than the own daemon, and the registered names."""
+
+    own: Identity
+    members: immutables.Map[str, Member] = immutables.Map()
+    registered: frozenset[str] = frozenset()
+    listed: frozenset[str] = frozenset()
+    is_majority_heard: bool = False
+
+
+class Introduced(typing.NamedTuple):
+    """A daemon is said to exist; no evidence that it runs."""
+
+    identity: Identity
+
+
+class RowsRead(typing.NamedTuple):
+    """All `member/` rows were read."""
+
+    rows: tuple[Identity, ...]
+
+
+class VmsListed(typing.NamedTuple):
+    """The VM list was read; entries carry incarnation 0."""
+
+    vms: tuple[Identity, ...]
+
+
+class Heard(typing.NamedTuple):
+    """A daemon was heard directly."""
+
+    daemon: str
+    incarnation: int
+    sequence: int
+    revision: int
+    store_age_s: float = math.inf
+    is_draining: bool = False
+
+
+class HeardOf(typing.NamedTuple):
+    """A reporter heard from these (daemon, incarnation) pairs."""
+
+    pairs: tuple[tuple[str, int], ...]
+    age_s: float
+    revision: int
+    draining: tuple[str, ...] = ()
+
+
+class Tick(typing.NamedTuple):
+    """Time passed."""
+
+
+class Restarted(typing.NamedTuple):
+    """A known daemon has a new incarnation; its old state is void."""
+
+    daemon: str
+
+
+class FellSilent(typing.NamedTuple):
+    """No evidence of a daemon within `SILENT_TIMEOUT_S`."""
+
+    daemon: str
+
+
+class Outranked(typing.NamedTuple):
+    """A peer knows a higher incarnation of the own daemon; it is raised."""
+
+    incarnation: int
+
+
+class MajorityHeard(typing.NamedTuple):
+    """Whether a majority of the registered daemons is heard changed."""
+
+    is_heard: bool
+    heard: int
+    registered: int
+
+
+Event = Introduced | RowsRead | VmsListed | Heard | HeardOf | Tick
+Command = Restarted | FellSilent | Outranked | MajorityHeard
+Result = tuple[State, list[Command]]
+
+
+def step(state: State, event: Event, now_s: float,
+         rng: random.Random) -> Result:
+    """Returns the next state and what changed."""
+    del rng
+    state, commands = _step(event, state, now_s)
+    if not isinstance(event, (Tick, RowsRead)):
+        # Counting on each message costs O(members) and is not needed: ticks
+        # come several times within the window.
+        return state, commands
+    heard, registered = count_heard(state, now_s)
+    is_heard = 2 * heard > registered
+    if is_heard != state.is_majority_heard:
+        state = state._replace(is_majority_heard=is_heard)
+        commands = commands + [MajorityHeard(is_heard, heard, registered)]
+    return state, commands
+
+
+def count_heard(state: State, now_s: float) -> tuple[int, int]:
+    """Returns how many registered daemons are heard and are registered."""
+    heard = sum(1 for name in state.registered if name == state.own.daemon or
+                is_heard_within(state.members.get(name), now_s, HEARD_WINDOW_S))
+    return heard, len(state.registered)
+
+
+def is_heard_within(member: Member | None, now_s: float,
+                    window_s: float) -> bool:
+    """Returns whether there is evidence of a member within a window."""
+    return member is not None and now_s - member.heard_s <= window_s
+
+
+def live(state: State, failure_domain: str | None = None) -> list[Member]:
+    """Returns the members that are not silent, of one failure domain or all."""
+    return [
+        member for member in state.members.values()
+        if not member.is_silent and failure_domain in (
+            None, member.identity.failure_domain)
+    ]
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    raise TypeError(f"unknown event {event!r} at {now_s} in {type(state)}")
+
+
+@_step.register
+def _(event: Introduced, state: State, now_s: float) -> Result:
+    del now_s
+    return _introduce(state, event.identity)
+
+
+@_step.register
+def _(event: RowsRead, state: State, now_s: float) -> Result:
+    del now_s
+    state = state._replace(registered=frozenset(
+        row.daemon for row in event.rows))
+    return _introduce_all(state, event.rows)
+
+
+@_step.register
+def _(event: VmsListed, state: State, now_s: float) -> Result:
+    del now_s
+    state = state._replace(listed=frozenset(vm.daemon for vm in event.vms))
+    return _introduce_all(state, event.vms)
+
+
+@_step.register
+def _(event: Heard, state: State, now_s: float) -> Result:
+    member = state.members.get(event.daemon)
+    if (member is None or event.incarnation != member.identity.incarnation or
+            event.sequence <= member.sequence):
+        return state, []
+    return _put(
+        state,
+        member._replace(sequence=event.sequence,
+                        heard_s=now_s,
+                        revision=event.revision,
+                        store_age_s=event.store_age_s,
+                        is_draining=event.is_draining,
+                        is_silent=False)), []
+
+
+@_step.register
+def _(event: HeardOf, state: State, now_s: float) -> Result:
+    heard_s = now_s - event.age_s
+    members = state.members.mutate()
+    for daemon, incarnation in event.pairs:
+        member = members.get(daemon)
+        if (member is None or incarnation != member.identity.incarnation or
+                heard_s <= member.heard_s):
+            continue
+        members[daemon] = member._replace(heard_s=heard_s,
+                                          revision=max(member.revision,
+                                                       event.revision),
+                                          is_draining=daemon in event.draining,
+                                          is_silent=event.age_s
+                                          > SILENT_TIMEOUT_S)
+    return state._replace(members=members.finish()), []
+
+
+@_step.register
+def _(event: Tick, state: State, now_s: float) -> Result:
+    del event
+    commands: list[Command] = []
+    for name, member in state.members.items():
+        if not member.is_silent and not is_heard_within(member, now_s,
+                                                        SILENT_TIMEOUT_S):
+            state = _put(state, member._replace(is_silent=True))
+            commands.append(FellSilent(name))
+    return state, commands
+
+
+def _introduce_all(state: State, identities: tuple[Identity, ...]) -> Result:
+    commands: list[Command] = []
+    for identity in identities:
+        state, more = _introduce(state, identity)
+        commands += more
+    return state, commands
+
+
+def _introduce(state: State, identity: Identity) -> Result:
+    if identity.daemon == state.own.daemon:
+        return _check_own(state, identity)
+    member = state.members.get(identity.daemon)
+    if member is None:
+        return _put(state, Member(identity)), []
+    if identity.incarnation <= member.identity.incarnation:
+        return state, []
+    commands: list[Command] = []
+    if member.identity.incarnation > 0:
+        commands.append(Restarted(identity.daemon))
+    return _put(state, Member(identity)), commands
+
+
+def _check_own(state: State, identity: Identity) -> Result:
+    if identity.incarnation <= state.own.incarnation:
+        return state, []
+    raised = identity.incarnation + 1
+    return (state._replace(own=state.own._replace(incarnation=raised)),
+            [Outranked(raised)])
+
+
+def _put(state: State, member: Member) -> State:
+    return state._replace(
+        members=state.members.set(member.identity.daemon, member))
