Ready: retry

Cause: retries of callers, this layer and hedges multiply without a shared budget. Change: request/retry.py, one budget per daemon and target group with deposits by success, repeats of callers drawn from it, hedge delay at the observed p95, send weight per target with multiplicative decrease and additive recovery. Measured: 12 tests and doctests of request/ pass, linter clean; before: no module. Time per decision not measured yet.

--- /dev/null
+++ b/persimmonspan/request/retry.py
@@ -0,0 +1,335 @@
+"""Retry budget per target group, and what may be retried or hedged.
+
+Retries at several layers multiply: three layers with three attempts each send
+27 requests. Here each daemon keeps one budget per target group (the targets of
+one service). A success deposits a fraction of a token, a retry, a hedge and a
+caller's own repeat each spend a whole one, so that extra load stays below that
+fraction of successful load plus a fixed reserve, whatever the callers do.
+
+A refusal by a target halves its send weight, which then recovers linearly with
+time (additive increase, multiplicative decrease). Refusals within
+`_DECREASE_INTERVAL_S` count as one signal, because they answer requests that
+were sent before the first refusal was known.
+
+How to call it: `arrived` for each request, `may_retry` when an attempt failed,
+`may_hedge` at the hedge delay, `succeeded`, `refused` and `first_token` for
+what targets do, `ended` at the end of a request, `tick` about once a second. Each
+decision carries a reason to be counted with `events.Count(reason)`.
+
+>>> state = State()
+>>> request = Request("drafts", "plaza/key-1", has_key=True)
+>>> state, decision = arrived(state, request, now_s=1.0)
+>>> decision.is_allowed, decision.is_repeat
+(True, False)
+>>> attempt = Attempt("drafts", tried=("e1",), is_idempotent=True)
+>>> state, decision = may_retry(
+...     state, attempt, events.Outcome.FAILED_BEFORE_FIRST_TOKEN)
+>>> decision.is_allowed, decision.reason.value
+(True, 'retry_failed_before_first_token')
+>>> balance(state, "drafts")
+4.0
+
+See Also:
+    `persimmonspan.request.quarantine`: where a suspect request may be retried.
+
+References:
+    Google, Site Reliability Engineering, chapter 21: retry budgets.
+    Dean and Barroso, The Tail at Scale, 2013: hedged requests.
+"""
+
+import bisect
+import enum
+import typing
+
+import immutables
+
+from persimmonspan.request import events
+
+DEPOSIT = 0.1  # Extra load of at most a tenth of the successful load.
+CAP = 20.0
+INITIAL = 5.0  # Lets the first failures after a start be retried.
+HEDGE_RESERVE = 3.0  # Hedges leave this much to retries.
+REPEAT_WINDOW_S = 10.0  # A repeat after a failure counts for this long.
+MIN_WEIGHT = 0.05  # Enough requests to notice that a target accepts again.
+RECOVERY_PER_S = 0.1
+_DECREASE = 0.5
+_DECREASE_INTERVAL_S = 0.1
+_HEDGE_QUANTILE = 0.95
+_MIN_HEDGE_SAMPLES = 50
+_MAX_HEDGE_SAMPLES = 1000  # Counts are halved there, so that old ones fade.
+# Upper edges of first-token buckets: 1 ms to 62 s, each 1.2 times the last.
+_EDGES_S = tuple(0.001 * 1.2**i for i in range(61))
+
+
+class Reason(enum.StrEnum):
+    """Why an attempt was allowed or denied; the name of a counter."""
+
+    FIRST_ATTEMPT = "attempt_first"
+    REPEAT = "repeat_by_caller"
+    REPEAT_OF_RUNNING = "repeat_of_running"
+    REPEAT_OVER_BUDGET = "repeat_denied_budget"
+    RETRY_REFUSED = "retry_refused"
+    RETRY_CONNECT_FAILED = "retry_connect_failed"
+    RETRY_FAILED = "retry_failed_before_first_token"
+    DENIED_STARTED = "retry_denied_after_first_token"
+    DENIED_NOT_IDEMPOTENT = "retry_denied_not_idempotent"
+    DENIED_OUTCOME = "retry_denied_outcome"
+    DENIED_REPEAT = "retry_denied_repeat"
+    DENIED_BUDGET = "retry_denied_budget"
+    HEDGE = "hedge"
+    HEDGE_DENIED_KIND = "hedge_denied_kind"
+    HEDGE_DENIED_STARTED = "hedge_denied_started"
+    HEDGE_DENIED_EARLY = "hedge_denied_early"
+    HEDGE_DENIED_BUDGET = "hedge_denied_budget"
+
+
+_RETRY_REASONS = {
+    events.Outcome.REFUSED: Reason.RETRY_REFUSED,
+    events.Outcome.CONNECT_FAILED: Reason.RETRY_CONNECT_FAILED,
+    events.Outcome.FAILED_BEFORE_FIRST_TOKEN: Reason.RETRY_FAILED,
+}
+# No target ran the request in these cases, so that any kind may be retried.
+_NOT_RUN = frozenset({events.Outcome.REFUSED, events.Outcome.CONNECT_FAILED})
+
+
+class Request(typing.NamedTuple):
+    """A caller's request as the budget sees it.
+
+    `key` is the workspace with the idempotency key or, without one, with the
+    fingerprint; `has_key` says which.
+    """
+
+    group: str
+    key: str
+    has_key: bool = False
+
+
+class Attempt(typing.NamedTuple):
+    """What decides whether a request may be sent once more.
+
+    `tried` holds the targets already tried; `untried` picks among the others.
+    """
+
+    group: str
+    tried: tuple[str, ...]
+    is_idempotent: bool
+    is_short: bool = False
+    has_started: bool = False
+    is_repeat: bool = False
+
+
+class Decision(typing.NamedTuple):
+    """Whether to go on, and the reason to count."""
+
+    is_allowed: bool
+    reason: Reason
+    is_repeat: bool = False
+
+
+class _Known(typing.NamedTuple):
+    running: int
+    failed_s: float | None  # When the last one failed.
+
+
+class _Weight(typing.NamedTuple):
+    value: float
+    updated_s: float
+
+
+class State(typing.NamedTuple):
+    """Budgets, recent requests, send weights and first-token times."""
+
+    balances: immutables.Map[str, float] = immutables.Map()
+    requests: immutables.Map[tuple[str, str], _Known] = immutables.Map()
+    weights: immutables.Map[str, _Weight] = immutables.Map()
+    first_tokens: immutables.Map[str, tuple[int, ...]] = immutables.Map()
+
+
+Result = tuple[State, Decision]
+
+
+def balance(state: State, group: str) -> float:
+    """Returns the tokens left in the budget of a group."""
+    return state.balances.get(group, INITIAL)
+
+
+def arrived(state: State, request: Request, now_s: float) -> Result:
+    """Admits a caller's request; a repeat spends from the budget.
+
+    The same idempotency key while the first runs, and the same request within
+    `REPEAT_WINDOW_S` of a failure, are certainly repeats and are denied once
+    the budget is empty. The same content without a key while the first runs may
+    come from an independent caller: it spends what is left but is never denied.
+    Neither may be retried by this daemon (`Attempt.is_repeat`), so that the
+    caller's layer and this one do not multiply. Every allowed request must be
+    followed by one `ended`.
+    """
+    entry = (request.group, request.key)
+    known = state.requests.get(entry, _Known(0, None))
+    has_failed = (known.failed_s is not None and
+                  now_s - known.failed_s < REPEAT_WINDOW_S)
+    decision = Decision(True, Reason.FIRST_ATTEMPT)
+    if has_failed or known.running:
+        spent = _spend(state, request.group)
+        if spent is None and (has_failed or request.has_key):
+            return state, Decision(False, Reason.REPEAT_OVER_BUDGET, True)
+        state = spent or state
+        decision = Decision(
+            True, Reason.REPEAT if has_failed or request.has_key else
+            Reason.REPEAT_OF_RUNNING, True)
+    known = known._replace(running=known.running + 1)
+    return state._replace(requests=state.requests.set(entry, known)), decision
+
+
+def ended(state: State, request: Request, is_success: bool,
+          now_s: float) -> State:
+    """Notes that an allowed request ended for the caller.
+
+    `is_success` is false also when the caller left, since it may come back.
+    """
+    entry = (request.group, request.key)
+    known = state.requests.get(entry)
+    if known is None:
+        return state
+    failed_s = None if is_success else now_s
+    running = max(0, known.running - 1)
+    if not running and failed_s is None:
+        return state._replace(requests=state.requests.delete(entry))
+    return state._replace(
+        requests=state.requests.set(entry, _Known(running, failed_s)))
+
+
+def may_retry(state: State, attempt: Attempt,
+              outcome: events.Outcome) -> Result:
+    """Decides whether a request whose attempt ended may be sent once more."""
+    reason = _RETRY_REASONS.get(outcome)
+    has_started = (attempt.has_started or
+                   outcome is events.Outcome.FAILED_AFTER_FIRST_TOKEN)
+    if has_started:
+        return state, Decision(False, Reason.DENIED_STARTED)
+    if reason is None:
+        return state, Decision(False, Reason.DENIED_OUTCOME)
+    if not attempt.is_idempotent and outcome not in _NOT_RUN:
+        return state, Decision(False, Reason.DENIED_NOT_IDEMPOTENT)
+    if attempt.is_repeat:
+        return state, Decision(False, Reason.DENIED_REPEAT)
+    spent = _spend(state, attempt.group)
+    if spent is None:
+        return state, Decision(False, Reason.DENIED_BUDGET)
+    return spent, Decision(True, reason)
+
+
+def may_hedge(state: State, attempt: Attempt, waited_s: float) -> Result:
+    """Decides whether to send a second copy of work that has not started."""
+    if not (attempt.is_idempotent and attempt.is_short) or attempt.is_repeat:
+        return state, Decision(False, Reason.HEDGE_DENIED_KIND)
+    if attempt.has_started:
+        return state, Decision(False, Reason.HEDGE_DENIED_STARTED)
+    delay_s = hedge_delay_s(state, attempt.group)
+    if delay_s is None or waited_s < delay_s:
+        return state, Decision(False, Reason.HEDGE_DENIED_EARLY)
+    spent = _spend(state, attempt.group, HEDGE_RESERVE)
+    if spent is None:
+        return state, Decision(False, Reason.HEDGE_DENIED_BUDGET)
+    return spent, Decision(True, Reason.HEDGE)
+
+
+def untried(attempt: Attempt, targets: typing.Iterable[str]) -> list[str]:
+    """Returns the targets that a retry or a hedge may go to.
+
+    >>> untried(Attempt("drafts", ("e1",), True), ["e1", "e2"])
+    ['e2']
+    """
+    return [target for target in targets if target not in attempt.tried]
+
+
+def succeeded(state: State, group: str) -> State:
+    """Deposits for one success of a first attempt, retry or hedge."""
+    value = balance(state, group)
+    if value >= CAP:
+        return state
+    return state._replace(
+        balances=state.balances.set(group, min(CAP, value + DEPOSIT)))
+
+
+def refused(state: State, target: str, now_s: float) -> State:
+    """Halves the send weight of a target that refused work.
+
+    >>> state = refused(State(), "e1", 0.0)
+    >>> send_weight(state, "e1", 0.0), send_weight(state, "e1", 2.0)
+    (0.5, 0.7)
+    """
+    known = state.weights.get(target)
+    if known is not None and now_s - known.updated_s < _DECREASE_INTERVAL_S:
+        return state
+    value = max(MIN_WEIGHT, send_weight(state, target, now_s) * _DECREASE)
+    return state._replace(
+        weights=state.weights.set(target, _Weight(value, now_s)))
+
+
+def send_weight(state: State, target: str, now_s: float) -> float:
+    """Returns the share of new work, 0..1, that a target should be sent."""
+    known = state.weights.get(target)
+    if known is None:
+        return 1.0
+    recovered = (now_s - known.updated_s) * RECOVERY_PER_S
+    return min(1.0, known.value + recovered)
+
+
+def first_token(state: State, group: str, delay_s: float) -> State:
+    """Adds an observed time from dispatch to first token."""
+    counts = state.first_tokens.get(group) or (0,) * (len(_EDGES_S) + 2)
+    i = bisect.bisect_left(_EDGES_S, delay_s)
+    counts = counts[:i] + (counts[i] + 1,) + counts[i + 1:-1] + (counts[-1] +
+                                                                 1,)
+    if counts[-1] >= _MAX_HEDGE_SAMPLES:
+        halved = tuple(count // 2 for count in counts[:-1])
+        counts = halved + (sum(halved),)
+    return state._replace(first_tokens=state.first_tokens.set(group, counts))
+
+
+def hedge_delay_s(state: State, group: str) -> float | None:
+    """Returns the p95 of the first-token time, at most 20% too high.
+
+    Returns None while fewer than `_MIN_HEDGE_SAMPLES` were observed.
+    """
+    counts = state.first_tokens.get(group)
+    if counts is None or counts[-1] < _MIN_HEDGE_SAMPLES:
+        return None
+    rest = counts[-1] * _HEDGE_QUANTILE
+    for edge_s, count in zip(_EDGES_S, counts):
+        rest -= count
+        if rest <= 0:
+            return edge_s
+    return None  # Beyond the last edge a hedge would come too late to help.
+
+
+def tick(state: State, now_s: float) -> State:
+    """Forgets failures that are too old and weights that have recovered."""
+    old = [
+        entry for entry, known in state.requests.items()
+        if not known.running and known.failed_s is not None and now_s -
+        known.failed_s >= REPEAT_WINDOW_S
+    ]
+    full = [
+        target for target in state.weights
+        if send_weight(state, target, now_s) >= 1.0
+    ]
+    if not old and not full:
+        return state
+    return state._replace(requests=_without(state.requests, old),
+                          weights=_without(state.weights, full))
+
+
+def _spend(state: State, group: str, reserve: float = 0.0) -> State | None:
+    value = balance(state, group)
+    if value < 1.0 + reserve:
+        return None
+    return state._replace(balances=state.balances.set(group, value - 1.0))
+
+
+def _without(items: immutables.Map, keys: list) -> immutables.Map:
+    with items.mutate() as mutation:
+        for key in keys:
+            del mutation[key]
+        return mutation.finish()
--- /dev/null
+++ b/persimmonspan/request/tests/test_retry.py
@@ -0,0 +1,68 @@
+"""Guards the retry budget against overspending and unsafe retries."""
+
+import pytest
+
+from persimmonspan.request import events
+from persimmonspan.request import retry
+
+_REASONS = retry.Reason
+_OUTCOMES = events.Outcome
+
+
+def _attempt(**changes):
+    return retry.Attempt("drafts", ("e1",), True)._replace(**changes)
+
+
+@pytest.mark.parametrize("changes, outcome, reason", [
+    ({}, _OUTCOMES.FAILED_AFTER_FIRST_TOKEN, _REASONS.DENIED_STARTED),
+    ({
+        "has_started": True
+    }, _OUTCOMES.REFUSED, _REASONS.DENIED_STARTED),
+    ({
+        "is_idempotent": False
+    }, _OUTCOMES.FAILED_BEFORE_FIRST_TOKEN, _REASONS.DENIED_NOT_IDEMPOTENT),
+    ({
+        "is_idempotent": False
+    }, _OUTCOMES.REFUSED, _REASONS.RETRY_REFUSED),
+    ({
+        "is_idempotent": False
+    }, _OUTCOMES.CONNECT_FAILED, _REASONS.RETRY_CONNECT_FAILED),
+    ({}, _OUTCOMES.CANCELLED, _REASONS.DENIED_OUTCOME),
+    ({
+        "is_repeat": True
+    }, _OUTCOMES.REFUSED, _REASONS.DENIED_REPEAT),
+])
+def test_unsafe_retry_is_denied(changes, outcome, reason):
+    _, decision = retry.may_retry(retry.State(), _attempt(**changes), outcome)
+    assert decision.reason is reason
+
+
+def test_repeat_by_caller_shares_the_budget_with_retries():
+    state = retry.State()
+    request = retry.Request("drafts", "key", True)
+    reasons = []
+    for i in range(8):
+        state, decision = retry.arrived(state, request, float(i) / 10)
+        reasons.append(decision.reason)
+        if decision.is_allowed:
+            state = retry.ended(state, request, False, float(i) / 10)
+    assert reasons == ([_REASONS.FIRST_ATTEMPT] + [_REASONS.REPEAT] * 5 +
+                       [_REASONS.REPEAT_OVER_BUDGET] * 2)
+    _, decision = retry.may_retry(state, _attempt(), _OUTCOMES.REFUSED)
+    assert decision.reason is _REASONS.DENIED_BUDGET
+
+
+def test_hedge_waits_for_p95_and_leaves_a_reserve():
+    state = retry.State()
+    attempt = _attempt(is_short=True)
+    for i in range(100):
+        state = retry.first_token(state, "drafts", 0.05 if i < 94 else 2.0)
+    assert 2.0 <= retry.hedge_delay_s(state, "drafts") <= 2.4
+    _, decision = retry.may_hedge(state, attempt, 1.0)
+    assert decision.reason is _REASONS.HEDGE_DENIED_EARLY
+    reasons = []
+    for _ in range(3):
+        state, decision = retry.may_hedge(state, attempt, 3.0)
+        reasons.append(decision.reason)
+    assert reasons == [_REASONS.HEDGE] * 2 + [_REASONS.HEDGE_DENIED_BUDGET]
+    assert retry.may_retry(state, attempt, _OUTCOMES.REFUSED)[1].is_allowed
