Ready: leaving

Cause: several sources say that a target leaves, each late in its own way, and an old entry of the VM list could bring a target back. Change: process/leaving.py, any source alone stops new work; only a new incarnation or an operator's undrain brings a target back; list entries are dated by their measurement. Incarnations are opaque strings, as the engine adapter reports them. Two long doc lines of retry.py are wrapped. Conclusion: the scheduler can ask is_leaving before each choice.

--- /dev/null
+++ b/persimmonspan/process/leaving.py
@@ -0,0 +1,296 @@
+"""Leaving targets and VMs from all sources.
+
+A target leaves by the word of whichever source speaks first: the inventory or
+the rules, the platform's list of VMs, a reclaim notice, or the target's own
+refusal because it drains. No source needs the agreement of another, because a
+needless stop of new work costs little and a late one breaks requests.
+
+It returns by one of two signs only: an operator's undrain (explicit, or a newer
+revision that lists it no more), or a new incarnation. The inventory is an order
+of an operator and stands against a new incarnation. Everything said before the
+sign is void. The list of VMs lags, so that an entry is dated by when it was
+measured, not by when it arrived: an old entry neither brings a VM back nor
+marks one that has returned since. An entry "live" never brings anything back.
+
+How to call it: one `step` per event; `is_leaving` before each choice of target.
+The commands are `Left` and `Returned`, which the caller turns into
+`events.TargetLeaving` and counters.
+
+>>> state, _ = step(State(), Placed((("e1", "vm-1"),)), 0.0)
+>>> state, _ = step(state, IncarnationSeen("e1", "a"), 1.0)
+>>> state, commands = step(state, VmsListed(("vm-1",), age_s=2.0), 10.0)
+>>> [(left.name, left.source.value) for left in commands]
+[('vm-1', 'vm_list')]
+>>> is_leaving(state, "e1")
+True
+>>> state, _ = step(state, IncarnationSeen("e1", "b"), 11.0)
+>>> state, _ = step(state, VmsListed(("vm-1",), age_s=5.0), 12.0)
+>>> is_leaving(state, "e1")
+False
+
+See Also:
+    `persimmonspan.version.model`: the `leaving` marks of inventory and rules.
+"""
+
+import enum
+import functools
+import typing
+
+import immutables
+
+# A list older than this says nothing that another source has not said by now.
+MAX_LIST_AGE_S = 300.0
+_FORGET_AFTER_S = 86_400.0  # Of names that no target or VM has any more.
+_KEPT_INCARNATIONS = 4  # Recognises late reports of earlier incarnations.
+_NEVER = float("-inf")
+
+
+class Source(enum.StrEnum):
+    """Who said that a target or a VM leaves."""
+
+    INVENTORY = "inventory"
+    VM_LIST = "vm_list"
+    RECLAIM = "reclaim"
+    REFUSAL = "refusal"
+
+
+_SAYING = (Source.VM_LIST, Source.RECLAIM, Source.REFUSAL)
+
+
+class Placed(typing.NamedTuple):
+    """Which VM each target runs on, as (target, vm); replaces the last one."""
+
+    vm_by_target: tuple[tuple[str, str], ...]
+
+
+class InventoryRead(typing.NamedTuple):
+    """A revision with its leaving targets and VMs was adopted."""
+
+    revision: int
+    leaving: frozenset[str]
+
+
+class VmsListed(typing.NamedTuple):
+    """The platform's list, measured `age_s` ago, names these VMs as leaving."""
+
+    leaving: tuple[str, ...]
+    age_s: float
+
+
+class Reclaimed(typing.NamedTuple):
+    """The platform gave notice that it takes a target or VM back.
+
+    `incarnation` is the one that the notice is about, or None if not known.
+    """
+
+    name: str
+    incarnation: str | None = None
+
+
+class DrainRefused(typing.NamedTuple):
+    """A target refused work because it is draining."""
+
+    target: str
+    incarnation: str | None = None
+
+
+class IncarnationSeen(typing.NamedTuple):
+    """A target reported its incarnation."""
+
+    target: str
+    incarnation: str
+
+
+class Undrained(typing.NamedTuple):
+    """An operator put a target or VM back to work."""
+
+    name: str
+
+
+class Left(typing.NamedTuple):
+    """A target or VM began to leave."""
+
+    name: str
+    source: Source
+
+
+class Returned(typing.NamedTuple):
+    """A target or VM is usable again."""
+
+    name: str
+
+
+Event = (Placed | InventoryRead | VmsListed | Reclaimed | DrainRefused |
+         IncarnationSeen | Undrained)
+Command = Left | Returned
+
+
+class State(typing.NamedTuple):
+    """What each source said last.
+
+    `said_s` holds per name and source when it was said, in monotonic seconds;
+    `returned_s` holds per name when the last sign of return came.
+    `incarnations` holds per target the last few, the present one first.
+    """
+
+    revision: int = -1
+    listed: frozenset[str] = frozenset()
+    said_s: immutables.Map[tuple[str, Source], float] = immutables.Map()
+    returned_s: immutables.Map[str, float] = immutables.Map()
+    incarnations: immutables.Map[str, tuple[str, ...]] = immutables.Map()
+    vm_by_target: immutables.Map[str, str] = immutables.Map()
+
+
+Result = tuple[State, list[Command]]
+
+
+def is_leaving(state: State, target: str) -> bool:
+    """Returns whether a target or its VM is leaving: no new work for it."""
+    if _is_marked(state, target, target):
+        return True
+    vm = state.vm_by_target.get(target)
+    return vm is not None and _is_marked(state, vm, target)
+
+
+def step(state: State,
+         event: Event,
+         now_s: float,
+         rng: object = None) -> Result:
+    """Returns the next state with `Left` and `Returned`, one per change."""
+    del rng
+    return _step(event, state, now_s)
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    del event, now_s
+    return state, []
+
+
+@_step.register
+def _(event: Placed, state: State, now_s: float) -> Result:
+    placed = immutables.Map(event.vm_by_target)
+    kept = {*placed.keys(), *placed.values()}
+    said_s = immutables.Map({
+        entry: said_s
+        for entry, said_s in state.said_s.items()
+        if entry[0] in kept or now_s - said_s < _FORGET_AFTER_S
+    })
+    returned_s = immutables.Map({
+        name: returned_s
+        for name, returned_s in state.returned_s.items()
+        if name in kept or now_s - returned_s < _FORGET_AFTER_S
+    })
+    incarnations = immutables.Map({
+        name: seen for name, seen in state.incarnations.items() if name in kept
+    })
+    return state._replace(vm_by_target=placed,
+                          said_s=said_s,
+                          returned_s=returned_s,
+                          incarnations=incarnations), []
+
+
+@_step.register
+def _(event: InventoryRead, state: State, now_s: float) -> Result:
+    if event.revision <= state.revision:
+        return state, []
+    commands: list[Command] = [
+        Left(name, Source.INVENTORY)
+        for name in sorted(event.leaving - state.listed)
+        if not is_leaving(state, name)
+    ]
+    undrained = sorted(state.listed - event.leaving)
+    state = state._replace(revision=event.revision, listed=event.leaving)
+    for name in undrained:
+        state = _with_return(state, name, now_s)
+        commands.append(Returned(name))
+    return state, commands
+
+
+@_step.register
+def _(event: VmsListed, state: State, now_s: float) -> Result:
+    if event.age_s > MAX_LIST_AGE_S:
+        return state, []
+    commands: list[Command] = []
+    for name in event.leaving:
+        state, added = _mark(state, name, Source.VM_LIST, now_s - event.age_s)
+        commands += added
+    return state, commands
+
+
+@_step.register
+def _(event: Reclaimed, state: State, now_s: float) -> Result:
+    return _notice(state, event.name, event.incarnation, Source.RECLAIM, now_s)
+
+
+@_step.register
+def _(event: DrainRefused, state: State, now_s: float) -> Result:
+    return _notice(state, event.target, event.incarnation, Source.REFUSAL,
+                   now_s)
+
+
+@_step.register
+def _(event: IncarnationSeen, state: State, now_s: float) -> Result:
+    seen = state.incarnations.get(event.target, ())
+    if event.incarnation in seen:  # The present one or a late report.
+        return state, []
+    state = _with_incarnation(state, event.target, event.incarnation)
+    if not seen:  # It may be the one that was said to leave.
+        return state, []
+    return _return(state, event.target, now_s)
+
+
+@_step.register
+def _(event: Undrained, state: State, now_s: float) -> Result:
+    was_leaving = is_leaving(state, event.name)
+    state = state._replace(listed=state.listed - {event.name})
+    state = _with_return(state, event.name, now_s)
+    return state, [Returned(event.name)] if was_leaving else []
+
+
+def _notice(state: State, name: str, incarnation: str | None, source: Source,
+            now_s: float) -> Result:
+    if incarnation is not None:
+        seen = state.incarnations.get(name, ())
+        if incarnation in seen[1:]:
+            return state, []  # About an incarnation that is gone.
+        if incarnation not in seen:
+            state = _with_incarnation(state, name, incarnation)
+    return _mark(state, name, source, now_s)
+
+
+def _with_incarnation(state: State, name: str, incarnation: str) -> State:
+    seen = (incarnation,) + state.incarnations.get(name, ())
+    return state._replace(
+        incarnations=state.incarnations.set(name, seen[:_KEPT_INCARNATIONS]))
+
+
+def _mark(state: State, name: str, source: Source, said_s: float) -> Result:
+    entry = (name, source)
+    if said_s <= max(state.said_s.get(entry, _NEVER),
+                     state.returned_s.get(name, _NEVER)):
+        return state, []
+    was_leaving = is_leaving(state, name)
+    state = state._replace(said_s=state.said_s.set(entry, said_s))
+    return state, [] if was_leaving else [Left(name, source)]
+
+
+def _return(state: State, target: str, now_s: float) -> Result:
+    was_leaving = is_leaving(state, target)
+    state = _with_return(state, target, now_s)
+    has_returned = was_leaving and not is_leaving(state, target)
+    return state, [Returned(target)] if has_returned else []
+
+
+def _with_return(state: State, name: str, now_s: float) -> State:
+    return state._replace(returned_s=state.returned_s.set(name, now_s))
+
+
+def _is_marked(state: State, name: str, target: str) -> bool:
+    if name in state.listed:
+        return True
+    returned_s = max(state.returned_s.get(name, _NEVER),
+                     state.returned_s.get(target, _NEVER))
+    return any(
+        state.said_s.get((name, source), _NEVER) > returned_s
+        for source in _SAYING)
--- /dev/null
+++ b/persimmonspan/process/tests/test_leaving.py
@@ -0,0 +1,46 @@
+"""Guards leaving targets against new work and against a false return."""
+
+import pytest
+
+from persimmonspan.process import leaving
+
+_E1_LEFT = [
+    leaving.VmsListed(("vm-1",), 1.0),
+    leaving.Reclaimed("e1"),
+    leaving.Reclaimed("vm-1"),
+    leaving.DrainRefused("e1", "a"),
+    leaving.InventoryRead(1, frozenset({"e1"})),
+]
+
+
+def _run(*timed):
+    state = leaving.State()
+    state, _ = leaving.step(state, leaving.Placed((("e1", "vm-1"),)), 0.0)
+    state, _ = leaving.step(state, leaving.IncarnationSeen("e1", "a"), 0.0)
+    for now_s, event in timed:
+        state, _ = leaving.step(state, event, now_s)
+    return leaving.is_leaving(state, "e1")
+
+
+@pytest.mark.parametrize("event", _E1_LEFT)
+def test_any_source_alone_stops_new_work_until_a_sign_of_return(event):
+    assert _run((5.0, event))
+    # The report of the old incarnation and a list without the VM are no sign.
+    assert _run((5.0, event), (6.0, leaving.IncarnationSeen("e1", "a")),
+                (7.0, leaving.VmsListed((), 0.0)))
+    by_operator = isinstance(event, leaving.InventoryRead)
+    assert _run((5.0, event),
+                (6.0, leaving.IncarnationSeen("e1", "b"))) is by_operator
+
+
+def test_entry_measured_before_the_return_is_void():
+    back = (6.0, leaving.IncarnationSeen("e1", "b"))
+    assert not _run(back, (8.0, leaving.VmsListed(("vm-1",), 3.0)))
+    assert _run(back, (8.0, leaving.VmsListed(("vm-1",), 1.0)))
+    assert not _run(back, (8.0, leaving.DrainRefused("e1", "a")))
+
+
+def test_older_revision_does_not_undrain():
+    drained = (1.0, leaving.InventoryRead(4, frozenset({"e1"})))
+    assert _run(drained, (2.0, leaving.InventoryRead(3, frozenset())))
+    assert not _run(drained, (2.0, leaving.InventoryRead(5, frozenset())))
--- a/persimmonspan/request/retry.py
+++ b/persimmonspan/request/retry.py
@@ -11,10 +11,10 @@
 `_DECREASE_INTERVAL_S` count as one signal, because they answer requests that
 were sent before the first refusal was known.
 
-How to call it: `arrived` for each request, `may_retry` when an attempt failed,
+How to call it: `arrived` for each request, `may_retry` after a failed attempt,
 `may_hedge` at the hedge delay, `succeeded`, `refused` and `first_token` for
-what targets do, `ended` at the end of a request, `tick` about once a second. Each
-decision carries a reason to be counted with `events.Count(reason)`.
+what targets do, `ended` at the end of a request, `tick` about once a second.
+Each decision carries a reason to be counted with `events.Count(reason)`.
 
 >>> state = State()
 >>> request = Request("drafts", "plaza/key-1", has_key=True)
