Ready: health

Cause: load reports show stragglers late, and a hung target's health page may be fine. Change: process/health.py, weight per target from token gaps and first-token times relative to the median of the other targets of the service, hysteresis, probes, hangs, and a cap on the ejected share of a service (0.5). Measured: a target at 2x gets a weight below 0.3, at 4x the minimum of 0.02; a common slow-down of 3x and 10x, a common silence and the first token after one leave all weights at 1 (tests). Trial: judging a hang as soon as one other target brought a token condemned five of six after a common stall, so half of the working others must be active. Delay and false ejections not measured yet. Conclusion: the scheduler can multiply its weight into the choice.

--- /dev/null
+++ b/persimmonspan/process/health.py
@@ -0,0 +1,402 @@
+"""Stragglers and hung targets from the daemon's own observations.
+
+A target's load report shows a straggler late, and its health page may be fine
+while it hangs. The daemon sees each token, so that it compares: the time per
+token and the time to the first token of a target, against the median of the
+other targets of its service. A comparison with the others, not with a fixed
+limit or with the past, keeps a load spike that slows all targets from
+condemning any.
+
+Observations are averaged as logarithms, which a single long gap hardly moves.
+Each evaluation turns the ratio to the others into a weight for new work:
+1 below `ENTER_RATIO`, and the cube of the relative speed above. Hysteresis
+(`ENTER_RATIO`, `LEAVE_RATIO`) keeps a target near the limit from switching at
+every evaluation. A weight falls at once and rises in steps, since a target that
+gets all its work back in one moment slows down again.
+
+A target hangs when work that has started there brings no token for some time
+while another target of the service brings tokens; its weight is 0. The sum of
+the weights taken away never exceeds `MAX_EJECTED_SHARE` of the capacity of a
+service, hung targets first, then the slowest.
+
+How to call it: `step` with the scheduler's events and with its commands
+`events.Dispatch` (also of hedges) and `events.CancelAttempt`; each attempt must
+end in an `events.AttemptEnded` or a `CancelAttempt`. `weight` for each
+candidate, and `is_probe_due`: when it returns true, one short idempotent
+request is sent there whatever the weight. The commands are `events.Count`.
+
+>>> targets = tuple(events.Target(name, "drafts", "", "lima-a")
+...                 for name in ("e1", "e2", "e3"))
+>>> state, _ = step(State(), events.TargetsChanged(1, targets, (), ()), 0.0)
+>>> weight(state, "e1"), is_hung(state, "e1")
+(1.0, False)
+
+See Also:
+    `persimmonspan.request.retry`: send weight after refusals.
+
+References:
+    Huang et al., Gray Failure, HotOS 2017: what a client sees and what a health
+    check sees differ.
+"""
+
+import functools
+import math
+import typing
+
+import immutables
+
+from persimmonspan.request import events
+
+EVALUATION_INTERVAL_S = 0.5
+ENTER_RATIO = 1.6  # Batches of unequal size differ by less than this.
+LEAVE_RATIO = 1.25
+FIRST_TOKEN_SCALE = 0.5  # First-token times also depend on prompts and queues.
+# At equal load a weight w of one in n targets is a share w / (n - 1 + w) of the
+# work. The cube keeps that share below 1 in 100 from a ratio of 3 at 6 targets,
+# so that a straggler does not reach the 99th percentile.
+WEIGHT_EXPONENT = 3.0
+MIN_WEIGHT = 0.02  # Of a straggler, so that it is still observed.
+RISE_PER_EVALUATION = 0.1
+MAX_EJECTED_SHARE = 0.5
+HUNG_S = 2.0
+FIRST_TOKEN_HUNG_S = 15.0  # Work may wait this long in an engine's queue.
+PROBE_INTERVAL_S = 5.0
+_ACTIVE_S = 1.0  # A target with a token within this time is at work.
+_PAUSE_S = 2.0
+_SETTLE_S = 1.0
+_MIN_SAMPLES = 4.0
+_MAX_SAMPLES = 40.0
+_SAMPLE_DECAY = 0.9  # Per evaluation; half of the evidence is gone after 3 s.
+
+
+class Level(typing.NamedTuple):
+    """Averaged logarithm of an observed time, and samples not yet averaged."""
+
+    value: float = 0.0
+    samples: float = 0.0  # Decayed number of samples behind `value`.
+    new_sum: float = 0.0
+    new_samples: int = 0
+
+
+class Health(typing.NamedTuple):
+    """What was observed of one target and concluded from it."""
+
+    service: str
+    capacity: float
+    gap: Level = Level()
+    first_token: Level = Level()
+    weight: float = 1.0
+    is_slow: bool = False
+    is_hung: bool = False
+    started: int = 0  # Attempts that have brought a token.
+    waiting: int = 0  # Attempts that have not.
+    waiting_since_s: float = -math.inf
+    token_s: float = -math.inf  # Last token or completed response.
+    probed_s: float = -math.inf
+
+
+class _Attempt(typing.NamedTuple):
+    begun_s: float
+    tokens: int = 0
+    progressed_s: float = 0.0
+    has_started: bool = False
+
+
+class State(typing.NamedTuple):
+    """Health per target and the attempts that it is observed by."""
+
+    targets: immutables.Map[str, Health] = immutables.Map()
+    attempts: immutables.Map[tuple[str, str], _Attempt] = immutables.Map()
+    evaluated_s: float = 0.0
+    settled_s: float = 0.0  # No hang is judged before.
+
+
+Result = tuple[State, list[events.Command]]
+
+
+def weight(state: State, target: str) -> float:
+    """Returns the share of new work, 0..1, that a target should be sent."""
+    health = state.targets.get(target)
+    return 1.0 if health is None else health.weight
+
+
+def is_hung(state: State, target: str) -> bool:
+    """Returns whether a target brings no tokens although work runs there."""
+    health = state.targets.get(target)
+    return health is not None and health.is_hung
+
+
+def is_probe_due(state: State, target: str, now_s: float) -> bool:
+    """Returns whether to send a target one request to see if it recovered."""
+    health = state.targets.get(target)
+    if health is None or not (health.is_hung or health.is_slow):
+        return False
+    return now_s - max(health.probed_s, health.token_s) >= PROBE_INTERVAL_S
+
+
+def step(state: State,
+         event: events.Event | events.Command,
+         now_s: float,
+         rng: object = None) -> Result:
+    """Returns the next state and a count of each change."""
+    del rng
+    return _step(event, state, now_s)
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    del event, now_s
+    return state, []
+
+
+@_step.register
+def _(event: events.TargetsChanged, state: State, now_s: float) -> Result:
+    del now_s
+    targets = {}
+    for target in event.targets:
+        known = state.targets.get(target.name)
+        if known is None or known.service != target.service:
+            known = Health(target.service, 1.0)
+        targets[target.name] = known._replace(
+            capacity=float(target.max_running))
+    return state._replace(targets=immutables.Map(targets)), []
+
+
+@_step.register
+def _(event: events.Dispatch, state: State, now_s: float) -> Result:
+    health = state.targets.get(event.target)
+    if health is None:
+        return state, []
+    since_s = health.waiting_since_s if health.waiting else now_s
+    probed_s = health.probed_s if health.weight == 1.0 else now_s
+    health = health._replace(waiting=health.waiting + 1,
+                             waiting_since_s=since_s,
+                             probed_s=probed_s)
+    return state._replace(targets=state.targets.set(event.target, health),
+                          attempts=state.attempts.set(
+                              (event.request_id, event.target),
+                              _Attempt(now_s))), []
+
+
+@_step.register
+def _(event: events.FirstToken, state: State, now_s: float) -> Result:
+    return _token(state, event.request_id, event.target, 1, now_s)
+
+
+@_step.register
+def _(event: events.Progressed, state: State, now_s: float) -> Result:
+    return _token(state, event.request_id, event.target, event.tokens, now_s)
+
+
+@_step.register
+def _(event: events.AttemptEnded, state: State, now_s: float) -> Result:
+    commands: list[events.Command] = []
+    attempt = state.attempts.get((event.request_id, event.target))
+    if attempt and event.outcome is events.Outcome.COMPLETED:
+        # A plain service brings no tokens: its response is the first one.
+        state, commands = _token(state, event.request_id, event.target,
+                                 max(event.tokens, attempt.tokens, 1), now_s)
+    return _end(state, event.request_id, event.target), commands
+
+
+@_step.register
+def _(event: events.CancelAttempt, state: State, now_s: float) -> Result:
+    del now_s
+    return _end(state, event.request_id, event.target), []
+
+
+@_step.register
+def _(event: events.TargetDied, state: State, now_s: float) -> Result:
+    del now_s
+    health = state.targets.get(event.target)
+    if health is None:
+        return state, []
+    # Observations of the last incarnation say nothing of the next one.
+    health = health._replace(gap=Level(),
+                             first_token=Level(),
+                             is_slow=False,
+                             is_hung=False)
+    return state._replace(targets=state.targets.set(event.target, health)), []
+
+
+@_step.register
+def _(event: events.Tick, state: State, now_s: float) -> Result:
+    del event
+    if now_s - state.evaluated_s < EVALUATION_INTERVAL_S:
+        return state, []
+    settled_s = state.settled_s
+    if now_s - state.evaluated_s > _PAUSE_S:
+        # The daemon itself was paused: tokens may wait behind this event.
+        settled_s = now_s + _SETTLE_S
+    by_service: dict[str, dict[str, Health]] = {}
+    for name, health in state.targets.items():
+        by_service.setdefault(health.service, {})[name] = health._replace(
+            gap=_folded(health.gap), first_token=_folded(health.first_token))
+    commands: list[events.Command] = []
+    with state.targets.mutate() as targets:
+        for group in by_service.values():
+            judged = _judge(group, now_s, now_s >= settled_s)
+            targets.update(judged)
+            commands += _changes(state, judged)
+        return state._replace(targets=targets.finish(),
+                              evaluated_s=now_s,
+                              settled_s=settled_s), commands
+
+
+def _token(state: State, request_id: str, target: str, tokens: int,
+           now_s: float) -> Result:
+    entry = (request_id, target)
+    attempt = state.attempts.get(entry)
+    health = state.targets.get(target)
+    if attempt is None or health is None:
+        return state, []
+    gap, first_token = health.gap, health.first_token
+    started, waiting = health.started, health.waiting
+    if not attempt.has_started:
+        started, waiting = started + 1, waiting - 1
+        first_token = _sampled(first_token, now_s - attempt.begun_s)
+    elif tokens > attempt.tokens and now_s > attempt.progressed_s:
+        gap = _sampled(gap, (now_s - attempt.progressed_s) /
+                       (tokens - attempt.tokens))
+    commands: list[events.Command] = []
+    if health.is_hung:
+        # The silence is over; its length is no sample of the speed.
+        gap, first_token = Level(), Level()
+        commands = [events.Count("health_hung_recovered")]
+    health = health._replace(gap=gap,
+                             first_token=first_token,
+                             started=started,
+                             waiting=waiting,
+                             token_s=now_s,
+                             is_hung=False)
+    attempt = _Attempt(attempt.begun_s, tokens, now_s, True)
+    return state._replace(targets=state.targets.set(target, health),
+                          attempts=state.attempts.set(entry, attempt)), commands
+
+
+def _end(state: State, request_id: str, target: str) -> State:
+    attempt = state.attempts.get((request_id, target))
+    if attempt is None:
+        return state
+    state = state._replace(attempts=state.attempts.delete((request_id, target)))
+    health = state.targets.get(target)
+    if health is None:
+        return state
+    if attempt.has_started:
+        health = health._replace(started=max(0, health.started - 1))
+    else:
+        health = health._replace(waiting=max(0, health.waiting - 1))
+    return state._replace(targets=state.targets.set(target, health))
+
+
+def _sampled(level: Level, time_s: float) -> Level:
+    return level._replace(new_sum=level.new_sum + math.log(max(time_s, 1e-6)),
+                          new_samples=level.new_samples + 1)
+
+
+def _folded(level: Level) -> Level:
+    """Averages new samples in; old evidence fades whether or not any came."""
+    samples = level.samples * _SAMPLE_DECAY
+    if not level.new_samples:
+        return level._replace(samples=samples)
+    total = samples + level.new_samples
+    value = (level.value * samples + level.new_sum) / total
+    return Level(value, min(total, _MAX_SAMPLES))
+
+
+def _judge(group: dict[str, Health], now_s: float,
+           is_settled: bool) -> dict[str, Health]:
+    """Returns the targets of one service with new weights."""
+    gaps = _ratios({name: health.gap for name, health in group.items()})
+    first_tokens = _ratios({
+        name: health.first_token for name, health in group.items()
+    })
+    judged, severity = {}, {}
+    for name, health in group.items():
+        ratio = gaps.get(name)
+        if name in first_tokens:
+            ratio = max(ratio or 0.0, first_tokens[name] * FIRST_TOKEN_SCALE)
+        is_slow = health.is_slow
+        if ratio is not None:
+            is_slow = ratio >= (LEAVE_RATIO if is_slow else ENTER_RATIO)
+        hung = health.is_hung or (is_settled and _is_silent(group, name, now_s))
+        wanted = 1.0
+        if hung:
+            wanted = 0.0
+        elif is_slow:
+            wanted = (health.weight if ratio is None else max(
+                MIN_WEIGHT, ratio**-WEIGHT_EXPONENT))
+        value = min(wanted, health.weight + RISE_PER_EVALUATION)
+        judged[name] = health._replace(weight=value,
+                                       is_slow=is_slow,
+                                       is_hung=hung)
+        severity[name] = (hung, is_slow, ratio or 0.0)
+    return _capped(judged, sorted(judged, key=severity.get, reverse=True))
+
+
+def _ratios(levels: dict[str, Level]) -> dict[str, float]:
+    """Returns each target's time over the median of the others' times.
+
+    The lower median is taken, so that among three targets two stragglers are
+    both compared with the third.
+    """
+    known = sorted((level.value, name)
+                   for name, level in levels.items()
+                   if level.samples >= _MIN_SAMPLES)
+    if len(known) < 2:
+        return {}
+    middle = (len(known) - 2) // 2
+    return {
+        name: math.exp(value - known[middle + (i <= middle)][0])
+        for i, (value, name) in enumerate(known)
+    }
+
+
+def _is_silent(group: dict[str, Health], name: str, now_s: float) -> bool:
+    health = group[name]
+    if not health.started and not health.waiting:
+        return False
+    others = [other for key, other in group.items() if key != name]
+    silent_s = now_s - health.token_s
+    limit_s = HUNG_S
+    if not health.started:
+        silent_s = now_s - max(health.token_s, health.waiting_since_s)
+        limit_s = FIRST_TOKEN_HUNG_S
+    busy = [
+        other for other in others
+        if (other.started or other.waiting) and not other.is_hung
+    ]
+    if not busy:
+        # Nothing to compare with: only a long silence tells a hang.
+        return bool(others) and silent_s >= FIRST_TOKEN_HUNG_S
+    active = sum(now_s - other.token_s < _ACTIVE_S for other in busy)
+    # One token among silent targets may be the first after a common stall.
+    return silent_s >= limit_s and 2 * active >= len(busy)
+
+
+def _capped(group: dict[str, Health],
+            worst_first: list[str]) -> dict[str, Health]:
+    """Limits the weight taken away to a share of the service's capacity."""
+    left = MAX_EJECTED_SHARE * sum(health.capacity for health in group.values())
+    capped = {}
+    for name in worst_first:
+        health = group[name]
+        taken = (1.0 - health.weight) * health.capacity
+        if taken > left:
+            health = health._replace(weight=1.0 - left / health.capacity)
+        left = max(0.0, left - taken)
+        capped[name] = health
+    return capped
+
+
+def _changes(state: State, judged: dict[str, Health]) -> list[events.Command]:
+    commands: list[events.Command] = []
+    for name, health in judged.items():
+        before = state.targets[name]
+        if health.is_hung and not before.is_hung:
+            commands.append(events.Count("health_hung"))
+        if health.is_slow != before.is_slow:
+            commands.append(
+                events.Count("health_slow" if health.
+                             is_slow else "health_slow_recovered"))
+    return commands
