--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -5,28 +5,40 @@
 checks every token. The stand-in engine uses the same codecs.
 
 Connections are never pooled: a connection that was silently dropped on the way
-must not be handed to the next request.
+must not be handed to the next request. A request is sent with blocking calls;
+the answer is decoded by `AnswerReader` from whatever the socket holds, so that
+one thread can serve many streams.
 
 See Also:
+    `persimmonspan.connection.relay`: reads the sockets.
     `persimmonspan.request.stream`: checks the order of the tokens.
 
 References:
     WHATWG HTML, section "Server-sent events".
+    RFC 9112, section 7.1 "Chunked Transfer Coding".
 """
 
 import collections.abc
 import contextlib
+import socket
 import typing
 
 import msgspec
 import urllib3
 
 from persimmonspan import errors
-from persimmonspan.version import model
+
+REQUEST_ID_HEADER = "X-Request-Id"
 
 _EVENT_PREFIX = b"data: "
 _EVENT_END = b"\n\n"
+_LINE_END = b"\r\n"
+_HEAD_END = b"\r\n\r\n"
 _REFUSED_STATUS = 503
+_UNKNOWN_STATUS = 404
+_NOT_RUN = b'"not_run"'
+# No token and no head is nearly as large; more without an end is garbage.
+_MAX_UNDECODED_BYTES = 1024 * 1024
 
 
 class GenerateDocument(typing.TypedDict):
@@ -41,6 +53,14 @@
     from_index: int
 
 
+class ResumeDocument(typing.TypedDict):
+    """Body of a resume request."""
+
+    request_id: str
+    generation_id: str
+    from_index: int
+
+
 class TokenDocument(typing.TypedDict):
     """One event: request, generation, index, text and finish reason."""
 
@@ -67,12 +87,20 @@
     """The connection failed before a byte of the request was sent."""
 
 
+class ConnectTimeoutError(NotSentError):
+    """Connecting took too long; the engine may still be alive."""
+
+
 class NotRunError(errors.TargetError):
     """The engine confirmed that it did not run the request."""
 
 
+class UnknownGenerationError(errors.TargetError):
+    """The engine does not know the generation to resume."""
+
+
 class BrokenStreamError(errors.TargetError):
-    """The stream ended, stalled or carried garbage before its finish."""
+    """The answer is not one that an engine gives."""
 
 
 _token_decoder = msgspec.json.Decoder(TokenDocument)
@@ -95,49 +123,153 @@
     """
     try:
         return _token_decoder.decode(event.removeprefix(_EVENT_PREFIX))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise BrokenStreamError(
             errors.Code.TARGET_FAILED,
             f"engine sent a malformed event: {error}") from error
 
 
+class AnswerReader:
+    """Decodes the answer to a generate or resume request as bytes arrive.
+
+    >>> reader = AnswerReader("127.0.0.1:1")
+    >>> list(reader.feed(b"HTTP/1.1 200 OK\\r\\n\\r\\ndata: {\\"r\\":"))
+    []
+    >>> list(reader.feed(b'"a","g":"b","i":0,"t":"x","f":null}\\n\\n'))[0]["t"]
+    'x'
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._status: int | None = None
+        self._is_chunked = False
+        self._length: int | None = None
+        self._is_complete = False
+        self._raw = b""  # Received, not yet freed from head and chunks.
+        self._body = b""  # Body that holds no whole event yet.
+
+    def feed(self,
+             data: bytes) -> collections.abc.Generator[TokenDocument, None]:
+        """Yields the tokens that the bytes complete.
+
+        Raises:
+            NotRunError: The engine refused the request.
+            UnknownGenerationError: The engine does not know the generation.
+            BrokenStreamError: The bytes are no answer of an engine.
+        """
+        raw = self._raw + data if self._raw else data
+        if self._status is None:
+            raw = self._read_head(raw)
+        if self._is_chunked:
+            raw = self._read_chunks(raw)
+        else:
+            self._body += raw
+            raw = b""
+        self._raw = raw
+        if len(raw) + len(self._body) > _MAX_UNDECODED_BYTES:
+            raise self._broken("no end of an event")
+        if self._status == 200:
+            *events, self._body = self._body.split(_EVENT_END)
+            for event in events:
+                yield decode_event(event)
+        elif self._status is not None and self._has_whole_body():
+            raise self._rejection()
+
+    def end(self) -> errors.TargetError:
+        """Returns the error for an answer that ended here."""
+        if self._status is not None and self._status != 200:
+            return self._rejection()
+        return self._broken("the answer is truncated")
+
+    def _has_whole_body(self) -> bool:
+        return self._is_complete or (self._length is not None and
+                                     len(self._body) >= self._length)
+
+    def _rejection(self) -> errors.TargetError:
+        if self._status == _REFUSED_STATUS and _NOT_RUN in self._body:
+            return NotRunError(errors.Code.OVERLOADED,
+                               f"engine {self._address} refused the request",
+                               errors.RunState.NOT_RUN)
+        if self._status == _UNKNOWN_STATUS:
+            return UnknownGenerationError(
+                errors.Code.TARGET_FAILED,
+                f"engine {self._address} does not know the generation")
+        return self._broken(f"status {self._status}")
+
+    def _broken(self, problem: str) -> BrokenStreamError:
+        return BrokenStreamError(errors.Code.TARGET_FAILED,
+                                 f"engine {self._address}: {problem}")
+
+    def _read_head(self, raw: bytes) -> bytes:
+        head, separator, rest = raw.partition(_HEAD_END)
+        if not separator:
+            return raw
+        status_line, *fields = head.split(_LINE_END)
+        parts = status_line.split(None, 2)
+        if (len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or
+                not parts[1].isdigit()):
+            raise self._broken("no HTTP answer")
+        for field in fields:
+            name, _, value = field.lower().partition(b":")
+            if name == b"transfer-encoding":
+                self._is_chunked = value.strip() == b"chunked"
+            elif name == b"content-length" and value.strip().isdigit():
+                self._length = int(value)
+        self._status = int(parts[1])
+        return rest
+
+    def _read_chunks(self, raw: bytes) -> bytes:
+        position = 0
+        while (line_end := raw.find(_LINE_END, position)) >= 0:
+            try:
+                size = int(raw[position:line_end], 16)
+            except ValueError:
+                raise self._broken("malformed chunk") from None
+            start = line_end + 2
+            end = start + size
+            if len(raw) < end + 2:
+                break
+            if size < 0 or raw[end:end + 2] != _LINE_END:
+                raise self._broken("malformed chunk")
+            self._is_complete = self._is_complete or size == 0
+            self._body += raw[start:end]
+            position = end + 2
+        return raw[position:] if position else raw
+
+
 @contextlib.contextmanager
-def open_stream(
-    address: str, path: str, body: GenerateDocument, timeouts: model.Timeouts
-) -> collections.abc.Iterator[collections.abc.Iterator[TokenDocument]]:
-    """Opens a generation or resumes one, over a connection of its own.
+def requested(address: str, path: str, body: GenerateDocument | ResumeDocument,
+              timeout_s: float) -> collections.abc.Iterator[socket.socket]:
+    """Sends a request to an engine over a connection of its own.
 
     Args:
         address: Address and port of the engine.
         path: `/v1/generate` or `/v1/resume`.
         body: The request.
-        timeouts: Timeouts for connecting and between reads.
+        timeout_s: Timeout for connecting and for sending, each.
 
     Yields:
-        The tokens as they come.
+        The socket, which is closed at the end of the block.
 
     Raises:
         NotSentError: No byte of the request was sent.
-        NotRunError: The engine refused it.
-        BrokenStreamError: The stream broke.
+        BrokenStreamError: The request may have been sent in part.
     """
-    host, port = address.rsplit(":", 1)
-    connection = urllib3.connection.HTTPConnection(host,
-                                                   int(port),
-                                                   timeout=timeouts.connect_s)
+    connection = open_connection(address, timeout_s)
     try:
-        connect(connection, address)
-        connection.sock.settimeout(timeouts.first_token_s)
-        response = _request(connection, path, body)
-        if response.status == _REFUSED_STATUS:
-            raise NotRunError(errors.Code.OVERLOADED,
-                              f"engine {address} refused the request",
-                              errors.RunState.NOT_RUN)
-        if response.status != 200:
+        try:
+            connection.request("POST",
+                               path,
+                               body=msgspec.json.encode(body),
+                               headers={
+                                   "Content-Type": "application/json",
+                                   REQUEST_ID_HEADER: body["request_id"]
+                               })
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise BrokenStreamError(
                 errors.Code.TARGET_FAILED,
-                f"engine {address} answered status {response.status}")
-        yield _tokens(connection, response, timeouts.between_tokens_s)
+                f"cannot send to engine {address}: {error}") from error
+        yield connection.sock
     finally:
         connection.close()
 
@@ -164,49 +296,28 @@
                                  f"no load report from {address}") from error
 
 
-def connect(connection: urllib3.connection.HTTPConnection,
-            address: str) -> None:
+def open_connection(address: str,
+                    timeout_s: float) -> urllib3.connection.HTTPConnection:
     """Connects, so that a failure to connect is told apart from a lost answer.
 
     Raises:
+        ConnectTimeoutError: Connecting took too long.
         NotSentError: The connection failed.
     """
+    host, port = address.rsplit(":", 1)
+    connection = urllib3.connection.HTTPConnection(host,
+                                                   int(port),
+                                                   timeout=timeout_s)
     try:
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise NotSentError(errors.Code.TARGET_FAILED,
-                           f"cannot connect to engine {address}",
-                           errors.RunState.NOT_RUN) from error
-
-
-def _request(connection: urllib3.connection.HTTPConnection, path: str,
-             body: GenerateDocument) -> urllib3.BaseHTTPResponse:
-    try:
-        connection.request("POST",
-                           path,
-                           body=msgspec.json.encode(body),
-                           headers={"Content-Type": "application/json"},
-                           preload_content=False)
-        return connection.getresponse()
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise BrokenStreamError(errors.Code.TARGET_FAILED,
-                                f"engine did not answer: {error}") from error
-
-
-def _tokens(connection: urllib3.connection.HTTPConnection,
-            response: urllib3.BaseHTTPResponse,
-            between_tokens_s: float) -> collections.abc.Iterator[TokenDocument]:
-    buffer = b""
-    try:
-        for chunk in response.read_chunked():
-            buffer += chunk
-            *events, buffer = buffer.split(_EVENT_END)
-            for event in events:
-                yield decode_event(event)
-            connection.sock.settimeout(between_tokens_s)
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise BrokenStreamError(errors.Code.TARGET_FAILED,
-                                f"stream broke: {error}") from error
+        connection.close()
+        is_timeout = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
+        kind = ConnectTimeoutError if is_timeout else NotSentError
+        raise kind(errors.Code.TARGET_FAILED,
+                   f"cannot connect to target {address}",
+                   errors.RunState.NOT_RUN) from error
+    return connection
 
 
 def _call(address: str, method: str, path: str, body: bytes | None,
--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -8,21 +8,35 @@
 import hmac
 import http
 import logging
+import re
+import socket
 import time
 import typing
 import uuid
 
+from cheroot import errors as cheroot_errors
 from cheroot import server
 
 from persimmonspan import errors
+from persimmonspan.connection import deadlines
+from persimmonspan.process import logs
 from persimmonspan.process import metrics
+from persimmonspan.request import completion
 from persimmonspan.request import events
 from persimmonspan.request import handler
 from persimmonspan.version import model
 
-_MODEL_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+_HEALTH_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 _MS_PER_S = 1000.0
+_SUFFIX_CHARS = 12
 _SERVER_NAME = "persimmonspan"
+_MAX_HEADER_BYTES = 64 * 1024
+# Health, metrics and rejections must get an answer while all streams are busy.
+_SPARE_THREADS = 16
+# Half the daemons may fail, and their callers then connect here at once.
+_BACKLOG = 1024
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,128}")
+_IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
 
 _logger = logging.getLogger(__name__)
 
@@ -46,6 +60,14 @@
         """Returns whether the balancer may send new work."""
 
 
+class Options(typing.NamedTuple):
+    """Bounds of the listener."""
+
+    max_streams: int
+    max_body_bytes: int
+    read_s: float  # For the headers of a request, and again for its body.
+
+
 class _Responder:
     """Writes a response through cheroot."""
 
@@ -53,6 +75,7 @@
         self._request = request
         self._request_id = request_id
         self.is_started = False
+        self.caller: socket.socket = request.conn.socket
 
     def start(
         self,
@@ -72,28 +95,79 @@
         """Sends a part of the body."""
         self._request.write(data)
 
+    def stream_head(self) -> bytes:
+        """Returns the response head of a stream and marks it as sent."""
+        request = self._request
+        lines = [
+            b"HTTP/1.1 200 OK", b"Content-Type: text/event-stream",
+            b"Cache-Control: no-store",
+            b"X-Request-Id: " + self._request_id.encode()
+        ]
+        # A caller of HTTP/1.0 can tell the end only by the end of the
+        # connection. cheroot ends a chunked body when the request is done.
+        request.chunked_write = self._is_chunked()
+        if request.chunked_write:
+            lines.append(b"Transfer-Encoding: chunked")
+        else:
+            request.close_connection = True
+        if request.close_connection:
+            lines.append(b"Connection: close")
+        request.sent_headers = True
+        self.is_started = True
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
-def make_gateway(application: Application) -> type[server.Gateway]:
-    """Returns the gateway class that serves the application."""
+    def frame(self, data: bytes) -> bytes:
+        """Returns a part of a streamed body as it goes over the wire."""
+        return b"%x\r\n%b\r\n" % (len(data),
+                                  data) if self._is_chunked() else data
 
-    class _Gateway(server.Gateway):
+    def send(self, data: bytes, timeout_s: float) -> None:
+        """Sends framed data.
 
-        def respond(self) -> None:
-            """Serves one request."""
-            _respond(self.req, application)
+        Raises:
+            OSError: The caller left or does not read.
+        """
+        self.caller.settimeout(timeout_s)
+        self.caller.sendall(data)
 
-    return _Gateway
+    def _is_chunked(self) -> bool:
+        return self._request.response_protocol == "HTTP/1.1"
 
 
 def make_server(address: tuple[str, int], application: Application,
-                max_streams: int, max_body_bytes: int) -> server.HTTPServer:
+                options: Options) -> server.HTTPServer:
     """Returns a server that is not started yet."""
+    watchdog = deadlines.Watchdog()
+
+    class _Request(server.HTTPRequest):
+
+        def parse_request(self) -> None:
+            """Reads the head within the time for it."""
+            with watchdog.limit(self.conn.socket, options.read_s) as limit:
+                super().parse_request()
+            if limit.is_expired and not self.ready:
+                application.metrics.count("caller_slow_headers")
+                self.simple_response("408 Request Timeout")
+
+    class _Connection(server.HTTPConnection):
+        RequestHandlerClass = _Request
+
+    class _Gateway(server.Gateway):
+
+        def respond(self) -> None:
+            """Serves one request."""
+            _respond(self.req, application, options, watchdog)
+
+    threads = options.max_streams + _SPARE_THREADS
     http_server = server.HTTPServer(address,
-                                    make_gateway(application),
-                                    minthreads=max_streams,
-                                    maxthreads=max_streams,
+                                    _Gateway,
+                                    minthreads=threads,
+                                    maxthreads=threads,
                                     server_name=_SERVER_NAME)
-    http_server.max_request_body_size = max_body_bytes
+    http_server.request_queue_size = _BACKLOG
+    http_server.timeout = options.read_s
+    http_server.ConnectionClass = _Connection
+    http_server.max_request_header_size = _MAX_HEADER_BYTES
     return http_server
 
 
@@ -102,17 +176,30 @@
     return value.decode("latin-1") if value is not None else None
 
 
-def _respond(request: server.HTTPRequest, application: Application) -> None:
-    request_id = _header(request, "X-Request-Id") or uuid.uuid4().hex
-    responder = _Responder(request, request_id)
+def _respond(request: server.HTTPRequest, application: Application,
+             options: Options, watchdog: deadlines.Watchdog) -> None:
+    caller_id = _header(request, "X-Request-Id") or uuid.uuid4().hex
+    is_valid_id = _REQUEST_ID.fullmatch(caller_id) is not None
+    if not is_valid_id:
+        caller_id = uuid.uuid4().hex
+    # Two calls with the same id from callers must not share one at engines.
+    request_id = f"{caller_id}.{uuid.uuid4().hex[:_SUFFIX_CHARS]}"
+    token = logs.request_id.set(request_id)
+    responder = _Responder(request, caller_id)
     path = request.path.decode("latin-1")
     try:
-        if path in ("/healthz", "/readyz", "/metrics"):
+        if path in _HEALTH_PATHS:
             _respond_health(path, application, responder)
             return
+        if not is_valid_id:
+            raise errors.RefusalError(
+                errors.Code.BAD_REQUEST,
+                "X-Request-Id must be 1 to 128 letters, digits, '.', '_' or "
+                "'-'")
         context = application.begin_request()
         try:
-            call = _call(request, request_id, path, context.configuration)
+            body = _read_body(request, application, options, watchdog)
+            call = _call(request, request_id, path, body, context.configuration)
             handler.serve(call, context, responder)
         finally:
             application.end_request(context)
@@ -120,14 +207,46 @@
         application.metrics.count(f"refused_{error.code}")
         _logger.info("request failed",
                      extra={
-                         "request_id": request_id,
                          "code": error.code,
                          "run_state": error.run_state
                      })
         _respond_error(error, responder, request_id)
-    except OSError:
+    except OSError as error:
         application.metrics.count("caller_left")
+        _logger.info("caller left", extra={"error": str(error)})
+        request.close_connection = True
+        request.chunked_write = False
+        request.sent_headers = True
+    finally:
+        logs.request_id.reset(token)
+
+
+def _read_body(request: server.HTTPRequest, application: Application,
+               options: Options, watchdog: deadlines.Watchdog) -> bytes:
+    expected = (None if request.chunked_read else int(
+        request.inheaders.get(b"Content-Length", 0)))
+    is_too_large = (expected or 0) > options.max_body_bytes
+    body = b""
+    with watchdog.limit(request.conn.socket, options.read_s) as limit:
+        try:
+            if not is_too_large:
+                body = request.rfile.read(options.max_body_bytes + 1)
+        except (ValueError, cheroot_errors.MaxSizeExceeded, OSError):
+            expected = len(body) + 1  # Not whole.
+    if is_too_large or len(body) > options.max_body_bytes:
+        # The rest of the body is not read, so no request can follow it.
+        request.close_connection = True
+        raise errors.RefusalError(
+            errors.Code.BODY_TOO_LARGE,
+            f"the body has more than {options.max_body_bytes} bytes")
+    if limit.is_expired:
+        application.metrics.count("caller_slow_body")
+    if limit.is_expired or (expected is not None and len(body) != expected):
         request.close_connection = True
+        raise errors.RefusalError(
+            errors.Code.BAD_REQUEST,
+            f"the body was not whole within {options.read_s} s")
+    return body
 
 
 def _respond_health(path: str, application: Application,
@@ -153,10 +272,19 @@
     responder.write(handler.error_body(error, request_id))
 
 
-def _call(request: server.HTTPRequest, request_id: str, path: str,
+def _call(request: server.HTTPRequest, request_id: str, path: str, body: bytes,
           configuration: model.Configuration) -> handler.Call:
     workspace = _authenticate(_header(request, "Authorization"), configuration)
     kind = _kind(_header(request, "X-Request-Kind"), path, configuration)
+    if path in completion.PATHS and request.method != b"POST":
+        raise errors.RefusalError(
+            errors.Code.BAD_REQUEST,
+            f"the path {path} takes POST, got {request.method.decode()}")
+    key = _header(request, "Idempotency-Key")
+    if key is not None and not _IDEMPOTENCY_KEY.fullmatch(key):
+        raise errors.RefusalError(
+            errors.Code.BAD_REQUEST,
+            "Idempotency-Key must be 1 to 255 visible ASCII characters")
     now_s = time.monotonic()
     deadline_ms = _header(request, "X-Deadline-Ms")
     if deadline_ms is not None and not deadline_ms.isdecimal():
@@ -165,8 +293,10 @@
             f'X-Deadline-Ms must be a whole number, got "{deadline_ms}"')
     wait_s = (int(deadline_ms) /
               _MS_PER_S if deadline_ms is not None else kind.deadline_s)
-    return handler.Call(request_id, workspace, kind, request.method.decode(),
-                        path, request.rfile.read(), now_s, now_s + wait_s)
+    return handler.Call(
+        request_id, workspace, kind, request.method.decode(), path, body, now_s,
+        now_s + wait_s, key,
+        f"?{request.qs.decode('latin-1')}" if request.qs else "")
 
 
 def _authenticate(authorization: str | None,
@@ -187,7 +317,7 @@
     services = {
         service.name
         for service in configuration.services
-        if (path in _MODEL_PATHS if service.is_model else path.
+        if (path in completion.PATHS if service.is_model else path.
             startswith(service.path_prefix))
     }
     kinds = [kind for kind in configuration.kinds if kind.service in services]
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -2,18 +2,22 @@
 
 A plain service answers a whole HTTP response. It repeats the request id in the
 `X-Request-Id` header of its answer, by which a crossed answer is told apart.
+`dispatch` sends a request exactly once and never repeats it, so that a caller
+can wrap it in an at-most-once ledger.
 """
 
+import time
 import typing
 
 import urllib3
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
-from persimmonspan.version import model
 
-REQUEST_ID_HEADER = "X-Request-Id"
-_REFUSED_HEADER = "X-Run-State"
+REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
+RUN_STATE_HEADER = "X-Run-State"
+
+_READ_BYTES = 64 * 1024
 
 
 class Answer(typing.NamedTuple):
@@ -24,49 +28,86 @@
     body: bytes
 
 
+class Order(typing.NamedTuple):
+    """What is sent to a plain service."""
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes
+
+
 class CrossedAnswerError(errors.TargetError):
     """The answer belongs to another request."""
 
 
-def call(address: str, method: str, path: str, body: bytes, request_id: str,
-         timeouts: model.Timeouts) -> Answer:
+def dispatch(address: str, order: Order, connect_s: float,
+             answer_s: float) -> Answer:
     """Sends a request once, over a connection of its own.
 
+    Args:
+        address: Address and port of the target.
+        order: The request.
+        connect_s: Timeout for connecting.
+        answer_s: Time from sending to the end of the answer.
+
     Raises:
         engine.NotSentError: No byte was sent.
         engine.NotRunError: The service confirmed that it did not run it.
         CrossedAnswerError: The answer carries another request id.
         errors.TargetError: The outcome is unknown.
     """
-    host, port = address.rsplit(":", 1)
-    connection = urllib3.connection.HTTPConnection(host,
-                                                   int(port),
-                                                   timeout=timeouts.connect_s)
+    connection = engine.open_connection(address, connect_s)
+    end_s = time.monotonic() + answer_s
     try:
-        engine.connect(connection, address)
-        connection.sock.settimeout(timeouts.first_token_s)
-        connection.request(method,
-                           path,
-                           body=body,
+        connection.sock.settimeout(answer_s)
+        connection.request(order.method,
+                           order.path,
+                           body=order.body,
                            headers={
-                               REQUEST_ID_HEADER: request_id,
+                               REQUEST_ID_HEADER: order.request_id,
                                "Content-Type": "application/json"
-                           })
+                           },
+                           preload_content=False)
         response = connection.getresponse()
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+        body = _read_body(connection, response, end_s)
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
         raise errors.TargetError(
             errors.Code.TARGET_FAILED,
             f"no answer from {address}: {error}") from error
     finally:
         connection.close()
-    if response.headers.get(_REFUSED_HEADER) == errors.RunState.NOT_RUN:
-        raise engine.NotRunError(errors.Code.OVERLOADED,
-                                 f"{address} refused the request",
-                                 errors.RunState.NOT_RUN)
-    if response.headers.get(REQUEST_ID_HEADER) != request_id:
+    return _checked(address, order, response, body)
+
+
+def _read_body(connection: urllib3.connection.HTTPConnection,
+               response: urllib3.BaseHTTPResponse, end_s: float) -> bytes:
+    parts = []
+    sock = connection.sock
+    while True:
+        # The socket's own timeout starts anew at each read; a target that
+        # sends a byte at a time must still keep to the whole time.
+        remaining_s = end_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the answer took too long")
+        if sock is not None:
+            sock.settimeout(remaining_s)
+        part = response.read1(_READ_BYTES)
+        if not part:
+            return b"".join(parts)
+        parts.append(part)
+
+
+def _checked(address: str, order: Order, response: urllib3.BaseHTTPResponse,
+             body: bytes) -> Answer:
+    if response.headers.get(REQUEST_ID_HEADER) != order.request_id:
         raise CrossedAnswerError(
             errors.Code.TARGET_FAILED,
             f"answer of {address} belongs to another request")
+    if response.headers.get(RUN_STATE_HEADER) == errors.RunState.NOT_RUN:
+        raise engine.NotRunError(errors.Code.OVERLOADED,
+                                 f"{address} refused the request",
+                                 errors.RunState.NOT_RUN)
     return Answer(response.status,
                   response.headers.get("Content-Type", "application/json"),
-                  response.data)
+                  body)
--- /dev/null
+++ b/persimmonspan/connection/relay.py
@@ -0,0 +1,334 @@
+"""Moves bytes from engines to callers for all streams on one thread.
+
+A thread per stream pays a hand-over of the interpreter lock for each token.
+Here one thread waits on all sockets with epoll; the worker thread of a request
+connects, and afterwards sleeps on its queue until something other than a token
+happens: the answer ended, nothing came in time, or the caller left or does not
+read.
+
+The relay thread never blocks on a socket. What a caller does not take at once
+is kept and sent when the socket takes more; while more than a limit is kept,
+the engine is not read.
+
+See Also:
+    `persimmonspan.request.handler`: the worker threads.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import enum
+import heapq
+import logging
+import select
+import socket
+import ssl
+import threading
+import time
+import typing
+
+_READ_BYTES = 64 * 1024
+_MAX_PENDING_BYTES = 256 * 1024
+# The resolution of timeouts; each wake-up costs about 10 us.
+_POLL_S = 0.05
+_WAKE_EVENTS = 1024
+_GAP_UNITS_PER_S = 10_000  # Gaps between tokens are counted in 0.1 ms.
+# Recording a gap in a histogram costs more than relaying a token, so equal
+# gaps are counted first and recorded together.
+_GAP_FLUSH_S = 5.0
+_WOULD_BLOCK = (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError)
+
+_logger = logging.getLogger(__name__)
+
+
+class Signal(enum.StrEnum):
+    """What a worker thread is told about its transfer."""
+
+    DONE = "done"  # The consumer wants no more bytes.
+    CLOSED = "closed"  # The engine's end of the connection closed.
+    SILENT = "silent"  # No progress within the timeout.
+    CALLER_LEFT = "caller_left"
+    CALLER_SLOW = "caller_slow"
+
+
+class Consumed(typing.NamedTuple):
+    """Result of consuming bytes of an engine."""
+
+    output: bytes
+    tokens: int
+    is_done: bool
+
+
+Consumer = collections.abc.Callable[[bytes, float], Consumed]
+Notify = collections.abc.Callable[["Notice"], None]
+
+
+class Notice(typing.NamedTuple):
+    """A signal and the number of the connection that it belongs to."""
+
+    signal: Signal
+    serial: int
+
+
+class Transfer:
+    """One caller's connection and the engine connection that feeds it.
+
+    All fields belong to the relay, under its lock.
+    """
+
+    def __init__(self, caller: socket.socket, notify: Notify,
+                 write_s: float) -> None:
+        self.caller = caller
+        self.caller_fd = caller.fileno()
+        self.notify = notify
+        self.write_s = write_s
+        self.pending = b""
+        self.blocked_s: float | None = None  # Since when the caller is slow.
+        self.engine: socket.socket | None = None
+        self.engine_fd = -1
+        self.consume: Consumer | None = None
+        self.between_s = 0.0
+        self.due_s = 0.0
+        self.last_token_s: float | None = None
+        self.serial = 0
+
+
+class Relay:
+    """The relay thread."""
+
+    def __init__(
+            self, observe_gap: collections.abc.Callable[[float, int],
+                                                        None]) -> None:
+        self._observe_gap = observe_gap
+        self._epoll = select.epoll()
+        self._lock = threading.Lock()
+        self._transfers: dict[int, Transfer] = {}  # By file descriptor.
+        self._timers: list[tuple[float, int, int, Transfer]] = []
+        self._timer_count = 0
+        self._gaps: collections.Counter[int] = collections.Counter()
+        self._is_stopped = False
+        self._thread = threading.Thread(target=self._run,
+                                        name="relay",
+                                        daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._is_stopped = True
+        if self._thread.is_alive():
+            self._thread.join()
+        self._epoll.close()
+
+    @contextlib.contextmanager
+    def watching(self, caller: socket.socket, notify: Notify,
+                 write_s: float) -> collections.abc.Iterator[Transfer]:
+        """Watches whether a caller leaves, until the block ends.
+
+        Args:
+            caller: Socket of the caller. Only the relay uses it in the block.
+            notify: Called on the relay thread with each notice.
+            write_s: How long a caller may take none of the pending bytes.
+
+        Yields:
+            The transfer, which carries no engine connection yet.
+        """
+        timeout_s = caller.gettimeout()
+        caller.setblocking(False)
+        transfer = Transfer(caller, notify, write_s)
+        with self._lock:
+            self._transfers[transfer.caller_fd] = transfer
+            self._epoll.register(transfer.caller_fd, select.EPOLLRDHUP)
+        try:
+            yield transfer
+        finally:
+            with self._lock:
+                self._drop_engine(transfer)
+                self._drop_caller(transfer)
+            caller.settimeout(timeout_s)
+
+    def attach(self, transfer: Transfer, engine: socket.socket,
+               consume: Consumer, first_s: float, between_s: float) -> int:
+        """Starts to relay from an engine.
+
+        Args:
+            transfer: The transfer.
+            engine: Socket of the engine, on which a request was sent.
+            consume: Turns bytes of the engine into bytes for the caller. Called
+                on the relay thread; must not block or raise.
+            first_s: Timeout until the first token.
+            between_s: Timeout between tokens.
+
+        Returns:
+            The serial number that notices about this connection carry.
+        """
+        engine.setblocking(False)
+        with self._lock:
+            transfer.serial += 1
+            transfer.engine = engine
+            transfer.engine_fd = engine.fileno()
+            transfer.consume = consume
+            transfer.between_s = between_s
+            transfer.due_s = time.monotonic() + first_s
+            self._transfers[transfer.engine_fd] = transfer
+            self._push_timer(transfer, time.monotonic())
+            self._epoll.register(transfer.engine_fd, select.EPOLLIN)
+            return transfer.serial
+
+    def release(self, transfer: Transfer) -> None:
+        """Stops to read from the engine; the caller is watched on."""
+        with self._lock:
+            self._drop_engine(transfer)
+
+    def take_pending(self, transfer: Transfer) -> bytes:
+        """Returns what the caller has not taken; the relay won't send it."""
+        with self._lock:
+            pending, transfer.pending = transfer.pending, b""
+            return pending
+
+    def _run(self) -> None:
+        flush_s = time.monotonic() + _GAP_FLUSH_S
+        while not self._is_stopped:
+            ready = self._epoll.poll(_POLL_S, _WAKE_EVENTS)
+            now_s = time.monotonic()
+            with self._lock:
+                for fd, mask in ready:
+                    transfer = self._transfers.get(fd)
+                    if transfer is not None:
+                        self._serve(transfer, fd, mask, now_s)
+                self._expire(now_s)
+            if now_s >= flush_s:
+                flush_s = now_s + _GAP_FLUSH_S
+                self._flush_gaps()
+
+    def _serve(self, transfer: Transfer, fd: int, mask: int,
+               now_s: float) -> None:
+        try:
+            if fd == transfer.engine_fd:
+                self._read(transfer, now_s)
+            else:
+                self._serve_caller(transfer, mask, now_s)
+        except Exception:  # pylint: disable=broad-exception-caught
+            # A fault in one stream must not end the thread that serves all.
+            _logger.exception("relay failed")
+            self._end(transfer, Signal.CLOSED)
+
+    def _read(self, transfer: Transfer, now_s: float) -> None:
+        try:
+            data = transfer.engine.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._end(transfer, Signal.CLOSED)
+            return
+        output, tokens, is_done = transfer.consume(data, now_s)
+        if tokens:
+            transfer.due_s = now_s + transfer.between_s
+            if transfer.last_token_s is not None:
+                gap_s = now_s - transfer.last_token_s
+                self._gaps[int(gap_s * _GAP_UNITS_PER_S)] += 1
+            transfer.last_token_s = now_s
+        if output:
+            self._write(transfer, output, now_s)
+        if is_done:
+            self._end(transfer, Signal.DONE)
+
+    def _write(self, transfer: Transfer, output: bytes, now_s: float) -> None:
+        data = transfer.pending + output if transfer.pending else output
+        try:
+            sent = transfer.caller.send(data)
+        except _WOULD_BLOCK:
+            sent = 0
+        except OSError:
+            self._leave(transfer)
+            return
+        if sent < len(data):
+            self._hold(transfer, data[sent:], sent > 0, now_s)
+        elif transfer.pending:
+            transfer.pending = b""
+            transfer.blocked_s = None
+            self._epoll.modify(transfer.caller_fd, select.EPOLLRDHUP)
+            if transfer.engine is not None:
+                self._epoll.modify(transfer.engine_fd, select.EPOLLIN)
+                transfer.due_s = max(transfer.due_s, now_s + transfer.between_s)
+
+    def _hold(self, transfer: Transfer, rest: bytes, has_sent: bool,
+              now_s: float) -> None:
+        if not transfer.pending:
+            self._epoll.modify(transfer.caller_fd,
+                               select.EPOLLRDHUP | select.EPOLLOUT)
+        if has_sent or transfer.blocked_s is None:
+            transfer.blocked_s = now_s
+        transfer.pending = rest
+        if len(rest) > _MAX_PENDING_BYTES and transfer.engine is not None:
+            self._epoll.modify(transfer.engine_fd, 0)
+
+    def _serve_caller(self, transfer: Transfer, mask: int,
+                      now_s: float) -> None:
+        if mask & (select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR):
+            # The event may be of an earlier connection with this descriptor.
+            if _has_left(transfer.caller_fd):
+                self._leave(transfer)
+            return
+        if mask & select.EPOLLOUT and transfer.pending:
+            self._write(transfer, b"", now_s)
+
+    def _leave(self, transfer: Transfer) -> None:
+        self._drop_caller(transfer)
+        self._end(transfer, Signal.CALLER_LEFT)
+
+    def _end(self, transfer: Transfer, signal: Signal) -> None:
+        self._drop_engine(transfer)
+        transfer.notify(Notice(signal, transfer.serial))
+
+    def _drop_engine(self, transfer: Transfer) -> None:
+        if transfer.engine is not None:
+            self._epoll.unregister(transfer.engine_fd)
+            del self._transfers[transfer.engine_fd]
+            transfer.engine = None
+            transfer.engine_fd = -1
+
+    def _drop_caller(self, transfer: Transfer) -> None:
+        if self._transfers.pop(transfer.caller_fd, None) is not None:
+            self._epoll.unregister(transfer.caller_fd)
+
+    def _push_timer(self, transfer: Transfer, now_s: float) -> None:
+        # The first token makes the timeout shorter, so a timer never lies
+        # further ahead than the shortest timeout that may come into force.
+        due_s = now_s + min(transfer.between_s, transfer.write_s)
+        if transfer.blocked_s is not None:
+            due_s = min(due_s, transfer.blocked_s + transfer.write_s)
+        else:
+            due_s = min(due_s, transfer.due_s)
+        self._timer_count += 1
+        heapq.heappush(self._timers,
+                       (due_s, self._timer_count, transfer.serial, transfer))
+
+    def _expire(self, now_s: float) -> None:
+        while self._timers and self._timers[0][0] <= now_s:
+            _, _, serial, transfer = heapq.heappop(self._timers)
+            if transfer.engine is None or serial != transfer.serial:
+                continue
+            if transfer.blocked_s is not None:
+                if transfer.blocked_s + transfer.write_s <= now_s:
+                    self._end(transfer, Signal.CALLER_SLOW)
+                    continue
+            elif transfer.due_s <= now_s:
+                self._end(transfer, Signal.SILENT)
+                continue
+            self._push_timer(transfer, now_s)
+
+    def _flush_gaps(self) -> None:
+        for units, count in self._gaps.items():
+            self._observe_gap(units / _GAP_UNITS_PER_S, count)
+        self._gaps.clear()
+
+
+def _has_left(fd: int) -> bool:
+    poll = select.poll()
+    poll.register(fd, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -9,20 +9,28 @@
 import logging
 import secrets
 import signal
+import sys
 import threading
 
 from persimmonspan import errors
 from persimmonspan.connection import listener
+from persimmonspan.connection import relay
+from persimmonspan.connection import tls
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings
 from persimmonspan.request import events
+from persimmonspan.request import gate
 from persimmonspan.request import handler
 from persimmonspan.version import check
 from persimmonspan.version import model
 
 _SEED_BITS = 64
 EXIT_CUT = 3
+# With the default of 5 ms the relay thread would wait that long for the
+# interpreter lock whenever another thread computes.
+_SWITCH_INTERVAL_S = 0.0005
+_THREAD_STACK_BYTES = 256 * 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -33,6 +41,8 @@
     def __init__(self, options: settings.Settings) -> None:
         self.metrics = metrics.Metrics()
         self._settings = options
+        self._relay = relay.Relay(self.metrics.between_tokens.observe)
+        self._gate = gate.Gate(self.metrics)
         self._scheduler = scheduler_actor.SchedulerActor.start(
             self.metrics, secrets.randbits(_SEED_BITS))
         self._configuration: model.Configuration | None = None
@@ -69,9 +79,15 @@
             if self._configuration is None:
                 raise errors.RefusalError(errors.Code.CONFIG_UNVERIFIED,
                                           "no configuration is in force", 1.0)
+            if self._in_flight >= self._settings.max_streams:
+                raise errors.RefusalError(
+                    errors.Code.OVERLOADED,
+                    "this daemon serves as many requests "
+                    "as it can", 1.0)
             self._in_flight += 1
             return handler.Context(self._configuration, self._scheduler,
-                                   self.metrics)
+                                   self.metrics, self._relay, self._gate,
+                                   self._settings.write_timeout_s)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request out."""
@@ -94,9 +110,17 @@
     @contextlib.contextmanager
     def listening(self) -> collections.abc.Iterator[None]:
         """Serves callers until the block ends."""
+        threading.stack_size(_THREAD_STACK_BYTES)
         server = listener.make_server(
             settings.split_address(self._settings.listen_address), self,
-            self._settings.max_streams, self._settings.max_body_bytes)
+            listener.Options(self._settings.max_streams,
+                             self._settings.max_body_bytes,
+                             self._settings.read_timeout_s))
+        if self._settings.tls_certificate is not None:
+            server.ssl_adapter = tls.ReloadingAdapter(
+                self._settings.tls_certificate, self._settings.tls_key,
+                self.metrics.count)
+        self._relay.start()
         server.prepare()
         thread = threading.Thread(target=server.serve, name="listener")
         thread.start()
@@ -105,11 +129,13 @@
         finally:
             server.stop()
             thread.join()
+            self._relay.stop()
             self._scheduler.stop()
 
 
 def run(options: settings.Settings) -> int:
     """Runs a daemon until it is told to stop; returns the exit code."""
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
     daemon = Daemon(options)
     if options.inventory is not None:
         daemon.adopt(load_configuration(options.inventory, options.rules))
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -29,11 +29,12 @@
         self._sum_s = 0.0
         self._lock = threading.Lock()
 
-    def observe(self, latency_s: float) -> None:
-        """Records one latency in seconds."""
+    def observe(self, latency_s: float, count: int = 1) -> None:
+        """Records a latency in seconds, seen `count` times."""
         with self._lock:
-            self._histogram.record_value(max(1, int(latency_s * _US_PER_S)))
-            self._sum_s += latency_s
+            self._histogram.record_value(max(1, int(latency_s * _US_PER_S)),
+                                         count)
+            self._sum_s += latency_s * count
 
     def quantile_s(self, quantile: float) -> float:
         """Returns the latency at a quantile between 0 and 1, in seconds."""
--- a/persimmonspan/process/settings.py
+++ b/persimmonspan/process/settings.py
@@ -36,6 +36,8 @@
     tls_key: str | None
     max_streams: int
     max_body_bytes: int
+    read_timeout_s: int
+    write_timeout_s: int
     log_level: str
 
 
@@ -67,6 +69,10 @@
     _Option("--tls-key", None, "PEM file with the private key"),
     _Option("--max-streams", 900, "requests served at the same time"),
     _Option("--max-body-bytes", 4 * 1024 * 1024, "largest request body"),
+    _Option("--read-timeout-s", 10,
+            "time for a caller to send the headers, and again the body"),
+    _Option("--write-timeout-s", 10,
+            "time for which a caller may take no byte of its answer"),
     _Option("--log-level", "INFO", "DEBUG, INFO, WARNING or ERROR"),
 )
 
@@ -107,7 +113,8 @@
         problems.append("--inventory or --table-service is needed")
     if (values["tls_certificate"] is None) != (values["tls_key"] is None):
         problems.append("--tls-certificate and --tls-key go together")
-    for name in ("max_streams", "max_body_bytes"):
+    for name in ("max_streams", "max_body_bytes", "read_timeout_s",
+                 "write_timeout_s"):
         if values[name] < 1:
             problems.append(f"--{name.replace('_', '-')}: must be at least 1, "
                             f"got {values[name]}")
--- /dev/null
+++ b/persimmonspan/request/completion.py
@@ -0,0 +1,210 @@
+"""OpenAI-compatible requests and answers: completions and chat completions.
+
+>>> request = decode("/v1/completions", b'{"prompt": "fair", "stream": true}')
+>>> request.prompt, request.is_streamed, request.is_chat
+('fair', True, False)
+
+References:
+    OpenAI API reference, sections "Completions" and "Chat".
+"""
+
+import time
+import typing
+
+import msgspec
+
+from persimmonspan import errors
+
+CHAT_PATH = "/v1/chat/completions"
+PATHS = frozenset({"/v1/completions", CHAT_PATH})
+DONE = b"data: [DONE]\n\n"
+
+_CHARS_PER_TOKEN = 4
+_DEFAULT_MAX_TOKENS = 1024
+_Tokens = typing.Annotated[int, msgspec.Meta(ge=1)]
+
+
+class PartDocument(typing.TypedDict):
+    """One part of a chat message; only text is served."""
+
+    type: typing.Literal["text"]
+    text: str
+
+
+class MessageDocument(typing.TypedDict):
+    """One chat message."""
+
+    role: str
+    content: str | list[PartDocument]
+
+
+class StreamOptionsDocument(typing.TypedDict, total=False):
+    """Options of a streamed answer."""
+
+    include_usage: bool
+
+
+class CompletionDocument(typing.TypedDict, total=False):
+    """Body of a completion or chat completion; other fields are ignored."""
+
+    model: str
+    prompt: str
+    messages: list[MessageDocument]
+    max_tokens: _Tokens
+    max_completion_tokens: _Tokens
+    stream: bool
+    stream_options: StreamOptionsDocument | None
+    n: typing.Literal[1]
+
+
+class Request(typing.NamedTuple):
+    """A checked request for a generation."""
+
+    is_chat: bool
+    model: str | None
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    is_streamed: bool
+    includes_usage: bool
+
+
+_decoder = msgspec.json.Decoder(CompletionDocument)
+_encoder = msgspec.json.Encoder()
+
+
+def decode(path: str, body: bytes) -> Request:
+    """Decodes and checks the body of a request.
+
+    Raises:
+        errors.RefusalError: The body is not valid.
+    """
+    try:
+        document = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.RefusalError(errors.Code.BAD_REQUEST,
+                                  f"request body: {error}") from error
+    is_chat = path == CHAT_PATH
+    needed = "messages" if is_chat else "prompt"
+    if not document.get(needed):
+        raise errors.RefusalError(errors.Code.BAD_REQUEST,
+                                  f'request body: "{needed}" is missing')
+    prompt = (_chat_prompt(document["messages"])
+              if is_chat else document["prompt"])
+    options = document.get("stream_options") or {}
+    return Request(
+        is_chat, document.get("model"), prompt,
+        max(1,
+            len(prompt) // _CHARS_PER_TOKEN),
+        document.get("max_completion_tokens",
+                     document.get("max_tokens", _DEFAULT_MAX_TOKENS)),
+        document.get("stream", False), options.get("include_usage", False))
+
+
+class Formatter:
+    """Encodes the answer to one request.
+
+    The parts of an event that don't change are encoded once per request.
+    """
+
+    def __init__(self, request: Request, request_id: str, model: str) -> None:
+        self._request = request
+        self._common = {
+            "id": request_id,
+            "object": _object_name(request),
+            "created": int(time.time()),
+            "model": model
+        }
+        common = _encoder.encode(self._common)[:-1]
+        text = (b'"delta":{"content":' if request.is_chat else b'"text":')
+        self._before_text = (b"data: " + common + b',"choices":[{"index":0,' +
+                             text)
+        self._after_text = ((b"}" if request.is_chat else b"") +
+                            b',"logprobs":null,"finish_reason":')
+        self._running = self._after_text + b"null}]}\n\n"
+
+    def opening(self) -> bytes:
+        """Returns the event that goes before the first token, if any."""
+        if not self._request.is_chat:
+            return b""
+        return self._event([{
+            "index": 0,
+            "delta": {
+                "role": "assistant",
+                "content": ""
+            },
+            "logprobs": None,
+            "finish_reason": None
+        }])
+
+    def token(self, text: str, finish: str | None) -> bytes:
+        """Returns the event of one token."""
+        encoded = self._before_text + _encoder.encode(text)
+        if finish is None:
+            return encoded + self._running
+        return (encoded + self._after_text + _encoder.encode(finish) +
+                b"}]}\n\n")
+
+    def closing(self, tokens: int) -> bytes:
+        """Returns what goes after the last token of a finished stream."""
+        if not self._request.includes_usage:
+            return DONE
+        return self._event([], usage=self._usage(tokens)) + DONE
+
+    def whole(self, texts: list[str], finish: str, tokens: int) -> bytes:
+        """Returns the body of an answer that is not streamed."""
+        text = "".join(texts)
+        content: dict[str, object] = ({
+            "message": {
+                "role": "assistant",
+                "content": text
+            }
+        } if self._request.is_chat else {
+            "text": text
+        })
+        choice = {
+            "index": 0,
+            **content, "logprobs": None,
+            "finish_reason": finish
+        }
+        return _encoder.encode({
+            **self._common, "choices": [choice],
+            "usage": self._usage(tokens)
+        })
+
+    def _event(self, choices: list[dict[str, object]],
+               **fields: object) -> bytes:
+        return b"data: " + _encoder.encode({
+            **self._common, "choices": choices,
+            **fields
+        }) + b"\n\n"
+
+    def _usage(self, tokens: int) -> dict[str, int]:
+        return {
+            "prompt_tokens": self._request.prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": self._request.prompt_tokens + tokens
+        }
+
+
+def error_event(body: bytes) -> bytes:
+    """Returns the event that ends a stream that did not finish."""
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+def _object_name(request: Request) -> str:
+    if not request.is_chat:
+        return "text_completion"
+    return ("chat.completion.chunk"
+            if request.is_streamed else "chat.completion")
+
+
+def _chat_prompt(messages: list[MessageDocument]) -> str:
+    return "\n".join(f"{message['role']}: {_content(message['content'])}"
+                     for message in messages)
+
+
+def _content(content: str | list[PartDocument]) -> str:
+    if isinstance(content, str):
+        return content
+    return "".join(part["text"] for part in content)
--- /dev/null
+++ b/persimmonspan/request/generation.py
@@ -0,0 +1,301 @@
+"""Relays a generation: carries out what `request.stream` decides.
+
+The worker thread opens and resumes connections to the engine. Between that, the
+relay thread hands each batch of bytes to `_consume`, which decodes the tokens,
+lets the decision module check them and encodes what the caller gets.
+"""
+
+import logging
+import socket
+import threading
+import time
+import typing
+import uuid
+
+from persimmonspan import errors
+from persimmonspan.connection import engine
+from persimmonspan.connection import relay
+from persimmonspan.request import completion
+from persimmonspan.request import events
+from persimmonspan.request import session
+from persimmonspan.request import stream
+
+# Each progress event costs the scheduler a step. Once a second is often enough
+# to predict the memory of an engine and rare enough for 800 streams.
+_PROGRESS_INTERVAL_S = 1.0
+_CANCEL_TIMEOUT_S = 2.0
+_RESUME_PAUSE_S = 0.1
+
+_logger = logging.getLogger(__name__)
+
+
+class Responder(typing.Protocol):
+    """Frames the answer to the caller."""
+
+    def stream_head(self) -> bytes:
+        """Returns the response head of a stream and marks it as sent."""
+
+    def frame(self, data: bytes) -> bytes:
+        """Returns a part of a streamed body as it goes over the wire."""
+
+
+class Generation:
+    """A generation for one request, over one target after the other."""
+
+    def __init__(self, owner: session.Session, request: completion.Request,
+                 model: str, responder: Responder,
+                 transfer: relay.Transfer) -> None:
+        self._session = owner
+        self._request = request
+        self._model = model
+        self._responder = responder
+        self._transfer = transfer
+        self._formatter = completion.Formatter(request, owner.call.request_id,
+                                               model)
+        self._target: events.Target | None = None
+        self._stream = stream.State("", "")
+        self._reader = engine.AnswerReader("")
+        self._decision: stream.Resume | stream.End | None = None
+        self._failure: errors.TargetError | None = None
+        self._texts: list[str] = []
+        self._finish = ""
+        self._progress_s = 0.0
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a part of a stream was given to the caller."""
+        return self._request.is_streamed and self._stream.next_index > 0
+
+    @property
+    def tokens(self) -> int:
+        """Tokens delivered so far."""
+        return self._stream.next_index
+
+    def whole_answer(self) -> bytes:
+        """Returns the body of a finished answer that is not streamed."""
+        return self._formatter.whole(self._texts, self._finish, self.tokens)
+
+    def run(self, dispatch: events.Dispatch, target: events.Target) -> bool:
+        """Runs one attempt; returns whether the request is at its end.
+
+        Raises:
+            errors.PersimmonspanError: The request failed.
+            session.CallerLeftError: The caller left.
+        """
+        self._target = target
+        self._stream = stream.State(self._session.call.request_id,
+                                    uuid.uuid4().hex)
+        try:
+            outcome = self._attempt(dispatch)
+        except BaseException:
+            # Whatever ended the request, the engine must not decode on.
+            self._end(events.Outcome.CANCELLED)
+            raise
+        self._end(outcome)
+        if outcome is events.Outcome.FAILED_AFTER_FIRST_TOKEN:
+            raise self._loss()
+        return outcome is events.Outcome.COMPLETED
+
+    def _end(self, outcome: events.Outcome) -> None:
+        self._session.end_attempt(self._target.name, outcome, self.tokens)
+        self._session.context.metrics.tokens.inc(self.tokens)
+        if outcome in (events.Outcome.CANCELLED,
+                       events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
+                       events.Outcome.FAILED_AFTER_FIRST_TOKEN):
+            # The thread is waited for at exit; a hung engine must not delay
+            # the answer to the caller or a restart elsewhere.
+            threading.Thread(target=engine.cancel,
+                             args=(self._target.address,
+                                   self._session.call.request_id,
+                                   _CANCEL_TIMEOUT_S)).start()
+
+    def _attempt(self, dispatch: events.Dispatch) -> events.Outcome:
+        outcome = self._connect("/v1/generate", self._generate_body(dispatch))
+        while outcome is None and isinstance(self._decision, stream.Resume):
+            from_index = self._decision.from_index
+            _logger.info("resuming a stream",
+                         extra={
+                             "target": self._target.name,
+                             "from_index": from_index
+                         })
+            time.sleep(_RESUME_PAUSE_S * (self._stream.resumes - 1))
+            outcome = self._connect(
+                "/v1/resume",
+                engine.ResumeDocument(request_id=self._stream.request_id,
+                                      generation_id=self._stream.generation_id,
+                                      from_index=from_index))
+        if outcome is not None:
+            return outcome
+        if self._decision.ending is stream.Ending.FINISHED:
+            return events.Outcome.COMPLETED
+        if (self._decision.ending is stream.Ending.LOST and
+                self._session.call.kind.is_idempotent):
+            return events.Outcome.FAILED_BEFORE_FIRST_TOKEN
+        # Not an outcome that is tried again: tokens were delivered, or the
+        # request must not run twice.
+        return events.Outcome.FAILED_AFTER_FIRST_TOKEN
+
+    def _loss(self) -> errors.TargetError:
+        message = (f"target {self._target.name} lost the generation after "
+                   f"{self.tokens} tokens")
+        if self.tokens:
+            return errors.TargetError(errors.Code.STREAM_CUT, message,
+                                      errors.RunState.RAN)
+        return errors.TargetError(errors.Code.TARGET_FAILED, message,
+                                  errors.RunState.UNKNOWN)
+
+    def _connect(self, path: str, body: typing.Any) -> events.Outcome | None:
+        """Relays over one connection until the stream decides what is next."""
+        timeouts = self._session.context.configuration.timeouts
+        is_resume = path == "/v1/resume"
+        first_s = timeouts.first_token_s
+        if is_resume and self.tokens:
+            first_s = timeouts.between_tokens_s
+        self._decision = None
+        self._failure = None
+        self._reader = engine.AnswerReader(self._target.address)
+        ran_before = self._session.may_have_run
+        try:
+            with engine.requested(self._target.address, path, body,
+                                  timeouts.connect_s) as sock:
+                self._session.may_have_run = True
+                event = self._relay(sock, first_s, timeouts.between_tokens_s)
+        except engine.ConnectTimeoutError:
+            event = stream.Broken(stream.Break.SILENT)
+            if not is_resume:
+                return events.Outcome.CONNECT_FAILED
+        except engine.NotSentError:
+            event = stream.Unknown()
+            if not is_resume:
+                return events.Outcome.CONNECT_FAILED
+        except engine.NotRunError:
+            event = stream.Broken(stream.Break.TRUNCATED)
+            if not is_resume:
+                self._session.may_have_run = ran_before
+                return events.Outcome.REFUSED
+        except engine.BrokenStreamError:
+            self._session.may_have_run = True
+            event = stream.Broken(stream.Break.TRUNCATED)
+        if isinstance(event, events.Outcome):
+            return event
+        if event is not None:
+            self._apply(event)
+        return None
+
+    def _relay(
+        self, sock: socket.socket, first_s: float, between_s: float
+    ) -> stream.Broken | stream.Unknown | events.Outcome | None:
+        context = self._session.context
+        serial = context.relay.attach(self._transfer, sock, self._consume,
+                                      first_s, between_s)
+        try:
+            while True:
+                message = self._session.next_message()
+                if isinstance(message, events.CancelAttempt):
+                    if message.target == self._target.name:
+                        return self._cancelled()
+                elif isinstance(message, events.Dispatch):
+                    # One generation at a time: a hedge is given back.
+                    self._session.end_attempt(message.target,
+                                              events.Outcome.CANCELLED)
+                elif message.serial == serial:
+                    return self._broken(message.signal)
+        finally:
+            context.relay.release(self._transfer)
+
+    def _cancelled(self) -> events.Outcome:
+        if self.tokens:
+            raise errors.TargetError(errors.Code.STREAM_CUT,
+                                     "the generation was cancelled",
+                                     errors.RunState.RAN)
+        return events.Outcome.CANCELLED
+
+    def _broken(self,
+                signal: relay.Signal) -> stream.Broken | stream.Unknown | None:
+        if signal is relay.Signal.SILENT:
+            return stream.Broken(stream.Break.SILENT)
+        failure = self._failure
+        reason = stream.Break.GARBAGE
+        if signal is relay.Signal.CLOSED:
+            failure = self._reader.end()
+            reason = stream.Break.TRUNCATED
+        if isinstance(failure, engine.NotRunError):
+            raise failure
+        if isinstance(failure, engine.UnknownGenerationError):
+            return stream.Unknown()
+        return stream.Broken(reason) if failure is not None else None
+
+    def _consume(self, data: bytes, now_s: float) -> relay.Consumed:
+        """Turns bytes of the engine into bytes for the caller."""
+        first = self._stream.next_index
+        output: list[bytes] = []
+        try:
+            for token in self._reader.feed(data):
+                delivery = self._apply(
+                    stream.Received(token["r"], token["g"], token["i"],
+                                    token["t"], token["f"]))
+                if delivery is not None:
+                    self._deliver(delivery, output)
+                if self._decision is not None:
+                    break
+        except errors.TargetError as error:
+            self._failure = error
+        tokens = self._stream.next_index - first
+        if tokens:
+            self._report(first, now_s)
+        body = b"".join(output)
+        if body:
+            body = self._responder.frame(body)
+            if first == 0:
+                body = self._responder.stream_head() + body
+        is_done = self._decision is not None or self._failure is not None
+        return relay.Consumed(body, tokens, is_done)
+
+    def _apply(self, event: stream.Event) -> stream.Deliver | None:
+        self._stream, commands = stream.step(self._stream, event,
+                                             time.monotonic(), None)
+        delivery = None
+        for command in commands:
+            if isinstance(command, stream.Deliver):
+                delivery = command
+            elif isinstance(command, stream.Count):
+                self._session.context.metrics.count(command.reason)
+            elif isinstance(command, stream.Resume | stream.End):
+                self._decision = command
+        return delivery
+
+    def _deliver(self, delivery: stream.Deliver, output: list[bytes]) -> None:
+        if delivery.finish is not None:
+            self._finish = delivery.finish
+        if not self._request.is_streamed:
+            self._texts.append(delivery.text)
+            return
+        if self.tokens == 1:
+            output.append(self._formatter.opening())
+        output.append(self._formatter.token(delivery.text, delivery.finish))
+        if delivery.finish is not None:
+            output.append(self._formatter.closing(self.tokens))
+
+    def _report(self, first: int, now_s: float) -> None:
+        context = self._session.context
+        request_id = self._session.call.request_id
+        if first == 0:
+            self._progress_s = now_s
+            context.metrics.first_token.observe(now_s -
+                                                self._session.call.arrived_s)
+            context.scheduler.tell(
+                events.FirstToken(request_id, self._target.name))
+        elif now_s - self._progress_s >= _PROGRESS_INTERVAL_S:
+            self._progress_s = now_s
+            context.scheduler.tell(
+                events.Progressed(request_id, self._target.name, self.tokens))
+
+    def _generate_body(self,
+                       dispatch: events.Dispatch) -> engine.GenerateDocument:
+        return engine.GenerateDocument(request_id=self._stream.request_id,
+                                       generation_id=self._stream.generation_id,
+                                       model=self._model,
+                                       prompt=self._request.prompt,
+                                       max_tokens=self._request.max_tokens,
+                                       priority=dispatch.priority,
+                                       from_index=0)
--- a/persimmonspan/request/handler.py
+++ b/persimmonspan/request/handler.py
@@ -1,70 +1,36 @@
 """Worker thread of one request: from the caller's HTTP request to its answer.
 
-The thread carries events to the scheduler and its commands out: it opens the
-stream, checks each token, writes it to the caller and tells the scheduler how
-the attempt ended.
+The thread carries events to the scheduler and its commands out, until the
+request has its answer.
 """
 
 import hashlib
 import logging
-import queue
-import time
 import typing
-import uuid
 
 import msgspec
-import pykka
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import plain_service
-from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.request import completion
 from persimmonspan.request import events
+from persimmonspan.request import generation
+from persimmonspan.request import session
 from persimmonspan.version import model
 
-_PROGRESS_INTERVAL_S = 0.25
-_CHARS_PER_TOKEN = 4
-_CANCEL_TIMEOUT_S = 2.0
-_DEFAULT_MAX_TOKENS = 1024
+Call = session.Call
+Context = session.Context
 
 _logger = logging.getLogger(__name__)
 
 
-class CompletionDocument(typing.TypedDict, total=False):
-    """Body of an OpenAI-compatible completion or chat completion."""
-
-    model: str
-    prompt: str
-    messages: list[dict[str, str]]
-    max_tokens: int
-    stream: bool
-
-
-class Context(typing.NamedTuple):
-    """What a request needs of the process and of its version."""
-
-    configuration: model.Configuration
-    scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
-    metrics: metrics.Metrics
-
-
-class Call(typing.NamedTuple):
-    """A caller's request after authentication."""
-
-    request_id: str
-    workspace: model.Workspace
-    kind: events.KindPolicy
-    method: str
-    path: str
-    body: bytes
-    arrived_s: float
-    deadline_s: float
-
-
-class Responder(typing.Protocol):
+class Responder(generation.Responder, typing.Protocol):
     """Writes the answer to the caller."""
 
+    caller: typing.Any  # Socket of the caller.
+
     def start(self, status: int, content_type: str) -> None:
         """Sends the response headers."""
 
@@ -75,6 +41,13 @@
             OSError: The caller left.
         """
 
+    def send(self, data: bytes, timeout_s: float) -> None:
+        """Sends framed data.
+
+        Raises:
+            OSError: The caller left or does not read.
+        """
+
 
 def serve(call: Call, context: Context, responder: Responder) -> None:
     """Serves one request from arrival to its end.
@@ -82,237 +55,163 @@
     Raises:
         errors.PersimmonspanError: The request was refused or failed before the
             response was started.
+        OSError: The caller left.
     """
-    commands: scheduler_actor.CommandQueue = queue.SimpleQueue()
+    service = next(item for item in context.configuration.services
+                   if item.name == call.kind.service)
+    if service.is_model:
+        request = completion.decode(call.path, call.body)
+        _check_model(request, service)
+        with context.gate.admitted(call.workspace, request.prompt_tokens,
+                                   request.max_tokens):
+            _generate(call, context, responder, request, service)
+    else:
+        with context.gate.admitted(call.workspace, 0, 0):
+            _forward(call, context, responder)
+
+
+def error_body(error: errors.PersimmonspanError, request_id: str) -> bytes:
+    """Returns the JSON body of an error."""
+    return msgspec.json.encode({
+        "error": {
+            "code": error.code,
+            "message": str(error),
+            "reason": error.code,
+            "run_state": error.run_state,
+            "request_id": request_id
+        }
+    })
+
+
+def _check_model(request: completion.Request, service: model.Service) -> None:
+    if request.model is not None and request.model not in service.models:
+        raise errors.RefusalError(
+            errors.Code.NOT_FOUND,
+            f'service "{service.name}" has no model "{request.model}"')
+
+
+def _generate(call: Call, context: Context, responder: Responder,
+              request: completion.Request, service: model.Service) -> None:
+    owner = session.Session(call, context)
+    failure = None
+    with context.relay.watching(responder.caller, owner.messages.put,
+                                context.write_s) as transfer:
+        work = generation.Generation(
+            owner, request, request.model or next(iter(service.models), ""),
+            responder, transfer)
+        try:
+            _run(owner, request, work.run)
+        except errors.PersimmonspanError as error:
+            if not work.has_started:
+                raise
+            failure = error
+        pending = context.relay.take_pending(transfer)
+    if failure is not None:
+        context.metrics.count(f"stream_error_{failure.code}")
+        _logger.info("stream ended with an error",
+                     extra={
+                         "code": failure.code,
+                         "tokens": work.tokens
+                     })
+        pending += responder.frame(
+            completion.error_event(error_body(failure, call.request_id)))
+    if pending:
+        responder.send(pending, context.write_s)
+    if not request.is_streamed:
+        responder.start(200, "application/json")
+        responder.write(work.whole_answer())
+
+
+def _forward(call: Call, context: Context, responder: Responder) -> None:
+    owner = session.Session(call, context)
+    answers: list[plain_service.Answer] = []
+
+    def attempt(dispatch: events.Dispatch, target: events.Target) -> bool:
+        del dispatch
+        answer = _ask(owner, target)
+        if answer is not None:
+            answers.append(answer)
+        return answer is not None
+
+    with context.relay.watching(responder.caller, owner.messages.put,
+                                context.write_s):
+        _run(owner, None, attempt)
+    responder.start(answers[0].status, answers[0].content_type)
+    responder.write(answers[0].body)
+
+
+def _run(
+        owner: session.Session, request: completion.Request | None,
+        attempt: typing.Callable[[events.Dispatch, events.Target],
+                                 bool]) -> None:
+    """Carries out the scheduler's commands until an attempt has the answer."""
+    scheduler = owner.context.scheduler
     targets = {
-        target.name: target for service in context.configuration.services
+        target.name: target for service in owner.context.configuration.services
         for target in service.targets
     }
-    body = _completion(call) if _is_model(call, context) else None
-    context.scheduler.tell(
-        scheduler_actor.Submit(_arrived(call, body), commands))
+    scheduler.tell(
+        scheduler_actor.Submit(_arrived(owner.call, request), owner.messages))
     try:
         while True:
-            command = commands.get()
-            if isinstance(command, events.Refuse):
-                raise errors.PersimmonspanError(
-                    command.reason, f"request refused: {command.reason}",
-                    command.run_state, command.retry_after_s)
-            if isinstance(command, events.Dispatch):
-                attempt = _Attempt(call, context, responder,
-                                   targets[command.target], command)
-                outcome = (attempt.relay(body)
-                           if body is not None else attempt.forward())
-                if outcome is None:
-                    return
+            message = owner.next_message()
+            if isinstance(message, events.Dispatch) and attempt(
+                    message, targets[message.target]):
+                return
+    except (session.CallerLeftError, errors.PersimmonspanError):
+        # The scheduler ignores this for a request that it has ended itself.
+        scheduler.tell(events.Abandoned(owner.call.request_id))
+        raise
     finally:
-        context.scheduler.tell(scheduler_actor.Finished(call.request_id))
+        scheduler.tell(scheduler_actor.Finished(owner.call.request_id))
 
 
-def _is_model(call: Call, context: Context) -> bool:
-    return any(service.name == call.kind.service and service.is_model
-               for service in context.configuration.services)
+def _ask(owner: session.Session,
+         target: events.Target) -> plain_service.Answer | None:
+    """Asks one target; returns None if another may be asked.
 
-
-def _completion(call: Call) -> CompletionDocument:
+    Raises:
+        errors.TargetError: Whether a non-idempotent call ran is not known.
+    """
+    call = owner.call
+    timeouts = owner.context.configuration.timeouts
+    order = plain_service.Order(call.request_id, call.method,
+                                call.path + call.query, call.body)
     try:
-        return msgspec.json.decode(call.body, type=CompletionDocument)
-    except msgspec.ValidationError as error:
-        raise errors.RefusalError(errors.Code.BAD_REQUEST,
-                                  str(error)) from error
-    except msgspec.DecodeError as error:
-        raise errors.RefusalError(errors.Code.BAD_REQUEST,
-                                  f"body is not JSON: {error}") from error
-
-
-def _prompt(body: CompletionDocument) -> str:
-    messages = body.get("messages")
-    if messages is None:
-        return body.get("prompt", "")
-    return "\n".join(
-        f"{item.get('role')}: {item.get('content')}" for item in messages)
+        answer = plain_service.dispatch(
+            target.address, order, timeouts.connect_s,
+            min(timeouts.first_token_s, owner.remaining_s()))
+    except engine.NotSentError:
+        owner.end_attempt(target.name, events.Outcome.CONNECT_FAILED)
+        return None
+    except engine.NotRunError:
+        owner.end_attempt(target.name, events.Outcome.REFUSED)
+        return None
+    except errors.TargetError as error:
+        owner.may_have_run = True
+        is_crossed = isinstance(error, plain_service.CrossedAnswerError)
+        owner.context.metrics.count(
+            "plain_crossed" if is_crossed else "plain_no_answer")
+        if call.kind.is_idempotent:
+            owner.end_attempt(target.name,
+                              events.Outcome.FAILED_BEFORE_FIRST_TOKEN)
+            return None
+        owner.end_attempt(target.name, events.Outcome.FAILED_AFTER_FIRST_TOKEN)
+        raise errors.TargetError(errors.Code.OUTCOME_UNKNOWN, str(error),
+                                 errors.RunState.UNKNOWN) from error
+    owner.end_attempt(target.name, events.Outcome.COMPLETED)
+    return answer
 
 
-def _arrived(call: Call, body: CompletionDocument | None) -> events.Arrived:
-    prompt = _prompt(body) if body is not None else ""
+def _arrived(call: Call, request: completion.Request | None) -> events.Arrived:
     return events.Arrived(
         request_id=call.request_id,
         workspace=call.workspace.name,
         kind=call.kind.name,
         service=call.kind.service,
-        prompt_tokens=len(prompt) // _CHARS_PER_TOKEN + 1,
-        max_output_tokens=(body or {}).get("max_tokens", _DEFAULT_MAX_TOKENS),
+        prompt_tokens=request.prompt_tokens if request is not None else 0,
+        max_output_tokens=request.max_tokens if request is not None else 0,
         deadline_s=call.deadline_s,
-        fingerprint=hashlib.sha256(call.path.encode() + call.body).hexdigest(),
+        fingerprint=hashlib.sha256((call.path + call.query).encode() +
+                                   call.body).hexdigest(),
         is_idempotent=call.kind.is_idempotent)
-
-
-class _Attempt:
-    """One attempt on one target."""
-
-    def __init__(self, call: Call, context: Context, responder: Responder,
-                 target: events.Target, command: events.Dispatch) -> None:
-        self._call = call
-        self._context = context
-        self._responder = responder
-        self._target = target
-        self._command = command
-        self._tokens = 0
-        self._progress_s = call.arrived_s
-
-    def relay(self, body: CompletionDocument) -> events.Outcome | None:
-        """Relays a generation; returns None when the request is at its end."""
-        generation_id = uuid.uuid4().hex
-        request = engine.GenerateDocument(request_id=self._call.request_id,
-                                          generation_id=generation_id,
-                                          model=body.get("model", ""),
-                                          prompt=_prompt(body),
-                                          max_tokens=body.get(
-                                              "max_tokens",
-                                              _DEFAULT_MAX_TOKENS),
-                                          priority=self._command.priority,
-                                          from_index=0)
-        texts: list[str] = []
-        is_streamed = body.get("stream", False)
-        try:
-            with engine.open_stream(
-                    self._target.address, "/v1/generate", request,
-                    self._context.configuration.timeouts) as tokens:
-                for token in tokens:
-                    self._check(token, generation_id)
-                    self._deliver(token, is_streamed, texts)
-                    if token["f"] is not None:
-                        return self._finish(token["f"], is_streamed, texts)
-            raise engine.BrokenStreamError(errors.Code.STREAM_CUT,
-                                           "stream ended without a finish")
-        except engine.NotSentError:
-            return self._end(events.Outcome.CONNECT_FAILED)
-        except engine.NotRunError:
-            return self._end(events.Outcome.REFUSED)
-        except engine.BrokenStreamError as error:
-            return self._broken(error, is_streamed)
-
-    def forward(self) -> events.Outcome | None:
-        """Forwards a call to a plain service."""
-        try:
-            answer = plain_service.call(self._target.address, self._call.method,
-                                        self._call.path, self._call.body,
-                                        self._call.request_id,
-                                        self._context.configuration.timeouts)
-        except engine.NotSentError:
-            return self._end(events.Outcome.CONNECT_FAILED)
-        except engine.NotRunError:
-            return self._end(events.Outcome.REFUSED)
-        except errors.TargetError:
-            self._end(events.Outcome.FAILED_AFTER_FIRST_TOKEN)
-            raise
-        self._responder.start(answer.status, answer.content_type)
-        self._responder.write(answer.body)
-        self._end(events.Outcome.COMPLETED)
-        return None
-
-    def _check(self, token: engine.TokenDocument, generation_id: str) -> None:
-        if token["r"] != self._call.request_id or token["g"] != generation_id:
-            raise engine.BrokenStreamError(errors.Code.STREAM_CUT,
-                                           "token of another request")
-        if token["i"] != self._tokens:
-            raise engine.BrokenStreamError(
-                errors.Code.STREAM_CUT,
-                f"expected token {self._tokens}, got {token['i']}")
-
-    def _deliver(self, token: engine.TokenDocument, is_streamed: bool,
-                 texts: list[str]) -> None:
-        now_s = time.monotonic()
-        if self._tokens == 0:
-            self._context.metrics.first_token.observe(now_s -
-                                                      self._call.arrived_s)
-            self._context.scheduler.tell(
-                events.FirstToken(self._call.request_id, self._target.name))
-            if is_streamed:
-                self._responder.start(200, "text/event-stream")
-        self._tokens += 1
-        if now_s - self._progress_s > _PROGRESS_INTERVAL_S:
-            self._progress_s = now_s
-            self._context.scheduler.tell(
-                events.Progressed(self._call.request_id, self._target.name,
-                                  self._tokens))
-        if not is_streamed:
-            texts.append(token["t"])
-            return
-        try:
-            self._responder.write(_event(self._call.request_id, token))
-        except OSError:
-            self._context.scheduler.tell(events.Abandoned(
-                self._call.request_id))
-            engine.cancel(self._target.address, self._call.request_id,
-                          _CANCEL_TIMEOUT_S)
-            raise
-
-    def _finish(self, reason: str, is_streamed: bool,
-                texts: list[str]) -> events.Outcome | None:
-        self._context.metrics.tokens.inc(self._tokens)
-        self._end(events.Outcome.COMPLETED)
-        if is_streamed:
-            self._responder.write(b"data: [DONE]\n\n")
-            return None
-        self._responder.start(200, "application/json")
-        self._responder.write(
-            msgspec.json.encode({
-                "id": self._call.request_id,
-                "object": "text_completion",
-                "choices": [{
-                    "index": 0,
-                    "text": "".join(texts),
-                    "finish_reason": reason
-                }],
-                "usage": {
-                    "completion_tokens": self._tokens
-                }
-            }))
-        return None
-
-    def _broken(self, error: errors.TargetError,
-                is_streamed: bool) -> events.Outcome | None:
-        if self._tokens == 0:
-            return self._end(events.Outcome.FAILED_BEFORE_FIRST_TOKEN)
-        self._end(events.Outcome.FAILED_AFTER_FIRST_TOKEN)
-        cut = errors.TargetError(errors.Code.STREAM_CUT, str(error),
-                                 errors.RunState.RAN)
-        if not is_streamed:
-            raise cut
-        self._responder.write(b"event: error\ndata: " +
-                              error_body(cut, self._call.request_id) + b"\n\n")
-        return None
-
-    def _end(self, outcome: events.Outcome) -> events.Outcome:
-        self._context.scheduler.tell(
-            events.AttemptEnded(self._call.request_id, self._target.name,
-                                outcome, self._tokens))
-        return outcome
-
-
-def _event(request_id: str, token: engine.TokenDocument) -> bytes:
-    return b"data: " + msgspec.json.encode({
-        "id":
-            request_id,
-        "object":
-            "text_completion",
-        "choices": [{
-            "index": 0,
-            "text": token["t"],
-            "finish_reason": token["f"]
-        }]
-    }) + b"\n\n"
-
-
-def error_body(error: errors.PersimmonspanError, request_id: str) -> bytes:
-    """Returns the JSON body of an error."""
-    return msgspec.json.encode({
-        "error": {
-            "code": error.code,
-            "message": str(error),
-            "reason": error.code,
-            "run_state": error.run_state,
-            "request_id": request_id
-        }
-    })
--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -3,11 +3,16 @@
 Each generation keeps its tokens, so that it can be resumed. The text of token
 `i` is the hash of the prompt, a dash and `i`, by which a caller can check that
 an answer is its own, whole and in order.
+
+A prompt that contains `[fault@i]` makes the stand-in commit that fault instead
+of sending token `i` on the first connection: see `_FAULTS`.
 """
 
 import argparse
 import hashlib
+import os
 import random
+import re
 import threading
 import time
 import typing
@@ -20,6 +25,8 @@
 
 _WORD_HASH_CHARS = 6
 _MS_PER_S = 1000.0
+_DIRECTIVE = re.compile(r"\[([a-z_]+)@(\d+)\]")
+_HANG_S = 3600.0
 
 
 class Options(typing.NamedTuple):
@@ -29,6 +36,7 @@
     mean_tokens: int = 40
     kv_capacity_tokens: int = 65536
     max_running: int = 64
+    is_random: bool = True  # Whether lengths vary around the mean.
 
 
 class Generation:
@@ -64,6 +72,7 @@
         self.incarnation = uuid.uuid4().hex
         self.generations: dict[str, Generation] = {}
         self.runs: dict[str, int] = {}
+        self.cancelled: list[str] = []
         self._random = random.Random(seed)
         self._lock = threading.Lock()
 
@@ -72,15 +81,19 @@
         with self._lock:
             if len(self.generations) >= self.options.max_running:
                 return None
-            tokens = min(
-                request["max_tokens"],
-                1 + int(self._random.expovariate(1 / self.options.mean_tokens)))
+            tokens = min(request["max_tokens"], self._length())
             generation = Generation(request, tokens)
             self.generations[request["generation_id"]] = generation
             self.runs[request["request_id"]] = self.runs.get(
                 request["request_id"], 0) + 1
             return generation
 
+    def _length(self) -> int:
+        mean = self.options.mean_tokens
+        if not self.options.is_random:
+            return mean
+        return 1 + int(self._random.expovariate(1 / mean))
+
     def load(self) -> engine.LoadDocument:
         """Returns the load report."""
         with self._lock:
@@ -97,9 +110,11 @@
     def cancel(self, request_id: str) -> None:
         """Cancels the generations of a request."""
         with self._lock:
-            for generation in self.generations.values():
+            self.cancelled.append(request_id)
+            for key, generation in list(self.generations.items()):
                 if generation.request["request_id"] == request_id:
                     generation.is_cancelled = True
+                    del self.generations[key]
 
     def end(self, generation: Generation) -> None:
         """Forgets a generation that was read to its end or cancelled."""
@@ -124,13 +139,22 @@
     body = request.rfile.read()
     match request.path:
         case b"/v1/generate":
-            generation = state.start(
-                msgspec.json.decode(body, type=engine.GenerateDocument))
-            _stream(request, state, generation, 0)
+            document = msgspec.json.decode(body, type=engine.GenerateDocument)
+            generation = state.start(document)
+            if generation is None:
+                _answer(request, b"503 Service Unavailable",
+                        {"run_state": "not_run"})
+            else:
+                _stream(request, state, generation, 0,
+                        _directive(document["prompt"]))
         case b"/v1/resume":
             document = msgspec.json.decode(body)
             generation = state.generations.get(document["generation_id"])
-            _stream(request, state, generation, document["from_index"])
+            if generation is None:
+                _answer(request, b"404 Not Found", {})
+            else:
+                _stream(request, state, generation, document["from_index"],
+                        None)
         case b"/v1/cancel":
             state.cancel(msgspec.json.decode(body)["request_id"])
             _answer(request, b"200 OK", {})
@@ -138,15 +162,14 @@
             _answer(request, b"200 OK", state.load())
         case b"/v1/runs":
             _answer(request, b"200 OK", state.runs)
+        case b"/v1/cancelled":
+            _answer(request, b"200 OK", state.cancelled)
         case _:
             _answer(request, b"404 Not Found", {})
 
 
-def _stream(request: server.HTTPRequest, state: Engine,
-            generation: Generation | None, index: int) -> None:
-    if generation is None:
-        _answer(request, b"503 Service Unavailable", {"run_state": "not_run"})
-        return
+def _stream(request: server.HTTPRequest, state: Engine, generation: Generation,
+            index: int, fault: tuple[str, int] | None) -> None:
     request.status = b"200 OK"
     request.outheaders = [(b"Content-Type", b"text/event-stream")]
     request.ensure_headers_sent()
@@ -154,9 +177,77 @@
         ready_s = (generation.started_s +
                    (index + 1) * state.options.token_interval_s)
         time.sleep(max(0.0, ready_s - time.monotonic()))
+        if fault is not None and fault[1] == index:
+            _FAULTS[fault[0]](request, generation, index)
+            if fault[0] not in ("repeat", "crossed"):
+                return
         request.write(engine.encode_token(generation.token(index)))
         index += 1
-    state.end(generation)
+    if not generation.is_cancelled:
+        state.end(generation)
+
+
+def _directive(prompt: str) -> tuple[str, int] | None:
+    match = _DIRECTIVE.search(prompt)
+    return (match[1], int(match[2])) if match is not None else None
+
+
+def _send_changed(request: server.HTTPRequest, generation: Generation,
+                  index: int, **changes: typing.Any) -> None:
+    token = {**generation.token(index), **changes}
+    request.write(engine.encode_token(typing.cast(engine.TokenDocument, token)))
+
+
+def _die(request: server.HTTPRequest, generation: Generation,
+         index: int) -> None:
+    del request, generation, index
+    os._exit(1)  # pylint: disable=protected-access  # As a crash: no clean-up.
+
+
+def _truncate(request: server.HTTPRequest, generation: Generation,
+              index: int) -> None:
+    event = engine.encode_token(generation.token(index))
+    request.write(event[:len(event) // 2])
+    # The end of the connection without the last chunk.
+    request.chunked_write = False
+    request.close_connection = True
+
+
+def _hang(request: server.HTTPRequest, generation: Generation,
+          index: int) -> None:
+    del request, generation, index
+    time.sleep(_HANG_S)
+
+
+_FAULTS: dict[str,
+              typing.Callable[[server.HTTPRequest, Generation, int], None]] = {
+                  # A token of another request, generation or index.
+                  "crossed":
+                      lambda request, generation, index: _send_changed(
+                          request, generation, index, r="another", t="crossed"),
+                  "wrong_generation":
+                      lambda request, generation, index: _send_changed(
+                          request, generation, index, g="another", t="crossed"),
+                  "wrong_index":
+                      lambda request, generation, index: _send_changed(
+                          request, generation, index, i=index + 1, t="skipped"),
+                  # A token that was sent before.
+                  "repeat":
+                      lambda request, generation, index: _send_changed(
+                          request, generation, max(0, index - 1)),
+                  "garbage":
+                      lambda request, generation, index: request.write(
+                          b'data: {"r": \xff\xfe]\n\n'),
+                  # The connection ends inside an event, or between two.
+                  "truncate":
+                      _truncate,
+                  "stop":
+                      lambda request, generation, index: None,
+                  "hang":
+                      _hang,
+                  "die":
+                      _die,
+              }
 
 
 def _answer(request: server.HTTPRequest, status: bytes, body: object) -> None:
@@ -173,11 +264,15 @@
     parser.add_argument("--token-interval-ms", type=float, default=10.0)
     parser.add_argument("--mean-tokens", type=int, default=40)
     parser.add_argument("--max-running", type=int, default=64)
+    parser.add_argument("--fixed-length",
+                        action="store_true",
+                        help="all generations have the mean length")
     parser.add_argument("--seed", type=int, default=0)
     parsed = parser.parse_args()
     options = Options(parsed.token_interval_ms / _MS_PER_S,
                       parsed.mean_tokens,
-                      max_running=parsed.max_running)
+                      max_running=parsed.max_running,
+                      is_random=not parsed.fixed_length)
     make_server(("127.0.0.1", parsed.port), Engine(options,
                                                    parsed.seed)).safe_start()
 
--- a/testbed/plain_service.py
+++ b/testbed/plain_service.py
@@ -1,7 +1,15 @@
-"""Stand-in for a plain service that records each call it runs."""
+"""Stand-in for a plain service that records each call it runs.
+
+The query `fault=...` of a call makes the stand-in commit a fault: `refuse`
+(confirms that it did not run the call), `crossed` (answers with another request
+id), `slow` (never answers) or `close` (ends the connection without an answer).
+All but `refuse` run the call first.
+"""
 
 import argparse
+import socket
 import threading
+import time
 
 import msgspec
 from cheroot import server
@@ -9,6 +17,7 @@
 from persimmonspan.connection import plain_service
 
 _THREADS = 32
+_NEVER_S = 3600.0
 
 
 class Desk:
@@ -40,18 +49,30 @@
 def _respond(request: server.HTTPRequest, state: Desk) -> None:
     body = request.rfile.read()
     request_id = request.inheaders.get(b"X-Request-Id", b"")
+    fault = request.qs.removeprefix(b"fault=")
+    headers = [(b"Content-Type", b"application/json")]
     if request.path == b"/v1/runs":
         answer = msgspec.json.encode(state.runs)
+    elif fault == b"refuse":
+        answer = b"{}"
+        headers.append((plain_service.RUN_STATE_HEADER.encode(), b"not_run"))
     else:
         runs = state.run(body.decode())
         answer = msgspec.json.encode({
             "path": request.path.decode(),
             "runs": runs
         })
-    request.status = b"200 OK"
-    request.outheaders = [(b"Content-Type", b"application/json"),
-                          (plain_service.REQUEST_ID_HEADER.encode(), request_id)
-                         ]
+    if fault == b"crossed":
+        request_id = b"another"
+    elif fault == b"slow":
+        time.sleep(_NEVER_S)
+    elif fault == b"close":
+        request.conn.socket.shutdown(socket.SHUT_RDWR)
+        return
+    request.status = b"503 Busy" if fault == b"refuse" else b"200 OK"
+    request.outheaders = [
+        *headers, (plain_service.REQUEST_ID_HEADER.encode(), request_id)
+    ]
     request.ensure_headers_sent()
     request.write(answer)
 
