Test streams and plain calls against faults over real sockets

Cause: the promises to callers were only tested without faults.

Change: stand-ins commit faults that a prompt or query names, a TCP pass-through goes silent, cuts and delays; the tests run a daemon against them. An answer whose body ends without a last token is now truncated at once instead of silent after a timeout; an error after the first token says that the request ran. The stand-in engine keeps generations that were read, as their last tokens may be lost on the way.

--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -103,6 +103,10 @@
     """The answer is not one that an engine gives."""
 
 
+class TruncatedError(BrokenStreamError):
+    """The answer ended before its last token."""
+
+
 _token_decoder = msgspec.json.Decoder(TokenDocument)
 _load_decoder = msgspec.json.Decoder(LoadDocument)
 
@@ -155,6 +159,8 @@
         Raises:
             NotRunError: The engine refused the request.
             UnknownGenerationError: The engine does not know the generation.
+            TruncatedError: The body ended, and its last token was not taken as
+                the end.
             BrokenStreamError: The bytes are no answer of an engine.
         """
         raw = self._raw + data if self._raw else data
@@ -172,6 +178,8 @@
             *events, self._body = self._body.split(_EVENT_END)
             for event in events:
                 yield decode_event(event)
+            if self._has_whole_body():
+                raise self.end()
         elif self._status is not None and self._has_whole_body():
             raise self._rejection()
 
@@ -179,7 +187,9 @@
         """Returns the error for an answer that ended here."""
         if self._status is not None and self._status != 200:
             return self._rejection()
-        return self._broken("the answer is truncated")
+        return TruncatedError(
+            errors.Code.TARGET_FAILED,
+            f"engine {self._address}: the answer is truncated")
 
     def _has_whole_body(self) -> bool:
         return self._is_complete or (self._length is not None and
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -215,15 +215,16 @@
         if signal is relay.Signal.SILENT:
             return stream.Broken(stream.Break.SILENT)
         failure = self._failure
-        reason = stream.Break.GARBAGE
         if signal is relay.Signal.CLOSED:
             failure = self._reader.end()
-            reason = stream.Break.TRUNCATED
         if isinstance(failure, engine.NotRunError):
             raise failure
         if isinstance(failure, engine.UnknownGenerationError):
             return stream.Unknown()
-        return stream.Broken(reason) if failure is not None else None
+        if isinstance(failure, engine.TruncatedError):
+            return stream.Broken(stream.Break.TRUNCATED)
+        return (stream.Broken(stream.Break.GARBAGE)
+                if failure is not None else None)
 
     def _consume(self, data: bytes, now_s: float) -> relay.Consumed:
         """Turns bytes of the engine into bytes for the caller."""
@@ -280,6 +281,7 @@
         context = self._session.context
         request_id = self._session.call.request_id
         if first == 0:
+            self._session.has_run = True
             self._progress_s = now_s
             context.metrics.first_token.observe(now_s -
                                                 self._session.call.arrived_s)
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -67,6 +67,7 @@
         # Set once a byte may have reached a target that did not confirm that
         # it ran nothing.
         self.may_have_run = False
+        self.has_run = False  # Set with the first token.
         self._end_s = min(
             call.deadline_s,
             call.arrived_s + context.configuration.timeouts.request_s)
@@ -104,7 +105,9 @@
         return message
 
     def run_state(self) -> errors.RunState:
-        """Returns what may be said of a request without any answer."""
+        """Returns what may be said of a request without a whole answer."""
+        if self.has_run:
+            return errors.RunState.RAN
         return (errors.RunState.UNKNOWN
                 if self.may_have_run else errors.RunState.NOT_RUN)
 
--- /dev/null
+++ b/persimmonspan/request/tests/conftest.py
@@ -0,0 +1,124 @@
+"""Starts a daemon with two engines and two plain services behind proxies."""
+
+import contextlib
+import json
+import pathlib
+import typing
+
+import pytest
+import urllib3
+
+from testbed import processes
+from testbed import tcp_proxy
+
+_SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
+KEY = {"Authorization": "Bearer demo-miraflores"}
+_RULES = {
+    "timeouts": {
+        "connect_ms": 500,
+        "first_token_ms": 1500,
+        "between_tokens_ms": 500,
+        "request_ms": 20000
+    },
+    "default_limits": {
+        "output_tokens": 5000
+    }
+}
+_ENGINE = ("--mean-tokens", "40", "--fixed-length", "--token-interval-ms", "5")
+
+
+class Deployment(typing.NamedTuple):
+    """A running daemon and what stands behind it."""
+
+    port: int
+    daemon: typing.Any
+    proxies: dict[str, tcp_proxy.Proxy]
+    targets: dict[str, typing.Any]  # Process and port by target name.
+    pool: urllib3.PoolManager
+
+    def post(self, path="/v1/completions", headers=None, **options):
+        """Sends a request as the workspace miraflores."""
+        return self.pool.request("POST",
+                                 f"http://127.0.0.1:{self.port}{path}",
+                                 headers={
+                                     **KEY,
+                                     **(headers or {})
+                                 },
+                                 retries=False,
+                                 **options)
+
+    def read(self, target, path):
+        """Reads a page of a stand-in, not through its proxy."""
+        port = self.targets[target][1]
+        return self.pool.request("GET", f"http://127.0.0.1:{port}{path}").json()
+
+    def counters(self):
+        """Returns the counters per reason."""
+        lines = self.pool.request(
+            "GET", f"http://127.0.0.1:{self.port}/metrics").data.decode()
+        return {
+            line.split('"')[1]: float(line.split()[-1])
+            for line in lines.splitlines()
+            if line.startswith("persimmonspan_events_total{")
+        }
+
+
+@contextlib.contextmanager
+def deployed(folder, *arguments, replicas=2, rules=None):
+    """Runs a deployment until the block ends."""
+    inventory = json.loads(
+        (_SAMPLES / "plaza-verde-inventory.json").read_text())
+    proxies, targets = {}, {}
+    with contextlib.ExitStack() as stack:
+        for service in inventory["services"]:
+            service["replicas"] = service["replicas"][:replicas]
+            module, options = (("testbed.engine",
+                                _ENGINE) if service["kind"] == "model" else
+                               ("testbed.plain_service", ()))
+            for replica in service["replicas"]:
+                port = processes.free_port()
+                process = stack.enter_context(
+                    processes.running(module,
+                                      "--port",
+                                      str(port),
+                                      *options,
+                                      port=port))
+                proxy = stack.enter_context(tcp_proxy.running(port))
+                replica["address"] = f"127.0.0.1:{proxy.port}"
+                proxies[replica["name"]] = proxy
+                targets[replica["name"]] = (process, port)
+        files = {"inventory": inventory, "rules": {**_RULES, **(rules or {})}}
+        for name, document in files.items():
+            (folder / name).write_text(json.dumps(document))
+        port = processes.free_port()
+        daemon = stack.enter_context(
+            processes.running("persimmonspan",
+                              "serve",
+                              "--listen-address",
+                              f"127.0.0.1:{port}",
+                              "--inventory",
+                              str(folder / "inventory"),
+                              "--rules",
+                              str(folder / "rules"),
+                              "--max-streams",
+                              "16",
+                              *arguments,
+                              port=port))
+        pool = stack.enter_context(urllib3.PoolManager())
+        yield Deployment(port, daemon, proxies, targets, pool)
+
+
+@pytest.fixture(name="deploy")
+def _deploy(tmp_path):
+    """Returns a function that runs a deployment in the test's folder."""
+    return lambda *arguments, **options: deployed(tmp_path, *arguments, **
+                                                  options)
+
+
+@pytest.fixture(name="shared", scope="module")
+def _shared(tmp_path_factory):
+    """A deployment for tests that leave it as it was."""
+    with deployed(tmp_path_factory.mktemp("shared"), "--read-timeout-s", "1",
+                  "--write-timeout-s", "1", "--max-body-bytes",
+                  "100000") as deployment:
+        yield deployment
--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -27,6 +27,7 @@
 _MS_PER_S = 1000.0
 _DIRECTIVE = re.compile(r"\[([a-z_]+)@(\d+)\]")
 _HANG_S = 3600.0
+_KEPT_GENERATIONS = 256
 
 
 class Options(typing.NamedTuple):
@@ -47,6 +48,7 @@
         self.tokens = tokens
         self.started_s = time.monotonic()
         self.is_cancelled = False
+        self.is_read = False  # Whether its last token was sent.
 
     def token(self, index: int) -> engine.TokenDocument:
         """Returns the token at an index."""
@@ -79,7 +81,7 @@
     def start(self, request: engine.GenerateDocument) -> Generation | None:
         """Starts a generation, or returns None when the engine is full."""
         with self._lock:
-            if len(self.generations) >= self.options.max_running:
+            if self._running() >= self.options.max_running:
                 return None
             tokens = min(request["max_tokens"], self._length())
             generation = Generation(request, tokens)
@@ -97,7 +99,7 @@
     def load(self) -> engine.LoadDocument:
         """Returns the load report."""
         with self._lock:
-            running = len(self.generations)
+            running = self._running()
         return engine.LoadDocument(
             kv_used_tokens=running * self.options.mean_tokens,
             kv_capacity_tokens=self.options.kv_capacity_tokens,
@@ -117,9 +119,18 @@
                     del self.generations[key]
 
     def end(self, generation: Generation) -> None:
-        """Forgets a generation that was read to its end or cancelled."""
+        """Frees a generation whose last token was sent.
+
+        Its tokens may be lost on the way, so the newest are kept for a resume.
+        """
         with self._lock:
-            self.generations.pop(generation.request["generation_id"], None)
+            generation.is_read = True
+            read = [key for key, g in self.generations.items() if g.is_read]
+            for key in read[:-_KEPT_GENERATIONS]:
+                del self.generations[key]
+
+    def _running(self) -> int:
+        return sum(not g.is_read for g in self.generations.values())
 
 
 def make_server(address: tuple[str, int], state: Engine) -> server.HTTPServer:
