--- a/persimmonspan/request/stream.py
+++ b/persimmonspan/request/stream.py
@@ -2,10 +2,10 @@
 
 A generation is identified by an id that the relay chooses, and each token by
 its index in the generation. A token is delivered only if request, generation
-and index are the expected ones. The promise of exactly-once delivery in order from
-a single generation then holds whatever connections do: the index counts what
-was delivered, a resume asks for the next index, and a token that comes a second
-time has an index that was already passed.
+and index are the expected ones. The promise of exactly-once delivery in order
+from a single generation then holds whatever connections do: the index counts
+what was delivered, a resume asks for the next index, and a token that comes a
+second time has an index that was already passed.
 
 A broken connection leads to a resume with the same generation id. An engine
 that does not know the generation any more has lost it; before the first token
