Ready: quarantine

Cause: a request that crashes each target that runs it, repeated by its caller, takes one target after another. Change: request/quarantine.py, fingerprints in flight at a death become suspects, run again in isolation, condemned by a crash alone, held when the second crash was not alone, cleared by a completed run; shared with peers. Conclusion: the scheduler can ask plan before each dispatch.

--- /dev/null
+++ b/persimmonspan/request/quarantine.py
@@ -0,0 +1,396 @@
+"""Requests that crash each target that runs them (poison requests).
+
+When a target dies, each request that was in flight on it may be the cause. A
+crash is evidence against one request only if that request was alone there; a
+crash beside others makes all of them suspects and condemns none. A suspect runs
+again only in isolation: on one target where nothing else of ours is in flight.
+A completed run clears it, since a poison request crashes every target that
+runs it. `CRASHES` crashes, of which `CRASHES_ALONE` alone, condemn it. A request
+with as many crashes but none alone is held: refused for `HOLD_TTL_S`, twice as
+long each time, and then tried in isolation once more. A poison request thus
+kills two targets before it is refused, and an innocent one waits for its turn.
+
+The isolated run has the target for itself only as long as the crash took
+before, with a margin; a longer run stays a suspect but no longer blocks it.
+
+Connections break before the death of a target is known. A request whose attempt
+broke is therefore a suspect for `GRACE_S` in any case, and a death that becomes
+known within `GRACE_S` still finds it.
+
+Suspects and refused fingerprints are shared, because a caller's repeat reaches
+another daemon. A crash is not alone if a peer had work on the target by its
+last `PeerLoad`.
+
+How to call it: `plan` before each dispatch; `reserve` for a plan with a target;
+`dispatched` for each `events.Dispatch`; `step` with the events `AttemptEnded`,
+`TargetDied`, `PeerLoad`, `QuarantineShared`, `QuarantineLifted` and `Tick`. No
+other work may go to a target for which `is_reserved` returns true. The commands
+are `ShareQuarantine` and `Count`.
+
+>>> state = dispatched(State(), "r1", "f", "e1", 0.0)
+>>> state = dispatched(state, "r2", "g", "e1", 0.0)
+>>> state, _ = step(state, events.TargetDied("e1"), 1.0)
+>>> action, target = plan(state, "f", ["e2", "e3"], 1.0)
+>>> action.value
+'isolate'
+>>> state = dispatched(state, "r1", "f", target, 1.0)
+>>> is_reserved(state, target, 1.1)
+True
+>>> state, _ = step(state, events.TargetDied(target), 2.0)
+>>> plan(state, "f", ["e2", "e3"], 2.0).action.value
+'refuse'
+>>> plan(state, "g", ["e2", "e3"], 2.0).action.value
+'isolate'
+
+See Also:
+    `persimmonspan.request.retry`: whether a request may be sent once more.
+"""
+
+import enum
+import functools
+import math
+import typing
+import zlib
+
+import immutables
+
+from persimmonspan.request import events
+
+CRASHES = 2
+CRASHES_ALONE = 1
+CONDEMNED_TTL_S = 600.0
+SUSPECT_TTL_S = 300.0
+HOLD_TTL_S = 60.0
+GRACE_S = 5.0
+DRAIN_S = 10.0  # Then the suspect runs beside what is left on the target.
+RESERVED_SHARE = 3  # At most one in so many targets is kept for suspects.
+LIFTED_TTL_S = 60.0  # Reports that peers sent before a lift are void.
+MAX_RECORDS = 4096
+MAX_SHARED = 128  # Suspects of one death; keeps gossip under its byte budget.
+_AGE_FACTOR = 1.5
+_AGE_MARGIN_S = 1.0
+_BROKE = frozenset({
+    events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
+    events.Outcome.FAILED_AFTER_FIRST_TOKEN
+})
+
+
+class Action(enum.StrEnum):
+    """What to do with a request that is about to be sent."""
+
+    ANY = "any"  # Not a suspect: any target that is not reserved.
+    ISOLATE = "isolate"  # Send it to the planned target, and nothing else.
+    DRAIN = "drain"  # Reserve the planned target and plan again later.
+    WAIT = "wait"  # No target may be reserved now, or the same one runs.
+    REFUSE = "refuse"
+
+
+class Plan(typing.NamedTuple):
+    """How to run a request, and where if that matters."""
+
+    action: Action
+    target: str | None = None
+
+
+class Record(typing.NamedTuple):
+    """What is known against a fingerprint."""
+
+    expires_s: float
+    crashes: int = 0
+    crashes_alone: int = 0
+    age_s: float = 0.0  # The longest that it ran before a crash.
+    refused_until_s: float = -math.inf
+
+
+class _Run(typing.NamedTuple):
+    fingerprint: str
+    begun_s: float
+    broke_s: float = math.inf
+
+
+class _Reservation(typing.NamedTuple):
+    fingerprint: str
+    since_s: float
+
+
+_Runs = immutables.Map[str, _Run]
+_NO_RUNS: _Runs = immutables.Map()
+
+
+class State(typing.NamedTuple):
+    """Attempts in flight per target, and the records of fingerprints.
+
+    `lifted_s` holds when a fingerprint was lifted or cleared; `peers` holds per
+    target what each peer daemon has outstanding there.
+    """
+
+    runs: immutables.Map[str, _Runs] = immutables.Map()
+    records: immutables.Map[str, Record] = immutables.Map()
+    lifted_s: immutables.Map[str, float] = immutables.Map()
+    reserved: immutables.Map[str, _Reservation] = immutables.Map()
+    peers: immutables.Map[str, immutables.Map[str, int]] = immutables.Map()
+
+
+Result = tuple[State, list[events.Command]]
+
+
+def plan(state: State, fingerprint: str, targets: typing.Sequence[str],
+         now_s: float) -> Plan:
+    """Plans how to run a request on one of the usable targets."""
+    record = state.records.get(fingerprint)
+    if record is None or record.expires_s <= now_s:
+        return Plan(Action.ANY)
+    if record.refused_until_s > now_s:
+        return Plan(Action.REFUSE)
+    if any(run.fingerprint == fingerprint and run.broke_s == math.inf
+           for runs in state.runs.values()
+           for run in runs.values()):
+        return Plan(Action.WAIT)
+    kept = [
+        target for target, reservation in state.reserved.items()
+        if reservation.fingerprint == fingerprint and target in targets
+    ]
+    if kept:
+        is_drained = (not _live(state, kept[0]) or
+                      now_s - state.reserved[kept[0]].since_s >= DRAIN_S)
+        return Plan(Action.ISOLATE if is_drained else Action.DRAIN, kept[0])
+    free = [item for item in targets if not is_reserved(state, item, now_s)]
+    if not free or len(targets) - len(free) >= max(
+            1,
+            len(targets) // RESERVED_SHARE):
+        return Plan(Action.WAIT)
+    target = min(
+        free,
+        key=lambda item:
+        (_live(state, item), _peer_work(state, item), _rank(fingerprint, item)))
+    return Plan(Action.DRAIN if _live(state, target) else Action.ISOLATE,
+                target)
+
+
+def reserve(state: State, fingerprint: str, target: str, now_s: float) -> State:
+    """Keeps a target free for a suspect; a repeated call changes nothing."""
+    if state.reserved.get(target, (None, 0.0))[0] == fingerprint:
+        return state
+    return state._replace(
+        reserved=state.reserved.set(target, _Reservation(fingerprint, now_s)))
+
+
+def is_reserved(state: State, target: str, now_s: float) -> bool:
+    """Returns whether a target is kept for a suspect or runs one."""
+    reservation = state.reserved.get(target)
+    if reservation and now_s - reservation.since_s < DRAIN_S + GRACE_S:
+        return True
+    if not state.records:
+        return False
+    return any(
+        _is_exclusive(state.records.get(run.fingerprint), run, now_s)
+        for run in state.runs.get(target, _NO_RUNS).values())
+
+
+def is_quarantined(state: State, fingerprint: str, now_s: float) -> bool:
+    """Returns whether a request is refused everywhere at present."""
+    record = state.records.get(fingerprint)
+    return record is not None and record.refused_until_s > now_s
+
+
+def dispatched(state: State, request_id: str, fingerprint: str, target: str,
+               now_s: float) -> State:
+    """Notes that a request was sent to a target."""
+    runs = state.runs.get(target, _NO_RUNS).set(request_id,
+                                                _Run(fingerprint, now_s))
+    state = state._replace(runs=state.runs.set(target, runs))
+    if state.reserved.get(target, (None, 0.0))[0] == fingerprint:
+        state = state._replace(reserved=state.reserved.delete(target))
+    return state
+
+
+def step(state: State,
+         event: events.Event,
+         now_s: float,
+         rng: object = None) -> Result:
+    """Returns the next state with what to share and to count."""
+    del rng
+    return _step(event, state, now_s)
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    del event, now_s
+    return state, []
+
+
+@_step.register
+def _(event: events.AttemptEnded, state: State, now_s: float) -> Result:
+    runs = state.runs.get(event.target, _NO_RUNS)
+    run = runs.get(event.request_id)
+    if run is None:
+        return state, []
+    may_still_run = (event.outcome in _BROKE or
+                     event.outcome is events.Outcome.CANCELLED)
+    if may_still_run:
+        runs = runs.set(event.request_id, run._replace(broke_s=now_s))
+    else:
+        runs = runs.delete(event.request_id)
+    state = state._replace(runs=state.runs.set(event.target, runs))
+    record = state.records.get(run.fingerprint)
+    if event.outcome in _BROKE and record is None:
+        return _recorded(state, run.fingerprint, Record(now_s + GRACE_S)), []
+    if event.outcome is not events.Outcome.COMPLETED or record is None:
+        return state, []
+    state = _cleared(state, run.fingerprint, now_s)
+    if not record.crashes:
+        return state, []
+    return state, [
+        events.ShareQuarantine(run.fingerprint, 0, 0.0),
+        events.Count("quarantine_cleared")
+    ]
+
+
+@_step.register
+def _(event: events.TargetDied, state: State, now_s: float) -> Result:
+    ages_s: dict[str, float] = {}
+    for run in state.runs.get(event.target, _NO_RUNS).values():
+        if now_s - run.broke_s < GRACE_S:
+            age_s = min(now_s, run.broke_s) - run.begun_s
+            ages_s[run.fingerprint] = max(ages_s.get(run.fingerprint, 0.0),
+                                          age_s)
+    is_alone = len(ages_s) == 1 and not _peer_work(state, event.target)
+    state = state._replace(runs=_without(state.runs, event.target),
+                           reserved=_without(state.reserved, event.target))
+    commands: list[events.Command] = []
+    for fingerprint, age_s in sorted(ages_s.items()):
+        old = state.records.get(fingerprint, Record(now_s))
+        record = _accused(old, age_s, is_alone, now_s)
+        state = _recorded(state, fingerprint, record)
+        if record.refused_until_s > now_s:
+            ttl_s = record.refused_until_s - now_s
+            is_condemned = record.crashes_alone >= CRASHES_ALONE
+            reason = ("quarantine_condemned"
+                      if is_condemned else "quarantine_held")
+        else:
+            ttl_s, reason = SUSPECT_TTL_S, "quarantine_suspect"
+        commands.append(events.Count(reason))
+        if record.crashes >= CRASHES or len(ages_s) <= MAX_SHARED:
+            commands.append(
+                events.ShareQuarantine(fingerprint, record.crashes, ttl_s))
+    return state, commands
+
+
+@_step.register
+def _(event: events.PeerLoad, state: State, now_s: float) -> Result:
+    del now_s
+    loads = immutables.Map(
+        {load.target: load.outstanding for load in event.loads})
+    return state._replace(peers=state.peers.set(event.daemon, loads)), []
+
+
+@_step.register
+def _(event: events.QuarantineShared, state: State, now_s: float) -> Result:
+    if event.crashes <= 0:
+        return _cleared(state, event.fingerprint, now_s), []
+    lifted_s = state.lifted_s.get(event.fingerprint, -math.inf)
+    if now_s - lifted_s < LIFTED_TTL_S:
+        return state, []
+    until_s = now_s + min(event.ttl_s, CONDEMNED_TTL_S)
+    record = state.records.get(event.fingerprint, Record(until_s))
+    record = record._replace(crashes=max(record.crashes, event.crashes),
+                             expires_s=max(record.expires_s, until_s))
+    if event.crashes >= CRASHES:
+        record = record._replace(refused_until_s=max(record.refused_until_s,
+                                                     until_s),
+                                 expires_s=max(record.expires_s,
+                                               until_s + SUSPECT_TTL_S))
+    return _recorded(state, event.fingerprint,
+                     record), [events.Count("quarantine_shared")]
+
+
+@_step.register
+def _(event: events.QuarantineLifted, state: State, now_s: float) -> Result:
+    if event.fingerprint not in state.records:
+        return state, []
+    return _cleared(state, event.fingerprint, now_s), [
+        events.ShareQuarantine(event.fingerprint, 0, 0.0),
+        events.Count("quarantine_lifted")
+    ]
+
+
+@_step.register
+def _(event: events.Tick, state: State, now_s: float) -> Result:
+    del event
+    for target, runs in state.runs.items():
+        old = [
+            key for key, run in runs.items() if now_s - run.broke_s >= GRACE_S
+        ]
+        if old:
+            state = state._replace(
+                runs=state.runs.set(target, _without(runs, *old)))
+    if not (state.records or state.lifted_s or state.reserved):
+        return state, []
+    return state._replace(
+        records=_without(
+            state.records,
+            *(key for key, record in state.records.items()
+              if record.expires_s <= now_s)),
+        lifted_s=_without(
+            state.lifted_s,
+            *(key for key, lifted_s in state.lifted_s.items()
+              if now_s - lifted_s >= LIFTED_TTL_S)),
+        reserved=_without(
+            state.reserved,
+            *(key for key, reservation in state.reserved.items()
+              if now_s - reservation.since_s >= DRAIN_S + GRACE_S))), []
+
+
+def _accused(record: Record, age_s: float, is_alone: bool,
+             now_s: float) -> Record:
+    record = record._replace(crashes=record.crashes + 1,
+                             crashes_alone=record.crashes_alone + is_alone,
+                             age_s=max(record.age_s, age_s),
+                             expires_s=now_s + SUSPECT_TTL_S)
+    if record.crashes < CRASHES:
+        return record
+    ttl_s = min(CONDEMNED_TTL_S, HOLD_TTL_S * 2**(record.crashes - CRASHES))
+    if record.crashes_alone >= CRASHES_ALONE:
+        ttl_s = CONDEMNED_TTL_S
+    # It stays a suspect after the refusal, so that it starts in isolation.
+    return record._replace(refused_until_s=now_s + ttl_s,
+                           expires_s=now_s + ttl_s + SUSPECT_TTL_S)
+
+
+def _recorded(state: State, fingerprint: str, record: Record) -> State:
+    is_full = len(state.records) >= MAX_RECORDS
+    if is_full and fingerprint not in state.records:
+        return state  # Expiry makes room; a poison request comes again.
+    return state._replace(records=state.records.set(fingerprint, record))
+
+
+def _cleared(state: State, fingerprint: str, now_s: float) -> State:
+    return state._replace(records=_without(state.records, fingerprint),
+                          lifted_s=state.lifted_s.set(fingerprint, now_s))
+
+
+def _is_exclusive(record: Record | None, run: _Run, now_s: float) -> bool:
+    if record is None or run.broke_s < math.inf:
+        return False
+    return now_s - run.begun_s < _AGE_FACTOR * record.age_s + _AGE_MARGIN_S
+
+
+def _live(state: State, target: str) -> int:
+    return sum(run.broke_s == math.inf
+               for run in state.runs.get(target, _NO_RUNS).values())
+
+
+def _peer_work(state: State, target: str) -> int:
+    return sum(loads.get(target, 0) for loads in state.peers.values())
+
+
+def _rank(fingerprint: str, target: str) -> int:
+    # Daemons that isolate the same fingerprint at once choose the same target.
+    return zlib.crc32(f"{fingerprint}/{target}".encode())
+
+
+def _without(items: immutables.Map, *keys: str) -> immutables.Map:
+    for key in keys:
+        if key in items:
+            items = items.delete(key)
+    return items
