Ready: prefix_index

Cause: the choice of a target needs to know which prompt prefixes are cached where, from events that come late and with gaps. Change: process/prefix_index.py, chained block hashes, an index per target that drops all it cannot trust, two generations as the memory bound, and saved tokens that fade with the target's load over the mean. Trial: starting the index again after a lower number let a second late event add removed blocks, so that nothing is added now until a number is higher. Memory and time per entry are not measured yet. Conclusion: the scheduler can subtract saved_tokens from a target's cost.

--- /dev/null
+++ b/persimmonspan/process/prefix_index.py
@@ -0,0 +1,206 @@
+"""Approximate index of the prompt prefixes that each target has cached.
+
+An engine that has the first blocks of a prompt in its cache skips their
+prefill. A prompt is hashed block by block, each hash over the one before, so
+that one hash stands for the whole prefix up to there (`prefix_hashes`).
+
+Engines publish additions and removals late and with gaps. Additions that were
+missed only cost hits; removals that were missed would promise blocks that are
+gone. So any sequence number but the next one drops all blocks of the target. A
+higher number is a gap, and the index starts again from that event. A lower one
+is a late event or a restart, which cannot be told apart: its additions may have
+been removed by events already seen, so that nothing is added until a number is
+higher again. `events.TargetDied`, which a new incarnation also raises, starts
+the index of a restarted engine at once.
+
+Memory is bounded by two generations per target: additions go to the young one;
+when it holds half of the bound, it becomes the old one, and the old one before
+it is forgotten. This evicts roughly the oldest entries without an order to
+keep.
+
+Affinity is weighed against load: the saved prefill counts in full on a target
+of at most average load, less above, and not at all from `1 + SLACK` times the
+average and one request, so that a hot prefix spreads before it makes a hot
+target.
+
+How to call it: `step` with `events.CacheEvent`, `events.TargetDied` and
+`events.TargetsChanged`; `match_tokens` and `saved_tokens` for each candidate.
+
+>>> hashes = prefix_hashes(b"x" * 1000, salt="model-a")
+>>> len(hashes), BLOCK_TOKENS
+(3, 64)
+>>> state, _ = step(State(), events.CacheEvent("e1", 7, hashes[:2], ()))
+>>> match_tokens(state, "e1", hashes)
+128
+>>> saved_tokens(128, load=10.0, mean_load=10.0)
+128.0
+>>> saved_tokens(128, load=16.0, mean_load=10.0)
+0.0
+>>> state, _ = step(state, events.CacheEvent("e1", 9, (), ()))
+>>> match_tokens(state, "e1", hashes)
+0
+
+See Also:
+    `persimmonspan.request.choice`: weighs the saved tokens in the choice.
+
+References:
+    Mirrokni, Thorup and Zadimoghaddam, Consistent Hashing with Bounded Loads,
+    2018.
+"""
+
+import functools
+import hashlib
+import typing
+
+import immutables
+
+from persimmonspan.request import events
+
+BLOCK_BYTES = 256
+BLOCK_TOKENS = 64  # At four bytes per token.
+MAX_PREFIX_BLOCKS = 128  # Bounds the hashing of one prompt; 8192 tokens.
+MAX_ENTRIES = 4096  # Per target; 262,144 tokens.
+SLACK = 0.5
+_HASH_BYTES = 8
+
+_Blocks = immutables.Map[int, None]
+_NO_BLOCKS: _Blocks = immutables.Map()
+
+
+class Index(typing.NamedTuple):
+    """Blocks that one target has cached; `sequence` is the last event's."""
+
+    sequence: int | None = None
+    young: _Blocks = _NO_BLOCKS
+    old: _Blocks = _NO_BLOCKS
+
+
+class State(typing.NamedTuple):
+    """One index per target."""
+
+    targets: immutables.Map[str, Index] = immutables.Map()
+    max_entries: int = MAX_ENTRIES
+
+
+Result = tuple[State, list[events.Command]]
+
+
+def prefix_hashes(prompt: bytes, salt: str = "") -> tuple[int, ...]:
+    """Returns one hash per whole block of a prompt, each over its prefix.
+
+    Args:
+        prompt: UTF-8 text of the prompt.
+        salt: What separates caches, such as model, adapter and workspace.
+    """
+    link = hashlib.blake2b(salt.encode(), digest_size=_HASH_BYTES).digest()
+    hashes = []
+    blocks = min(len(prompt) // BLOCK_BYTES, MAX_PREFIX_BLOCKS)
+    for begin in range(0, blocks * BLOCK_BYTES, BLOCK_BYTES):
+        link = hashlib.blake2b(link + prompt[begin:begin + BLOCK_BYTES],
+                               digest_size=_HASH_BYTES).digest()
+        hashes.append(int.from_bytes(link, "big"))
+    return tuple(hashes)
+
+
+def match_tokens(state: State, target: str,
+                 hashes: typing.Sequence[int]) -> int:
+    """Returns how many tokens of a prompt a target probably has cached.
+
+    Stops at the first block that is missing, since a block is of use only with
+    all those before it.
+    """
+    index = state.targets.get(target)
+    if index is None:
+        return 0
+    matched = 0
+    for block in hashes:
+        if block not in index.young and block not in index.old:
+            break
+        matched += 1
+    return matched * BLOCK_TOKENS
+
+
+def saved_tokens(matched_tokens: int,
+                 load: float,
+                 mean_load: float,
+                 request_load: float = 1.0) -> float:
+    """Returns the tokens of prefill that a choice may count as saved.
+
+    Args:
+        matched_tokens: Result of `match_tokens`.
+        load: Outstanding work of the target, in any unit.
+        mean_load: Mean over the candidates, in the same unit.
+        request_load: Load of one request; at low load, one more is no overload.
+    """
+    overload = (load - mean_load) / (SLACK * mean_load + request_load)
+    return matched_tokens * min(1.0, max(0.0, 1.0 - overload))
+
+
+def step(state: State,
+         event: events.Event,
+         now_s: float = 0.0,
+         rng: object = None) -> Result:
+    """Returns the next state; counts what had to be dropped."""
+    del now_s, rng
+    return _step(event, state)
+
+
+@functools.singledispatch
+def _step(event: object, state: State) -> Result:
+    del event
+    return state, []
+
+
+@_step.register
+def _(event: events.CacheEvent, state: State) -> Result:
+    index = state.targets.get(event.target, Index())
+    commands: list[events.Command] = []
+    if index.sequence is not None and event.sequence <= index.sequence:
+        return _with(state, event.target, Index(
+            index.sequence)), [events.Count("prefix_index_late")]
+    if index.sequence is not None and event.sequence != index.sequence + 1:
+        index = Index()
+        commands = [events.Count("prefix_index_gap")]
+    index = _changed(index, event, max(1, state.max_entries // 2))
+    return _with(state, event.target, index), commands
+
+
+@_step.register
+def _(event: events.TargetDied, state: State) -> Result:
+    if event.target not in state.targets:
+        return state, []
+    return state._replace(targets=state.targets.delete(event.target)), []
+
+
+@_step.register
+def _(event: events.TargetsChanged, state: State) -> Result:
+    names = {target.name for target in event.targets}
+    kept = {
+        name: index for name, index in state.targets.items() if name in names
+    }
+    return state._replace(targets=immutables.Map(kept)), []
+
+
+def entries(state: State, target: str) -> int:
+    """Returns how many entries are kept for a target."""
+    index = state.targets.get(target, Index())
+    return len(index.young) + len(index.old)
+
+
+def _changed(index: Index, event: events.CacheEvent, half: int) -> Index:
+    old = index.old
+    young = index.young.mutate()
+    for block in event.removed:
+        if block in old:
+            old = old.delete(block)
+        if block in young:
+            del young[block]
+    for block in event.added:
+        if len(young) >= half:
+            old, young = young.finish(), _NO_BLOCKS.mutate()
+        young[block] = None
+    return Index(event.sequence, young.finish(), old)
+
+
+def _with(state: State, target: str, index: Index) -> State:
+    return state._replace(targets=state.targets.set(target, index))
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -5,8 +5,8 @@
 crash beside others makes all of them suspects and condemns none. A suspect runs
 again only in isolation: on one target where nothing else of ours is in flight.
 A completed run clears it, since a poison request crashes every target that
-runs it. `CRASHES` crashes, of which `CRASHES_ALONE` alone, condemn it. A request
-with as many crashes but none alone is held: refused for `HOLD_TTL_S`, twice as
+runs it. `CRASHES` crashes, of which `CRASHES_ALONE` alone, condemn it. After as
+many crashes, none of them alone, it is held: refused for `HOLD_TTL_S`, twice as
 long each time, and then tried in isolation once more. A poison request thus
 kills two targets before it is refused, and an innocent one waits for its turn.
 
