Wire peers, load reports and the administration API into the daemon

Cause: gossip, the report poller and the administration API stood alone. Change: the daemon starts the links to its peers, polls reports, publishes its loads, serves /admin/v1 and remembers the decisions about recent requests. Conclusion: the store, the ledger and the policy are the parts still missing.

--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -4,7 +4,6 @@
 the caller, finds the request kind and hands over to the request handler.
 """
 
-import hashlib
 import hmac
 import http
 import logging
@@ -19,8 +18,11 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import deadlines
+from persimmonspan.process import access
+from persimmonspan.process import admin
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
+from persimmonspan.process import operations
 from persimmonspan.request import completion
 from persimmonspan.request import events
 from persimmonspan.request import handler
@@ -45,6 +47,7 @@
     """What the listener needs of the daemon."""
 
     metrics: metrics.Metrics
+    operations: operations.Operations
 
     def begin_request(self) -> handler.Context:
         """Counts a request in and returns its context.
@@ -191,6 +194,10 @@
         if path in _HEALTH_PATHS:
             _respond_health(path, application, responder)
             return
+        if path.startswith(admin.PREFIX):
+            body = _read_body(request, application, options, watchdog)
+            _respond_admin(request, path, body, application, responder)
+            return
         if not is_valid_id:
             raise errors.RefusalError(
                 errors.Code.BAD_REQUEST,
@@ -260,6 +267,23 @@
     responder.write(b"ok\n" if is_ok else b"not ready\n")
 
 
+def _respond_admin(request: server.HTTPRequest, path: str, body: bytes,
+                   application: Application, responder: _Responder) -> None:
+    response = admin.handle(
+        admin.Request(request.method.decode("latin-1"), path,
+                      request.qs.decode("latin-1"), body,
+                      _header(request, "Authorization")),
+        application.operations)
+    _logger.info("administration request",
+                 extra={
+                     "method": request.method.decode("latin-1"),
+                     "path": path,
+                     "status": response.status
+                 })
+    responder.start(response.status, "application/json")
+    responder.write(response.body)
+
+
 def _respond_error(error: errors.PersimmonspanError, responder: _Responder,
                    request_id: str) -> None:
     if responder.is_started:
@@ -301,8 +325,7 @@
 
 def _authenticate(authorization: str | None,
                   configuration: model.Configuration) -> model.Workspace:
-    token = (authorization or "").removeprefix("Bearer ")
-    digest = hashlib.sha256(token.encode()).hexdigest()
+    digest = access.digest_of((authorization or "").removeprefix("Bearer "))
     for workspace in configuration.workspaces:
         if any(
                 hmac.compare_digest(digest, key)
--- a/persimmonspan/process/cli.py
+++ b/persimmonspan/process/cli.py
@@ -97,7 +97,8 @@
 
 
 def _check(parsed: argparse.Namespace) -> int:
-    configuration = daemon.load_configuration(parsed.inventory, parsed.rules)
+    configuration = check.build(
+        *daemon.load_documents(parsed.inventory, parsed.rules))
     targets = sum(len(service.targets) for service in configuration.services)
     print(f"valid: {len(configuration.services)} services, {targets} targets, "
           f"{len(configuration.workspaces)} workspaces, "
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -11,13 +11,22 @@
 import signal
 import sys
 import threading
+import time
+import typing
 
 from persimmonspan import errors
+from persimmonspan.connection import engine
 from persimmonspan.connection import listener
 from persimmonspan.connection import relay
 from persimmonspan.connection import tls
+from persimmonspan.process import daemon_operations
+from persimmonspan.process import local_configuration
 from persimmonspan.process import metrics
+from persimmonspan.process import operations
+from persimmonspan.process import peer_actor
+from persimmonspan.process import report_poller
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import scheduler_view
 from persimmonspan.process import settings
 from persimmonspan.request import events
 from persimmonspan.request import gate
@@ -26,6 +35,10 @@
 from persimmonspan.version import model
 
 _SEED_BITS = 64
+_NS_PER_MS = 1_000_000
+_PUBLISH_INTERVAL_S = 0.5
+_SCHEDULER_EVENTS = (events.PeerLoad, events.QuarantineShared,
+                     events.QuarantineLifted, events.TargetLeaving)
 EXIT_CUT = 3
 # With the default of 5 ms the relay thread would wait that long for the
 # interpreter lock whenever another thread computes.
@@ -39,30 +52,43 @@
     """State of one daemon process."""
 
     def __init__(self, options: settings.Settings) -> None:
+        self.name = options.name
+        self.failure_domain = options.failure_domain
         self.metrics = metrics.Metrics()
+        self.peers: peer_actor.Peers | None = None
+        self.scheduler = scheduler_actor.SchedulerActor.start(
+            self.metrics, secrets.randbits(_SEED_BITS), self._share)
+        self.configurations: daemon_operations.Configurations
+        self.outcomes: daemon_operations.Outcomes
+        self.operations = daemon_operations.DaemonOperations(self)
         self._settings = options
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._gate = gate.Gate(self.metrics)
-        self._scheduler = scheduler_actor.SchedulerActor.start(
-            self.metrics, secrets.randbits(_SEED_BITS))
+        self._poller = report_poller.ReportPoller(self.scheduler.tell,
+                                                  engine.read_load)
         self._configuration: model.Configuration | None = None
         self._in_flight = 0
         self._idle = threading.Condition()
         self._is_draining = False
 
+    def configuration(self) -> model.Configuration | None:
+        """Returns the configuration in force."""
+        return self._configuration
+
     def adopt(self, configuration: model.Configuration) -> None:
         """Takes a configuration into force for new requests."""
         self._configuration = configuration
-        self._scheduler.tell(
+        targets = tuple(target for service in configuration.services
+                        for target in service.targets)
+        self.scheduler.tell(
             events.TargetsChanged(
-                configuration.revision,
-                tuple(target for service in configuration.services
-                      for target in service.targets), configuration.kinds,
+                configuration.revision, targets, configuration.kinds,
                 tuple(
                     events.WorkspaceShare(item.name, item.share)
                     for item in configuration.workspaces)))
         for name in configuration.leaving:
-            self._scheduler.tell(events.TargetLeaving(name))
+            self.scheduler.tell(events.TargetLeaving(name))
+        self._poller.set_targets(targets)
         _logger.info("configuration in force",
                      extra={"revision": configuration.revision})
 
@@ -82,10 +108,9 @@
             if self._in_flight >= self._settings.max_streams:
                 raise errors.RefusalError(
                     errors.Code.OVERLOADED,
-                    "this daemon serves as many requests "
-                    "as it can", 1.0)
+                    "this daemon serves as many requests as it can", 1.0)
             self._in_flight += 1
-            return handler.Context(self._configuration, self._scheduler,
+            return handler.Context(self._configuration, self.scheduler,
                                    self.metrics, self._relay, self._gate,
                                    self._settings.write_timeout_s)
 
@@ -100,17 +125,43 @@
         """Returns whether the balancer may send new work."""
         return not self._is_draining and self._configuration is not None
 
+    def is_draining(self) -> bool:
+        """Returns whether a planned stop began."""
+        return self._is_draining
+
+    def in_flight(self) -> int:
+        """Returns the number of requests in flight."""
+        return self._in_flight
+
     def drain(self) -> None:
         """Refuses new work and waits until nothing is in flight."""
         with self._idle:
             self._is_draining = True
+            if self.peers is not None:
+                self.peers.drain()
             _logger.info("draining", extra={"in_flight": self._in_flight})
             self._idle.wait_for(lambda: self._in_flight == 0)
 
+    @contextlib.contextmanager
+    def running(self) -> collections.abc.Iterator[None]:
+        """Runs the background work of the daemon until the block ends."""
+        threading.stack_size(_THREAD_STACK_BYTES)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.scheduler.stop)
+            if self._settings.peer_address is not None:
+                self.peers = peer_actor.start(self._settings,
+                                              time.time_ns() // _NS_PER_MS,
+                                              self._receive, self.metrics.count)
+                stack.callback(self.peers.stop)
+            stack.enter_context(_thread(self._poller.run, self._poller.stop))
+            stopped = threading.Event()
+            stack.enter_context(
+                _thread(lambda: self._publish(stopped), stopped.set))
+            yield
+
     @contextlib.contextmanager
     def listening(self) -> collections.abc.Iterator[None]:
         """Serves callers until the block ends."""
-        threading.stack_size(_THREAD_STACK_BYTES)
         server = listener.make_server(
             settings.split_address(self._settings.listen_address), self,
             listener.Options(self._settings.max_streams,
@@ -122,23 +173,51 @@
                 self.metrics.count)
         self._relay.start()
         server.prepare()
-        thread = threading.Thread(target=server.serve, name="listener")
-        thread.start()
         try:
-            yield
+            with _thread(server.serve, server.stop):
+                yield
         finally:
-            server.stop()
-            thread.join()
             self._relay.stop()
-            self._scheduler.stop()
+
+    def _share(self, command: events.ShareQuarantine) -> None:
+        if self.peers is not None:
+            self.peers.publish_quarantine(command.fingerprint, command.crashes,
+                                          command.ttl_s)
+
+    def _receive(self, event: object) -> None:
+        """Takes what peers said, on the thread of the peer actor."""
+        if isinstance(event, _SCHEDULER_EVENTS):
+            self.scheduler.tell(event)
+
+    def _publish(self, stopped: threading.Event) -> None:
+        while not stopped.wait(_PUBLISH_INTERVAL_S):
+            if self.peers is not None:
+                self.peers.publish_loads(
+                    self.scheduler.ask(scheduler_actor.Ask(
+                        scheduler_view.loads)))
+
+
+@contextlib.contextmanager
+def _thread(
+        work: collections.abc.Callable[[], None],
+        stop: collections.abc.Callable[[],
+                                       None]) -> collections.abc.Iterator[None]:
+    thread = threading.Thread(target=work)
+    thread.start()
+    try:
+        yield
+    finally:
+        stop()
+        thread.join()
 
 
 def run(options: settings.Settings) -> int:
     """Runs a daemon until it is told to stop; returns the exit code."""
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     daemon = Daemon(options)
-    if options.inventory is not None:
-        daemon.adopt(load_configuration(options.inventory, options.rules))
+    documents = load_documents(options.inventory, options.rules)
+    daemon.configurations = local_configuration.LocalConfigurations(documents)
+    daemon.outcomes = local_configuration.NoOutcomes()
     stopping = threading.Event()
     cutting = threading.Event()
 
@@ -150,7 +229,8 @@
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    with daemon.listening():
+    with daemon.running(), daemon.listening():
+        daemon.adopt(check.build(*documents))
         _logger.info("serving", extra={"address": options.listen_address})
         stopping.wait()
         drained = threading.Thread(target=daemon.drain, daemon=True)
@@ -160,9 +240,9 @@
     return EXIT_CUT if cutting.is_set() else 0
 
 
-def load_configuration(inventory_file: str,
-                       rules_file: str | None) -> model.Configuration:
-    """Loads and checks the documents of a start without a table service.
+def load_documents(inventory_file: str,
+                   rules_file: str | None) -> operations.Documents:
+    """Loads and checks documents from files, as revision 1.
 
     Raises:
         errors.ConfigurationError: A document is not valid; the message holds
@@ -175,4 +255,6 @@
     if problems:
         raise errors.ConfigurationError(errors.Code.BAD_REQUEST,
                                         "\n".join(map(str, problems)))
-    return check.build(1, inventory, rules)
+    return operations.Documents(1,
+                                typing.cast(model.InventoryDocument, inventory),
+                                typing.cast(model.RulesDocument, rules))
--- /dev/null
+++ b/persimmonspan/process/daemon_operations.py
@@ -0,0 +1,182 @@
+"""Operations of a daemon for its administration API.
+
+Each method asks the part that owns the state; none keeps state of its own.
+"""
+
+import time
+import typing
+
+import pykka
+
+from persimmonspan import errors
+from persimmonspan.process import metrics
+from persimmonspan.process import operations
+from persimmonspan.process import peer_actor
+from persimmonspan.process import scheduler_actor
+from persimmonspan.process import scheduler_view
+from persimmonspan.request import events
+from persimmonspan.version import model
+
+_ASK_TIMEOUT_S = 2.0
+_P99 = 0.99
+
+
+class Configurations(typing.Protocol):
+    """Owner of the documents in force."""
+
+    def documents(self) -> operations.Documents | None:
+        """Returns the documents in force, or None."""
+
+    def commit(self, proposed: operations.Documents, actor: str,
+               is_dry_run: bool) -> operations.CommitDocument:
+        """Commits documents that were derived from `proposed.revision`."""
+
+    def audit(self, after_revision: int) -> list[operations.AuditDocument]:
+        """Returns accepted changes after a revision."""
+
+    def store_state(self) -> str:
+        """Returns `up`, `down` or `none`."""
+
+
+class Outcomes(typing.Protocol):
+    """Owner of the ledger."""
+
+    def unknown(self,
+                workspace: str | None) -> list[operations.OutcomeDocument]:
+        """Returns calls with an unknown outcome."""
+
+    def settle(self, workspace: str, key: str, run_state: errors.RunState,
+               actor: str) -> None:
+        """Records what became of a call."""
+
+
+class Owner(typing.Protocol):
+    """What the operations need of the daemon."""
+
+    name: str
+    failure_domain: str
+    metrics: metrics.Metrics
+    scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
+    configurations: Configurations
+    outcomes: Outcomes
+    peers: peer_actor.Peers | None
+
+    def configuration(self) -> model.Configuration | None:
+        """Returns the configuration in force."""
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer may send new work."""
+
+    def is_draining(self) -> bool:
+        """Returns whether a planned stop began."""
+
+    def in_flight(self) -> int:
+        """Returns the number of requests in flight."""
+
+
+class DaemonOperations:
+    """Implements `operations.Operations` on the parts of a daemon."""
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+
+    def configuration(self) -> model.Configuration | None:
+        """Returns the configuration in force."""
+        return self._owner.configuration()
+
+    def documents(self) -> operations.Documents:
+        """Returns the documents in force.
+
+        Raises:
+            errors.RefusalError: No configuration is in force.
+        """
+        documents = self._owner.configurations.documents()
+        if documents is None:
+            raise errors.RefusalError(errors.Code.CONFIG_UNVERIFIED,
+                                      "no configuration is in force", 1.0)
+        return documents
+
+    def commit(self, proposed: operations.Documents, actor: str,
+               is_dry_run: bool) -> operations.CommitDocument:
+        """Commits documents; see `operations.Operations.commit`."""
+        return self._owner.configurations.commit(proposed, actor, is_dry_run)
+
+    def status(self) -> operations.StatusDocument:
+        """Returns the state of the system."""
+        owner = self._owner
+        configuration = owner.configuration()
+        view = owner.scheduler.ask(scheduler_actor.Ask(scheduler_view.view),
+                                   timeout=_ASK_TIMEOUT_S)
+        return operations.StatusDocument(
+            daemon=owner.name,
+            revision=configuration.revision if configuration else 0,
+            is_ready=owner.is_ready(),
+            is_draining=owner.is_draining(),
+            store=owner.configurations.store_state(),
+            in_flight=owner.in_flight(),
+            queued_by_kind=view.queued_by_kind,
+            events_by_reason=owner.metrics.counts(),
+            first_token_p99_s=owner.metrics.first_token.quantile_s(_P99),
+            between_tokens_p99_s=owner.metrics.between_tokens.quantile_s(_P99),
+            daemons=self._daemons(),
+            targets=view.targets)
+
+    def decisions(self, request_id: str) -> list[operations.DecisionDocument]:
+        """Returns recent decisions about a request, oldest first."""
+        now_s = time.monotonic()
+        found = self._owner.scheduler.ask(scheduler_actor.Explain(request_id),
+                                          timeout=_ASK_TIMEOUT_S)
+        return [
+            operations.DecisionDocument(age_s=now_s - item.at_s,
+                                        decision=item.text) for item in found
+        ]
+
+    def unknown_outcomes(
+            self, workspace: str | None) -> list[operations.OutcomeDocument]:
+        """Returns calls with an unknown outcome."""
+        return self._owner.outcomes.unknown(workspace)
+
+    def settle(self, workspace: str, key: str, run_state: errors.RunState,
+               actor: str) -> None:
+        """Records what an operator found out about an unknown outcome."""
+        self._owner.outcomes.settle(workspace, key, run_state, actor)
+
+    def quarantine(self) -> list[operations.QuarantineDocument]:
+        """Returns quarantined fingerprints."""
+        return self._owner.scheduler.ask(scheduler_actor.Ask(
+            scheduler_view.quarantined),
+                                         timeout=_ASK_TIMEOUT_S)
+
+    def lift(self, fingerprint: str) -> None:
+        """Lifts a quarantine on all daemons."""
+        self._owner.scheduler.tell(events.QuarantineLifted(fingerprint))
+        if self._owner.peers is not None:
+            self._owner.peers.publish_quarantine(fingerprint, 0, 0.0)
+
+    def audit(self, after_revision: int) -> list[operations.AuditDocument]:
+        """Returns accepted changes after a revision, oldest first."""
+        return self._owner.configurations.audit(after_revision)
+
+    def _daemons(self) -> list[operations.DaemonDocument]:
+        owner = self._owner
+        configuration = owner.configuration()
+        found = [
+            operations.DaemonDocument(
+                name=owner.name,
+                failure_domain=owner.failure_domain,
+                revision=configuration.revision if configuration else 0,
+                is_draining=owner.is_draining(),
+                age_s=0.0)
+        ]
+        if owner.peers is None:
+            return found
+        found += [
+            operations.DaemonDocument(
+                name=item.identity.daemon,
+                failure_domain=item.identity.failure_domain,
+                revision=item.revision,
+                is_draining=item.is_draining,
+                age_s=min(item.heard_age_s, 1e9))
+            for item in owner.peers.status(_ASK_TIMEOUT_S).members
+        ]
+        return sorted(found, key=lambda item: item["name"])
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -84,6 +84,15 @@
         """Raises the counter of a reason."""
         self._reasons.labels(reason).inc()
 
+    def counts(self) -> dict[str, int]:
+        """Returns the counter of each reason that was counted."""
+        return {
+            sample.labels["reason"]: int(sample.value)
+            for metric in self._reasons.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
     def exposition(self) -> bytes:
         """Returns the Prometheus text exposition."""
         return prometheus_client.generate_latest(self.registry)
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -12,7 +12,7 @@
 
 import collections.abc
 import concurrent.futures
-import contextlib
+
 import threading
 import typing
 
@@ -129,17 +129,3 @@
                 self._send(event)
         finally:
             self._busy.discard(target.name)
-
-
-@contextlib.contextmanager
-def polling(send: Send,
-            read_load: ReadLoad) -> collections.abc.Iterator[ReportPoller]:
-    """Runs a poller until the block ends."""
-    poller = ReportPoller(send, read_load)
-    thread = threading.Thread(target=poller.run, name="report-poller")
-    thread.start()
-    try:
-        yield poller
-    finally:
-        poller.stop()
-        thread.join()
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -4,6 +4,8 @@
 the command queue that the request registered.
 """
 
+import collections
+import collections.abc
 import logging
 import queue
 import random
@@ -18,6 +20,8 @@
 from persimmonspan.request import scheduler
 
 _TICK_INTERVAL_S = 0.05
+_REMEMBERED_REQUESTS = 5000
+_REMEMBERED_DECISIONS = 32
 
 _logger = logging.getLogger(__name__)
 
@@ -37,14 +41,42 @@
     request_id: str
 
 
+class Explain(typing.NamedTuple):
+    """Asks for the decisions about a request, by the id of its caller."""
+
+    caller_id: str
+
+
+class Ask(typing.NamedTuple):
+    """Asks for what a function finds in the scheduler's state now."""
+
+    question: collections.abc.Callable[[scheduler.State, float], typing.Any]
+
+
+class Decision(typing.NamedTuple):
+    """A command that the scheduler gave at a time of the monotonic clock."""
+
+    at_s: float
+    text: str
+
+
+ShareQuarantine = collections.abc.Callable[[events.ShareQuarantine], None]
+
+
 class SchedulerActor(pykka.ThreadingActor):
     """Runs `scheduler.step` for one event after the other."""
 
     use_daemon_thread = True
 
-    def __init__(self, counters: metrics.Metrics, seed: int) -> None:
+    def __init__(self,
+                 counters: metrics.Metrics,
+                 seed: int,
+                 share: ShareQuarantine = lambda command: None) -> None:
         super().__init__()
         self._metrics = counters
+        self._share = share
+        self._decisions: collections.OrderedDict[
+            str, collections.deque[Decision]] = collections.OrderedDict()
         self._rng = random.Random(seed)
         self._state = scheduler.State()
         self._queues: dict[str, CommandQueue] = {}
@@ -63,6 +95,10 @@
         if isinstance(message, Finished):
             self._queues.pop(message.request_id, None)
             return None
+        if isinstance(message, Explain):
+            return tuple(self._decisions.get(message.caller_id, ()))
+        if isinstance(message, Ask):
+            return message.question(self._state, time.monotonic())
         if isinstance(message, Submit):
             self._queues[message.arrived.request_id] = message.commands
             message = message.arrived
@@ -76,10 +112,28 @@
         if isinstance(command, events.Count):
             self._metrics.count(command.reason)
         elif isinstance(command, events.ShareQuarantine):
-            _logger.info("request quarantined",
-                         extra={"fingerprint": command.fingerprint})
-        elif command.request_id in self._queues:
-            self._queues[command.request_id].put(command)
+            _logger.warning("request quarantined",
+                            extra={
+                                "fingerprint": command.fingerprint,
+                                "crashes": command.crashes
+                            })
+            self._share(command)
+        else:
+            self._remember(command)
+            if command.request_id in self._queues:
+                self._queues[command.request_id].put(command)
+
+    def _remember(
+        self, command: events.Dispatch | events.Refuse | events.CancelAttempt
+    ) -> None:
+        caller_id = command.request_id.rpartition(".")[0]
+        if caller_id not in self._decisions:
+            self._decisions[caller_id] = collections.deque(
+                maxlen=_REMEMBERED_DECISIONS)
+            if len(self._decisions) > _REMEMBERED_REQUESTS:
+                self._decisions.popitem(last=False)
+        self._decisions[caller_id].append(
+            Decision(time.monotonic(), describe(command)))
 
     def _tick(self) -> None:
         while not self._stopped.wait(_TICK_INTERVAL_S):
@@ -87,3 +141,21 @@
                 self.actor_ref.tell(events.Tick())
             except pykka.ActorDeadError:
                 return
+
+
+def describe(
+        command: events.Dispatch | events.Refuse | events.CancelAttempt) -> str:
+    """Returns a command as text for operators.
+
+    >>> describe(events.Dispatch("r.1", "engine-1", 0, 2))
+    'dispatch target=engine-1 priority=0 attempt=2 is_hedge=False'
+    """
+    name = {
+        events.Dispatch: "dispatch",
+        events.Refuse: "refuse",
+        events.CancelAttempt: "cancel"
+    }[type(command)]
+    fields = command._asdict()
+    del fields["request_id"]
+    return " ".join(
+        [name, *(f"{key}={value}" for key, value in fields.items())])
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -106,7 +106,8 @@
 
 @contextlib.contextmanager
 def start_target(
-    replica: model.ReplicaDocument, service_kind: str,
+    replica: model.ReplicaDocument,
+    service_kind: str,
     engine_arguments: tuple[str, ...] = ()
 ) -> collections.abc.Iterator[subprocess.Popen[bytes]]:
     """Runs the stand-in of a replica on a free port, which is put into it."""
@@ -206,5 +207,3 @@
     except urllib3.exceptions.HTTPError:
         return {}
     return msgspec.json.decode(data, type=dict[str, int])
-
-
