--- /dev/null
+++ b/persimmonspan/connection/table_service.py
@@ -0,0 +1,352 @@
+"""Adapter of the platform's table service.
+
+Only this module knows the wire format; the stand-in `testbed.platform` uses the
+same documents. A `Transaction` is atomic and conditional: it is applied only if
+each checked row still has the version named, where version 0 means absent.
+Versions never repeat, also after a delete.
+
+`Table.transact` never raises: its `Result` says `APPLIED`, `NOT_APPLIED` or
+`UNKNOWN`. A lost answer is settled under the same write id: a row that carries
+the write id proves that the transaction was applied. If the checks still hold,
+the transaction may be under way, so it is sent again; this is safe if each row
+it writes is also checked, since then it can be applied once only. If all
+written rows have moved on, only a witness settles the matter: a row that this
+transaction inserts and that nobody overwrites. Without one the result is
+`UNKNOWN`, as it is for a lost answer to a delete.
+
+Interface: `Table(address, client).transact(transaction) -> Result`,
+`.read(keys) -> rows`, `.scan(prefix, limit, after) -> rows`. Reads raise
+`errors.StoreError` with `STORE_UNAVAILABLE` or `STORE_THROTTLED`.
+
+See Also:
+    `persimmonspan.process.store_actor`: shares one adapter among all users.
+"""
+
+import collections.abc
+import enum
+import http
+import time
+import typing
+import uuid
+
+import msgspec
+import urllib3
+
+from persimmonspan import errors
+
+CLIENT_HEADER = "X-Client"
+_SETTLE_LIMIT_S = 2.5
+_POOL_CONNECTIONS = 8
+
+
+class Check(typing.NamedTuple):
+    """Condition of a transaction; version 0 means that the row is absent."""
+
+    key: str
+    version: int
+
+
+class Put(typing.NamedTuple):
+    """A row to write."""
+
+    key: str
+    value: str
+
+
+class Row(typing.NamedTuple):
+    """A row as read; an absent row has version 0."""
+
+    key: str
+    value: str
+    version: int
+    write_id: str
+
+
+class Transaction(typing.NamedTuple):
+    """Writes that are applied together if all checks hold.
+
+    `witness` names an inserted row that nobody overwrites or deletes.
+    """
+
+    checks: tuple[Check, ...] = ()
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+    witness: str | None = None
+
+
+class Outcome(enum.StrEnum):
+    """What is known of a transaction."""
+
+    APPLIED = "applied"
+    NOT_APPLIED = "not_applied"
+    UNKNOWN = "unknown"
+
+
+class Result(typing.NamedTuple):
+    """Result of a transaction.
+
+    Attributes:
+        outcome: Whether the transaction was applied.
+        code: `CONFLICT`, `STORE_UNAVAILABLE` or `STORE_THROTTLED` if it was
+            not applied or is unknown, else None.
+        version: Version of the written rows if applied, else 0.
+        conflicts: Rows whose check failed, as they are now.
+        write_id: Id under which it was sent.
+    """
+
+    outcome: Outcome
+    code: errors.Code | None = None
+    version: int = 0
+    conflicts: tuple[Row, ...] = ()
+    write_id: str = ""
+
+
+class CheckDocument(typing.TypedDict):
+    """Wire form of a check."""
+
+    key: str
+    version: int
+
+
+class PutDocument(typing.TypedDict):
+    """Wire form of a put."""
+
+    key: str
+    value: str
+
+
+class TransactDocument(typing.TypedDict):
+    """Body of `POST /v1/transact`."""
+
+    write_id: str
+    checks: list[CheckDocument]
+    puts: list[PutDocument]
+    deletes: list[str]
+
+
+class RowDocument(typing.TypedDict):
+    """Wire form of a row."""
+
+    key: str
+    value: str
+    version: int
+    write_id: str
+
+
+class RowsDocument(typing.TypedDict):
+    """Answer with rows: of a read, a scan or a conflict."""
+
+    rows: list[RowDocument]
+
+
+class AppliedDocument(typing.TypedDict):
+    """Answer to a transaction that was applied."""
+
+    version: int
+
+
+class ReadDocument(typing.TypedDict):
+    """Body of `POST /v1/read`."""
+
+    keys: list[str]
+
+
+class ScanDocument(typing.TypedDict):
+    """Body of `POST /v1/scan`; `after` is the last key already seen."""
+
+    prefix: str
+    limit: int
+    after: str
+
+
+class LostAnswerError(errors.StoreError):
+    """The request was sent and no answer came."""
+
+
+_rows_decoder = msgspec.json.Decoder(RowsDocument)
+_applied_decoder = msgspec.json.Decoder(AppliedDocument)
+_CODE_BY_STATUS = {
+    http.HTTPStatus.TOO_MANY_REQUESTS: errors.Code.STORE_THROTTLED,
+    http.HTTPStatus.SERVICE_UNAVAILABLE: errors.Code.STORE_UNAVAILABLE,
+}
+
+
+class Table:
+    """Client of the table service; may be shared among threads."""
+
+    def __init__(self,
+                 address: str,
+                 client: str,
+                 connect_timeout_s: float = 0.5,
+                 answer_timeout_s: float = 1.0) -> None:
+        host, port = address.rsplit(":", 1)
+        self._pool = urllib3.HTTPConnectionPool(host,
+                                                int(port),
+                                                maxsize=_POOL_CONNECTIONS,
+                                                retries=False,
+                                                timeout=urllib3.Timeout(
+                                                    connect=connect_timeout_s,
+                                                    read=answer_timeout_s),
+                                                headers={CLIENT_HEADER: client})
+
+    def transact(self,
+                 transaction: Transaction,
+                 write_id: str | None = None) -> Result:
+        """Applies a transaction and settles a lost answer.
+
+        Args:
+            transaction: What to write; each row it puts or deletes should also
+                be checked, otherwise a lost answer may apply it twice.
+            write_id: Id to send, by default a new one.
+        """
+        write_id = write_id or uuid.uuid4().hex
+        is_in_doubt = False
+        end_s = time.monotonic() + _SETTLE_LIMIT_S
+        while not is_in_doubt or time.monotonic() < end_s:
+            try:
+                result = self._send(transaction, write_id)
+                if not is_in_doubt or result.outcome == Outcome.APPLIED:
+                    return result
+                if result.code != errors.Code.CONFLICT:
+                    break
+            except LostAnswerError:
+                is_in_doubt = True
+            try:
+                result = settle(transaction, write_id,
+                                self.read(_keys(transaction)))
+            except errors.StoreError:
+                break
+            if result.outcome == Outcome.APPLIED or result.code is not None:
+                return result
+        return Result(Outcome.UNKNOWN,
+                      errors.Code.STORE_UNAVAILABLE,
+                      write_id=write_id)
+
+    def read(self, keys: collections.abc.Sequence[str]) -> tuple[Row, ...]:
+        """Reads rows; absent ones come back with version 0.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        return self._rows("/v1/read", ReadDocument(keys=list(keys)))
+
+    def scan(self,
+             prefix: str,
+             limit: int = 1000,
+             after: str = "") -> tuple[Row, ...]:
+        """Reads up to `limit` rows under a prefix, in order of keys.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        return self._rows("/v1/scan",
+                          ScanDocument(prefix=prefix, limit=limit, after=after))
+
+    def _rows(self, path: str, body: ReadDocument | ScanDocument) -> tuple:
+        status, data = self._post(path, body)
+        if status != http.HTTPStatus.OK:
+            raise errors.StoreError(_code(status),
+                                    f"table service answered status {status}")
+        return _decode_rows(data)
+
+    def _send(self, transaction: Transaction, write_id: str) -> Result:
+        status, data = self._post("/v1/transact",
+                                  _document(transaction, write_id))
+        if status == http.HTTPStatus.OK:
+            return Result(Outcome.APPLIED,
+                          version=_decode(_applied_decoder, data)["version"],
+                          write_id=write_id)
+        if status == http.HTTPStatus.CONFLICT:
+            return Result(Outcome.NOT_APPLIED,
+                          errors.Code.CONFLICT,
+                          conflicts=_decode_rows(data),
+                          write_id=write_id)
+        return Result(Outcome.NOT_APPLIED, _code(status), write_id=write_id)
+
+    def _post(self, path: str, body: object) -> tuple[int, bytes]:
+        try:
+            response = self._pool.request(
+                "POST",
+                path,
+                body=msgspec.json.encode(body),
+                headers={
+                    **self._pool.headers, "Content-Type": "application/json"
+                })
+        except urllib3.exceptions.NewConnectionError:
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+        except urllib3.exceptions.ConnectTimeoutError:
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise LostAnswerError(
+                errors.Code.STORE_UNAVAILABLE,
+                f"table service did not answer: {error}") from error
+        return response.status, response.data
+
+
+def settle(transaction: Transaction, write_id: str,
+           rows: collections.abc.Sequence[Row]) -> Result:
+    """Returns what rows, read now, prove of a write without an answer.
+
+    A result `UNKNOWN` without a code means that the checks still hold: the
+    transaction was not applied so far, but may be under way. Once a check fails
+    it cannot be applied any more; a written row that did not move since then
+    proves that it was not applied before either.
+
+    >>> insert = Transaction((Check("a", 0),), (Put("a", "x"),))
+    >>> settle(insert, "w1", [Row("a", "x", 7, "w1")]).outcome.value
+    'applied'
+    >>> settle(insert, "w1", [Row("a", "", 0, "")])[:2]
+    (<Outcome.UNKNOWN: 'unknown'>, None)
+    """
+    by_key = {row.key: row for row in rows}
+    for put in transaction.puts:
+        if by_key[put.key].write_id == write_id:
+            return Result(Outcome.APPLIED,
+                          version=by_key[put.key].version,
+                          write_id=write_id)
+    moved = tuple(by_key[check.key]
+                  for check in transaction.checks
+                  if by_key[check.key].version != check.version)
+    if not moved:
+        return Result(Outcome.UNKNOWN, write_id=write_id)
+    moved_keys = {row.key for row in moved}
+    checked = {check.key for check in transaction.checks}
+    written = {put.key for put in transaction.puts} | set(transaction.deletes)
+    is_refuted = (transaction.witness in moved_keys or
+                  bool((written & checked) - moved_keys))
+    return Result(Outcome.NOT_APPLIED if is_refuted else Outcome.UNKNOWN,
+                  errors.Code.CONFLICT,
+                  conflicts=moved,
+                  write_id=write_id)
+
+
+def _keys(transaction: Transaction) -> tuple[str, ...]:
+    keys = [check.key for check in transaction.checks]
+    keys.extend(put.key for put in transaction.puts)
+    return tuple(dict.fromkeys((*keys, *transaction.deletes)))
+
+
+def _document(transaction: Transaction, write_id: str) -> TransactDocument:
+    return TransactDocument(
+        write_id=write_id,
+        checks=[CheckDocument(**item._asdict()) for item in transaction.checks],
+        puts=[PutDocument(**item._asdict()) for item in transaction.puts],
+        deletes=list(transaction.deletes))
+
+
+def _code(status: int) -> errors.Code:
+    return _CODE_BY_STATUS.get(http.HTTPStatus(status),
+                               errors.Code.STORE_UNAVAILABLE)
+
+
+def _decode(decoder: msgspec.json.Decoder, data: bytes) -> typing.Any:
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise LostAnswerError(
+            errors.Code.STORE_UNAVAILABLE,
+            f"table service sent a malformed answer: {error}") from error
+
+
+def _decode_rows(data: bytes) -> tuple[Row, ...]:
+    return tuple(Row(**item) for item in _decode(_rows_decoder, data)["rows"])
--- /dev/null
+++ b/persimmonspan/connection/tests/test_table_service.py
@@ -0,0 +1,135 @@
+"""Guards the adapter against lost, late and refused answers of the store."""
+
+import contextlib
+import threading
+
+import pytest
+
+from persimmonspan import errors
+from persimmonspan.connection import object_store
+from persimmonspan.connection import table_service
+from persimmonspan.connection import vm_list
+from testbed import platform
+from testbed import processes
+
+_INSERT = table_service.Transaction((table_service.Check("a", 0),),
+                                    (table_service.Put("a", "1"),))
+
+
+@contextlib.contextmanager
+def _running(**faults):
+    port = processes.free_port()
+    state = platform.Platform(faults, 0.0, 1 << 20, 1e9, 7)
+    server = platform.make_server(("127.0.0.1", port), state)
+    server.prepare()
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield state, table_service.Table(f"127.0.0.1:{port}",
+                                         "test",
+                                         answer_timeout_s=0.3)
+    finally:
+        server.stop()
+        thread.join()
+
+
+def test_second_insert_conflicts_and_names_the_row():
+    with _running() as (_, table):
+        assert table.transact(_INSERT).outcome == "applied"
+        result = table.transact(_INSERT)
+        assert (result.outcome, result.code) == ("not_applied", "conflict")
+        assert [row.value for row in result.conflicts] == ["1"]
+
+
+def test_lost_answer_is_settled_as_applied():
+    with _running(lost_answers=1.0) as (state, table):
+        assert table.transact(_INSERT).outcome == "applied"
+        assert state.stats()["test"] == {"writes": 1, "reads": 1}
+
+
+def test_late_write_is_applied_once_and_known():
+    # The first send lands after the adapter has read the absent row.
+    with _running(late_writes=1.0, late_ms=500.0) as (state, table):
+        state.set_fault({"late_writes": 1.0})
+        assert table.transact(_INSERT).outcome == "applied"
+        row, = table.read(["a"])
+        assert row.version == 1
+
+
+def test_outage_before_the_write_is_not_applied():
+    with _running(down_s=60.0) as (state, table):
+        result = table.transact(_INSERT)
+        assert (result.outcome, result.code) == ("not_applied",
+                                                 "store_unavailable")
+        with pytest.raises(errors.StoreError):
+            table.read(["a"])
+        assert state.table.read(["a"])[0]["version"] == 0
+
+
+def test_refused_connection_is_not_applied():
+    table = table_service.Table(f"127.0.0.1:{processes.free_port()}", "test")
+    assert table.transact(_INSERT).outcome == "not_applied"
+
+
+def test_throttled_write_has_its_own_code():
+    with _running(writes_per_s=1.0) as (_, table):
+        codes = [table.transact(_INSERT).code for _ in range(3)]
+        assert codes[0] is None and codes[2] == "store_throttled"
+
+
+def test_deleted_row_gets_a_new_version():
+    # With a reused version, a check from before the delete would hold again.
+    with _running() as (_, table):
+        first = table.transact(_INSERT).version
+        check = (table_service.Check("a", first),)
+        table.transact(table_service.Transaction(check, deletes=("a",)))
+        assert table.transact(_INSERT).version > first
+        assert table.transact(table_service.Transaction(
+            check, _INSERT.puts)).outcome == "not_applied"
+
+
+def test_scan_pages_in_order_of_keys():
+    with _running() as (_, table):
+        for key in ("b/2", "a/1", "b/1", "b/3", "c/1"):
+            table.transact(
+                table_service.Transaction((), (table_service.Put(key, ""),)))
+        first = table.scan("b/", limit=2)
+        rest = table.scan("b/", after=first[-1].key)
+        assert [row.key for row in (*first, *rest)] == ["b/1", "b/2", "b/3"]
+
+
+@pytest.mark.parametrize("rows, witness, outcome", [
+    ([("a", 5, "other"), ("w", 0, "")], None, "not_applied"),
+    ([("a", 5, "other"), ("w", 6, "other")], None, "unknown"),
+    ([("a", 5, "other"), ("w", 6, "other")], "w", "not_applied"),
+    ([("a", 5, "other"), ("w", 3, "mine")], "w", "applied"),
+    ([("a", 2, ""), ("w", 0, "")], "w", "unknown"),
+])
+def test_settling_claims_no_more_than_the_rows_prove(rows, witness, outcome):
+    transaction = table_service.Transaction(
+        (table_service.Check("a", 2), table_service.Check("w", 0)),
+        (table_service.Put("a", "x"), table_service.Put("w", "x")),
+        witness=witness)
+    read = [
+        table_service.Row(key, "", version, write_id)
+        for key, version, write_id in rows
+    ]
+    assert table_service.settle(transaction, "mine", read).outcome == outcome
+
+
+def test_objects_and_vm_list():
+    port = processes.free_port()
+    with processes.running("testbed.platform",
+                           "--port",
+                           str(port),
+                           "--vm-lag-s",
+                           "0",
+                           port=port):
+        address = f"127.0.0.1:{port}"
+        store = object_store.ObjectStore(address)
+        store.put("config/1", b"x")
+        assert store.get("config/1") == b"x"
+        with pytest.raises(errors.StoreError) as caught:
+            store.get("config/2")
+        assert caught.value.code == errors.Code.NOT_FOUND
+        assert not vm_list.read(address)
--- a/persimmonspan/errors.py
+++ b/persimmonspan/errors.py
@@ -41,6 +41,9 @@
     TARGET_FAILED = "target_failed"
     STREAM_CUT = "stream_cut"
     STORE_UNAVAILABLE = "store_unavailable"
+    STORE_THROTTLED = "store_throttled"
+    IN_PROGRESS = "in_progress"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
 
@@ -52,6 +55,8 @@
     Code.NOT_FOUND: 404,
     Code.CONFLICT: 409,
     Code.OUTCOME_UNKNOWN: 409,
+    Code.IN_PROGRESS: 409,
+    Code.IDEMPOTENCY_KEY_REUSED: 409,
     Code.BODY_TOO_LARGE: 413,
     Code.QUARANTINED: 422,
     Code.LIMIT_EXCEEDED: 429,
--- /dev/null
+++ b/persimmonspan/process/store_actor.py
@@ -0,0 +1,402 @@
+"""Actor through which all parts of a daemon use the table service.
+
+The actor asks `persimmonspan.process.store_budget` which operation to start and
+runs it on a small pool of threads, so that a slow answer holds up nobody else.
+Ledger rows that wait at the same time go in one transaction (group commit). If
+some of them conflict, those get the rows that stand in the way, and the others
+are sent again; a group whose outcome is not known is answered as such.
+
+Interface: `Client`, usable from any thread; each method returns a
+`pykka.Future`.
+
+    transact(checks, puts, deletes, ...) -> table_service.Result, never raises
+    write_row(key, expected_version, value, ...) -> table_service.Result
+    read(keys) -> tuple of rows; `get` raises errors.StoreError
+    scan(prefix, limit, after) -> tuple of rows; `get` raises errors.StoreError
+    status() -> Status
+    count_daemons(daemons): the number of daemons that share the store
+
+Operations on `lease/`, `member/` and `config/head` should pass
+`store_budget.Priority.URGENT`; background scans pass `BACKGROUND`.
+"""
+
+import collections.abc
+import concurrent.futures
+import functools
+import logging
+import random
+import threading
+import time
+import typing
+
+import pykka
+
+from persimmonspan import errors
+from persimmonspan.connection import table_service
+from persimmonspan.process import store_budget
+
+_TICK_INTERVAL_S = 0.05
+_POOL_THREADS = 6
+_MAX_GROUP_ROWS = 64
+# Few groups at a time let rows gather while a group is under way.
+_MAX_GROUPS = 2
+_DEFAULT_WAIT_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+Priority = store_budget.Priority
+
+
+class Status(typing.NamedTuple):
+    """State of the store as this daemon sees it.
+
+    Attributes:
+        is_available: Whether operations are started.
+        answered_age_s: Seconds since the store last answered.
+        operations: Number of operations started, by kind.
+    """
+
+    is_available: bool
+    answered_age_s: float
+    operations: dict[str, int]
+
+
+class _Job(typing.NamedTuple):
+    """One operation; `run` is called on a pool thread."""
+
+    operation: store_budget.Operation
+    priority: Priority
+    deadline_s: float
+    run: collections.abc.Callable[[], typing.Any]
+    future: pykka.Future[typing.Any]
+
+
+class _RowWrite(typing.NamedTuple):
+    """One ledger row that waits for a group."""
+
+    transaction: table_service.Transaction
+    deadline_s: float
+    future: pykka.Future[table_service.Result]
+
+    @property
+    def key(self) -> str:
+        """Key of the row."""
+        return self.transaction.puts[0].key
+
+
+class _Ended(typing.NamedTuple):
+    """A pool thread finished an operation."""
+
+    request_id: int
+    value: typing.Any
+    error: errors.StoreError | None
+
+
+class _StatusRequest(typing.NamedTuple):
+    """Asks for the status."""
+
+
+class StoreActor(pykka.ThreadingActor):
+    """Owns the budget and starts operations."""
+
+    use_daemon_thread = True
+
+    def __init__(self, table: table_service.Table, seed: int) -> None:
+        super().__init__()
+        self._table = table
+        self._rng = random.Random(seed)
+        self._budget = store_budget.State()
+        self._jobs: dict[int, _Job] = {}
+        self._rows: list[_RowWrite] = []
+        self._groups: dict[int, list[_RowWrite]] = {}
+        self._next_id = 0
+        self._answered_s = time.monotonic()
+        self._operations: dict[str, int] = {}
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            _POOL_THREADS, "store")
+        self._stopped = threading.Event()
+
+    def on_start(self) -> None:
+        """Starts the timer."""
+        threading.Thread(target=self._tick, daemon=True).start()
+
+    def on_stop(self) -> None:
+        """Stops the timer and the pool; waiting operations are rejected."""
+        self._stopped.set()
+        self._pool.shutdown(wait=False)
+        for job in self._jobs.values():
+            _reject(job, errors.Code.STORE_UNAVAILABLE)
+        for write in self._rows:
+            write.future.set(_rejected(errors.Code.STORE_UNAVAILABLE))
+
+    def on_receive(self, message: typing.Any) -> typing.Any:
+        """Applies one message."""
+        if isinstance(message, _StatusRequest):
+            return Status(not self._budget.is_open,
+                          time.monotonic() - self._answered_s,
+                          dict(self._operations))
+        if isinstance(message, _Job):
+            self._request(message)
+        elif isinstance(message, _RowWrite):
+            self._rows.append(message)
+            self._request_group()
+        elif isinstance(message, _Ended):
+            self._end(message)
+        else:
+            self._step(message)
+        return None
+
+    def _request(self, job: _Job) -> int:
+        request_id = self._next_id
+        self._next_id += 1
+        self._jobs[request_id] = job
+        self._step(
+            store_budget.Requested(request_id, job.operation, job.priority,
+                                   job.deadline_s))
+        return request_id
+
+    def _request_group(self) -> None:
+        """Asks for one write on behalf of all rows that wait."""
+        if (self._rows and len(self._groups) < _MAX_GROUPS and
+                all(self._groups.values())):
+            request_id = self._next_id
+            self._groups[request_id] = []
+            self._request(
+                _Job(store_budget.Operation.WRITE, Priority.NORMAL,
+                     self._rows[0].deadline_s, lambda: None,
+                     pykka.ThreadingFuture()))
+
+    def _step(self, event: store_budget.Event) -> None:
+        self._budget, commands = store_budget.step(self._budget, event,
+                                                   time.monotonic(), self._rng)
+        for command in commands:
+            job = self._jobs[command.request_id]
+            if isinstance(command, store_budget.Start):
+                self._start(command.request_id, job)
+                continue
+            del self._jobs[command.request_id]
+            if command.request_id in self._groups:
+                del self._groups[command.request_id]
+                self._reject_rows(command.code)
+            else:
+                _reject(job, command.code)
+
+    def _reject_rows(self, code: errors.Code) -> None:
+        rows, self._rows = self._rows, []
+        for write in rows:
+            write.future.set(_rejected(code))
+
+    def _start(self, request_id: int, job: _Job) -> None:
+        name = str(job.operation)
+        self._operations[name] = self._operations.get(name, 0) + 1
+        run = job.run
+        if request_id in self._groups:
+            group = self._take_group()
+            self._groups[request_id] = group
+            run = functools.partial(self._table.transact, _merged(group))
+        self._pool.submit(self._run, request_id, run)
+
+    def _take_group(self) -> list[_RowWrite]:
+        group: dict[str, _RowWrite] = {}
+        rest = []
+        for write in self._rows:
+            if write.key in group or len(group) == _MAX_GROUP_ROWS:
+                rest.append(write)
+            else:
+                group[write.key] = write
+        self._rows = rest
+        return list(group.values())
+
+    def _run(self, request_id: int, run: collections.abc.Callable[[],
+                                                                  typing.Any]):
+        """Runs on a pool thread."""
+        try:
+            ended = _Ended(request_id, run(), None)
+        except errors.StoreError as error:
+            ended = _Ended(request_id, None, error)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # A user that waits for the future must get an end in any case.
+            _logger.exception("store operation failed")
+            ended = _Ended(request_id, None,
+                           errors.StoreError(errors.Code.INTERNAL, str(error)))
+        try:
+            self.actor_ref.tell(ended)
+        except pykka.ActorDeadError:
+            _logger.debug("store operation ended after the actor")
+
+    def _end(self, ended: _Ended) -> None:
+        job = self._jobs.pop(ended.request_id)
+        group = self._groups.pop(ended.request_id, None)
+        health = _health(ended)
+        if health == store_budget.Health.ANSWERED:
+            self._answered_s = time.monotonic()
+        self._step(store_budget.Finished(ended.request_id, health))
+        if group is not None:
+            unknown = table_service.Result(table_service.Outcome.UNKNOWN,
+                                           errors.Code.INTERNAL)
+            self._end_group(group, ended.value or unknown)
+            self._request_group()
+        elif ended.error is not None:
+            job.future.set_exception((type(ended.error), ended.error, None))
+        else:
+            job.future.set(ended.value)
+
+    def _end_group(self, group: list[_RowWrite],
+                   result: table_service.Result) -> None:
+        conflicts = {row.key: row for row in result.conflicts}
+        is_refuted = (result.outcome == table_service.Outcome.NOT_APPLIED and
+                      result.code == errors.Code.CONFLICT)
+        for write in group:
+            row = conflicts.get(write.key)
+            if is_refuted and row is None:
+                self._rows.append(write)
+            else:
+                write.future.set(
+                    result._replace(conflicts=(row,) if row else ()))
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(_TICK_INTERVAL_S):
+            try:
+                self.actor_ref.tell(store_budget.Tick())
+            except pykka.ActorDeadError:
+                return
+
+
+class Client:
+    """Handle of the actor for other threads and actors."""
+
+    def __init__(self, actor: pykka.ActorRef[StoreActor],
+                 table: table_service.Table) -> None:
+        self._actor = actor
+        self._table = table
+
+    def transact(
+            self,
+            checks: collections.abc.Sequence[table_service.Check],
+            puts: collections.abc.Sequence[table_service.Put] = (),
+            deletes: collections.abc.Sequence[str] = (),
+            *,
+            witness: str | None = None,
+            priority: Priority = Priority.NORMAL,
+            wait_s: float = _DEFAULT_WAIT_S
+    ) -> pykka.Future[table_service.Result]:
+        """Applies a conditional transaction.
+
+        Args:
+            checks: Conditions; each written row should be among them.
+            puts: Rows to write.
+            deletes: Keys to delete.
+            witness: Inserted row that settles a lost answer for good.
+            priority: Place among waiting operations.
+            wait_s: How long it may wait to be started.
+        """
+        transaction = table_service.Transaction(tuple(checks), tuple(puts),
+                                                tuple(deletes), witness)
+        return self._submit(store_budget.Operation.WRITE, priority, wait_s,
+                            lambda: self._table.transact(transaction))
+
+    def read(
+        self,
+        keys: collections.abc.Sequence[str],
+        *,
+        priority: Priority = Priority.NORMAL,
+        wait_s: float = _DEFAULT_WAIT_S
+    ) -> pykka.Future[tuple[table_service.Row, ...]]:
+        """Reads rows; absent ones have version 0."""
+        return self._submit(store_budget.Operation.READ, priority, wait_s,
+                            lambda: self._table.read(keys))
+
+    def scan(
+        self,
+        prefix: str,
+        limit: int = 1000,
+        after: str = "",
+        *,
+        priority: Priority = Priority.NORMAL,
+        wait_s: float = _DEFAULT_WAIT_S
+    ) -> pykka.Future[tuple[table_service.Row, ...]]:
+        """Reads rows under a prefix, in order of keys."""
+        return self._submit(store_budget.Operation.READ, priority, wait_s,
+                            lambda: self._table.scan(prefix, limit, after))
+
+    def write_row(
+            self,
+            key: str,
+            expected_version: int,
+            value: str,
+            wait_s: float = _DEFAULT_WAIT_S
+    ) -> pykka.Future[table_service.Result]:
+        """Writes one row by group commit, if it has the expected version."""
+        future: pykka.Future[table_service.Result] = pykka.ThreadingFuture()
+        transaction = table_service.Transaction(
+            (table_service.Check(key, expected_version),),
+            (table_service.Put(key, value),))
+        self._tell(_RowWrite(transaction,
+                             time.monotonic() + wait_s, future), future)
+        return future
+
+    def status(self) -> pykka.Future[Status]:
+        """Returns the state of the store as seen here."""
+        return self._actor.ask(_StatusRequest(), block=False)
+
+    def count_daemons(self, daemons: int) -> None:
+        """Sets the number of daemons that share the store."""
+        self._actor.tell(store_budget.DaemonsCounted(daemons))
+
+    def stop(self) -> None:
+        """Stops the actor; what waits is rejected."""
+        self._actor.stop()
+
+    def _submit(self, operation: store_budget.Operation, priority: Priority,
+                wait_s: float,
+                run: collections.abc.Callable[[], typing.Any]) -> pykka.Future:
+        future: pykka.Future[typing.Any] = pykka.ThreadingFuture()
+        self._tell(
+            _Job(operation, priority,
+                 time.monotonic() + wait_s, run, future), future)
+        return future
+
+    def _tell(self, message: _Job | _RowWrite, future: pykka.Future) -> None:
+        try:
+            self._actor.tell(message)
+        except pykka.ActorDeadError:
+            if isinstance(message, _Job):
+                _reject(message, errors.Code.STORE_UNAVAILABLE)
+            else:
+                future.set(_rejected(errors.Code.STORE_UNAVAILABLE))
+
+
+def start(address: str, client: str, seed: int) -> Client:
+    """Starts an actor for the table service at an address."""
+    table = table_service.Table(address, client)
+    return Client(StoreActor.start(table, seed), table)
+
+
+def _merged(group: list[_RowWrite]) -> table_service.Transaction:
+    """Returns one transaction for all rows of a group."""
+    transactions = [write.transaction for write in group]
+    return table_service.Transaction(
+        tuple(check for item in transactions for check in item.checks),
+        tuple(put for item in transactions for put in item.puts))
+
+
+def _health(ended: _Ended) -> store_budget.Health:
+    code = ended.error.code if ended.error is not None else getattr(
+        ended.value, "code", None)
+    return {
+        errors.Code.STORE_UNAVAILABLE: store_budget.Health.FAILED,
+        errors.Code.STORE_THROTTLED: store_budget.Health.THROTTLED
+    }.get(code, store_budget.Health.ANSWERED)
+
+
+def _reject(job: _Job, code: errors.Code) -> None:
+    if job.operation == store_budget.Operation.WRITE:
+        job.future.set(_rejected(code))
+        return
+    error = errors.StoreError(code, "the store takes no operation now",
+                              errors.RunState.NOT_RUN)
+    job.future.set_exception((type(error), error, None))
+
+
+def _rejected(code: errors.Code) -> table_service.Result:
+    return table_service.Result(table_service.Outcome.NOT_APPLIED, code)
--- /dev/null
+++ b/persimmonspan/process/store_budget.py
@@ -0,0 +1,261 @@
+"""Which store operations a daemon starts now: budgets and circuit breaker.
+
+The store takes several hundred writes and about 2,000 reads a second from all
+daemons together. Each daemon takes an equal share of `TOTAL_WRITES_PER_S` and
+`TOTAL_READS_PER_S` through a token bucket for each; what exceeds the share
+waits, urgent operations first, until its deadline.
+
+The circuit breaker opens after `_FAILURES_TO_OPEN` failures in a row; then all
+operations are rejected at once. After a jittered, growing pause one waiting
+operation is let through as a probe. When the probe succeeds, the breaker closes
+and the budget grows from `_RAMP_START` of the share to all of it within a
+jittered ramp; 330 daemons that find the store up at the same moment thus start
+with a fraction of its capacity. A throttled operation restarts the ramp.
+
+Events: `Requested`, `Finished`, `DaemonsCounted`, `Tick`. Commands: `Start`,
+`Reject`. `Requested` is answered by one `Start` or `Reject`, perhaps later;
+each `Start` must be answered by one `Finished`.
+
+References:
+    M. Nygard, "Release It!", chapter "Stability Patterns" (circuit breaker).
+"""
+
+import enum
+import functools
+import random
+import typing
+
+import immutables
+
+from persimmonspan import errors
+
+TOTAL_WRITES_PER_S = 300.0
+TOTAL_READS_PER_S = 1600.0
+_BURST_S = 0.5
+_MIN_BURST = 4.0
+_MAX_WAITING = 512
+_MAX_RUNNING = 6
+_FAILURES_TO_OPEN = 3
+_PAUSE_START_S = 0.5
+_PAUSE_MAX_S = 4.0
+_JITTER = 0.5
+_RAMP_S = 5.0
+_RAMP_START = 0.1
+
+
+class Operation(enum.StrEnum):
+    """What an operation costs: one write or one read."""
+
+    WRITE = "write"
+    READ = "read"
+
+
+class Priority(enum.IntEnum):
+    """Order in which waiting operations start."""
+
+    URGENT = 0  # Leases, member rows, the configuration head.
+    NORMAL = 1  # Claims and records of the ledger.
+    BACKGROUND = 2  # Late records, releases, scans.
+
+
+class Requested(typing.NamedTuple):
+    """A user wants to start an operation before the deadline."""
+
+    request_id: int
+    operation: Operation
+    priority: Priority
+    deadline_s: float
+
+
+class Health(enum.StrEnum):
+    """What the end of an operation says of the store."""
+
+    ANSWERED = "answered"
+    THROTTLED = "throttled"
+    FAILED = "failed"
+
+
+class Finished(typing.NamedTuple):
+    """A started operation ended."""
+
+    request_id: int
+    health: Health
+
+
+class DaemonsCounted(typing.NamedTuple):
+    """Number of registered daemons that share the store."""
+
+    daemons: int
+
+
+class Tick(typing.NamedTuple):
+    """Time passed."""
+
+
+class Start(typing.NamedTuple):
+    """Start the operation now."""
+
+    request_id: int
+
+
+class Reject(typing.NamedTuple):
+    """Do not start the operation; nothing was sent."""
+
+    request_id: int
+    code: errors.Code
+
+
+class Bucket(typing.NamedTuple):
+    """Token bucket; `tokens` as of `filled_s`."""
+
+    tokens: float = _MIN_BURST
+    filled_s: float = 0.0
+
+
+class State(typing.NamedTuple):
+    """State of the budget.
+
+    Attributes:
+        daemons: Daemons that share the store.
+        buckets: One for writes and one for reads.
+        waiting: Requests that wait, in order of arrival.
+        running: Ids of started operations.
+        failures: Failures in a row.
+        pause_s: Pause after the next failed probe; 0 while closed.
+        open_until_s: While the breaker is open, time of the next probe.
+        ramp_from_s: Time at which the breaker closed.
+        ramp_s: Length of the ramp after that.
+    """
+
+    daemons: int = 1
+    buckets: immutables.Map[Operation, Bucket] = immutables.Map({
+        Operation.WRITE: Bucket(),
+        Operation.READ: Bucket()
+    })
+    waiting: tuple[Requested, ...] = ()
+    running: frozenset[int] = frozenset()
+    failures: int = 0
+    pause_s: float = 0.0
+    open_until_s: float = 0.0
+    ramp_from_s: float = -_RAMP_S
+    ramp_s: float = _RAMP_S
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the breaker rejects operations."""
+        return self.pause_s > 0
+
+
+Event = Requested | Finished | DaemonsCounted | Tick
+Command = Start | Reject
+Result = tuple[State, list[Command]]
+
+
+def step(state: State, event: Event, now_s: float,
+         rng: random.Random) -> Result:
+    """Returns the next state and what to start or reject."""
+    state = _apply(event, state, now_s, rng)
+    return _dispatch(state, now_s)
+
+
+@functools.singledispatch
+def _apply(event: object, state: State, now_s: float,
+           rng: random.Random) -> State:
+    del event, now_s, rng
+    return state
+
+
+@_apply.register
+def _(event: Requested, state: State, now_s: float,
+      rng: random.Random) -> State:
+    del now_s, rng
+    return state._replace(waiting=state.waiting + (event,))
+
+
+@_apply.register
+def _(event: DaemonsCounted, state: State, now_s: float,
+      rng: random.Random) -> State:
+    del now_s, rng
+    return state._replace(daemons=max(1, event.daemons))
+
+
+@_apply.register
+def _(event: Finished, state: State, now_s: float,
+      rng: random.Random) -> State:
+    state = state._replace(running=state.running - {event.request_id})
+    if event.health != Health.FAILED:
+        if state.is_open or event.health == Health.THROTTLED:
+            jitter = 1 + _JITTER * rng.uniform(-1, 1)
+            state = state._replace(pause_s=0.0,
+                                   ramp_from_s=now_s,
+                                   ramp_s=_RAMP_S * jitter,
+                                   buckets=_empty(state, now_s))
+        return state._replace(failures=0)
+    failures = state.failures + 1
+    if failures < _FAILURES_TO_OPEN and not state.is_open:
+        return state._replace(failures=failures)
+    pause_s = min(_PAUSE_MAX_S, max(_PAUSE_START_S, 2 * state.pause_s))
+    jitter = 1 + _JITTER * rng.uniform(-1, 1)
+    return state._replace(failures=failures,
+                          pause_s=pause_s,
+                          open_until_s=now_s + pause_s * jitter)
+
+
+def rate_per_s(state: State, operation: Operation, now_s: float) -> float:
+    """Returns this daemon's share of an operation now, per second.
+
+    >>> round(rate_per_s(State(daemons=330), Operation.WRITE, 100.0), 2)
+    0.91
+    """
+    total = (TOTAL_WRITES_PER_S
+             if operation == Operation.WRITE else TOTAL_READS_PER_S)
+    progress = (now_s - state.ramp_from_s) / state.ramp_s
+    return total / state.daemons * min(1.0, max(_RAMP_START, progress))
+
+
+def _empty(state: State, now_s: float) -> immutables.Map[Operation, Bucket]:
+    """Returns buckets that hold one operation each, for the return."""
+    return immutables.Map(
+        {operation: Bucket(1.0, now_s) for operation in state.buckets})
+
+
+def _filled(state: State, operation: Operation, now_s: float) -> Bucket:
+    rate = rate_per_s(state, operation, now_s)
+    bucket = state.buckets[operation]
+    tokens = bucket.tokens + max(0.0, now_s - bucket.filled_s) * rate
+    return Bucket(min(max(_MIN_BURST, rate * _BURST_S), tokens), now_s)
+
+
+def _dispatch(state: State, now_s: float) -> Result:
+    commands: list[Command] = []
+    buckets = {
+        operation: _filled(state, operation, now_s)
+        for operation in state.buckets
+    }
+    running = set(state.running)
+    waiting = []
+    is_probing = False
+    for request in sorted(state.waiting, key=lambda item: item.priority):
+        can_probe = (state.is_open and now_s >= state.open_until_s and
+                     not running and not is_probing)
+        bucket = buckets[request.operation]
+        if state.is_open and not can_probe:
+            commands.append(
+                Reject(request.request_id, errors.Code.STORE_UNAVAILABLE))
+        elif request.deadline_s < now_s:
+            commands.append(
+                Reject(request.request_id, errors.Code.STORE_THROTTLED))
+        elif can_probe or (bucket.tokens >= 1 and len(running) < _MAX_RUNNING):
+            is_probing = is_probing or can_probe
+            buckets[request.operation] = bucket._replace(
+                tokens=max(0.0, bucket.tokens - 1))
+            running.add(request.request_id)
+            commands.append(Start(request.request_id))
+        else:
+            waiting.append(request)
+    commands.extend(
+        Reject(request.request_id, errors.Code.STORE_THROTTLED)
+        for request in waiting[_MAX_WAITING:])
+    return state._replace(buckets=immutables.Map(buckets),
+                          waiting=tuple(waiting[:_MAX_WAITING]),
+                          running=frozenset(running)), commands
--- /dev/null
+++ b/persimmonspan/process/tests/test_store_budget.py
@@ -0,0 +1,123 @@
+"""Guards the store against too many daemons and against their return."""
+
+import random
+
+from persimmonspan.process import store_budget
+
+_WRITE = store_budget.Operation.WRITE
+
+
+def _request(request_id, deadline_s, priority=store_budget.Priority.NORMAL):
+    return store_budget.Requested(request_id, _WRITE, priority, deadline_s)
+
+
+def _starts(commands):
+    return [
+        item.request_id
+        for item in commands
+        if isinstance(item, store_budget.Start)
+    ]
+
+
+def _finish(state, ids, health, now_s, rng):
+    started = []
+    for request_id in ids:
+        state, commands = store_budget.step(
+            state, store_budget.Finished(request_id, health), now_s, rng)
+        started += _starts(commands)
+    return state, started
+
+
+def _load(state, seconds, rng, start_s=0.0):
+    """Offers 100 writes a second to one daemon; returns starts per second."""
+    counts = []
+    for second in range(seconds):
+        count = 0
+        for i in range(100):
+            now_s = start_s + second + i / 100
+            state, commands = store_budget.step(
+                state, _request(second * 100 + i, now_s + 0.2), now_s, rng)
+            running = _starts(commands)
+            while running:
+                count += len(running)
+                state, running = _finish(state, running,
+                                         store_budget.Health.ANSWERED, now_s,
+                                         rng)
+        counts.append(count)
+    return state, counts
+
+
+def test_330_daemons_stay_under_several_hundred_writes():
+    rng = random.Random(1)
+    state, _ = store_budget.step(store_budget.State(),
+                                 store_budget.DaemonsCounted(330), 0.0, rng)
+    _, counts = _load(state, 30, rng)
+    assert sum(counts[10:]) / 20 * 330 <= store_budget.TOTAL_WRITES_PER_S * 1.05
+    assert sum(counts[10:]) > 0
+
+
+def test_8_daemons_get_their_whole_share():
+    rng = random.Random(1)
+    state, _ = store_budget.step(store_budget.State(),
+                                 store_budget.DaemonsCounted(8), 0.0, rng)
+    _, counts = _load(state, 20, rng)
+    assert sum(counts[10:]) / 10 * 8 >= store_budget.TOTAL_WRITES_PER_S * 0.9
+
+
+def _opened(rng, daemons):
+    state, _ = store_budget.step(store_budget.State(),
+                                 store_budget.DaemonsCounted(daemons), 0.0, rng)
+    for request_id in range(3):
+        state, commands = store_budget.step(state, _request(request_id, 9.0),
+                                            0.0, rng)
+        state, _ = _finish(state, _starts(commands), store_budget.Health.FAILED,
+                           0.0, rng)
+    return state
+
+
+def test_open_breaker_rejects_at_once_and_probes_one_at_a_time():
+    rng = random.Random(2)
+    state = _opened(rng, 8)
+    assert state.is_open
+    state, commands = store_budget.step(state, _request(10, 99.0), 0.01, rng)
+    assert commands == [store_budget.Reject(10, "store_unavailable")]
+    state, commands = store_budget.step(state, _request(11, 99.0), 5.0, rng)
+    assert _starts(commands) == [11]
+    state, commands = store_budget.step(state, _request(12, 99.0), 5.0, rng)
+    assert commands == [store_budget.Reject(12, "store_unavailable")]
+    state, _ = _finish(state, [11], store_budget.Health.ANSWERED, 5.1, rng)
+    assert not state.is_open
+
+
+def test_return_of_the_store_causes_no_stampede():
+    total = [0] * 12
+    probes = []
+    for seed in range(330):
+        rng = random.Random(seed)
+        state = _opened(rng, 330)
+        probes.append(round(state.open_until_s, 3))
+        state, commands = store_budget.step(state, _request(10, 99.0), 5.0, rng)
+        state, _ = _finish(state, _starts(commands),
+                           store_budget.Health.ANSWERED, 5.0, rng)
+        _, counts = _load(state, 12, rng, start_s=5.0)
+        total = [a + b for a, b in zip(total, counts)]
+    # Each daemon starts with one saved-up write; without the ramp it has four.
+    assert total[0] <= 2 * store_budget.TOTAL_WRITES_PER_S
+    assert max(total[1:]) <= 1.3 * store_budget.TOTAL_WRITES_PER_S
+    assert len(set(probes)) > 200
+
+
+def test_urgent_operations_start_first():
+    rng = random.Random(3)
+    state = store_budget.State()
+    waiting = []
+    for request_id in range(10):
+        priority = (store_budget.Priority.URGENT
+                    if request_id == 9 else store_budget.Priority.BACKGROUND)
+        state, commands = store_budget.step(state,
+                                            _request(request_id, 9.0, priority),
+                                            0.0, rng)
+        waiting += _starts(commands)
+    _, started = _finish(state, [waiting[0]], store_budget.Health.ANSWERED, 1.0,
+                         rng)
+    assert started[0] == 9
--- /dev/null
+++ b/persimmonspan/request/at_most_once.py
@@ -0,0 +1,286 @@
+"""Runs a non-idempotent call at most once.
+
+A request thread calls `run` directly before dispatch, with a callable that
+sends the call to the target the scheduler chose. `run` claims the key, calls
+the callable at most once, records the outcome, and returns the answer. A repeat
+gets the recorded answer without a dispatch.
+
+Interface: `run(context, request, dispatch) -> ledger_events.Answer`, raises
+`errors.PersimmonspanError`; one `Context` per process, over `Rows`
+(`store_actor.LedgerRows`). `dispatch(attempt)` returns the answer or raises
+`errors.TargetError`: with `RunState.NOT_RUN` if no byte was sent or the target
+confirmed that it did not run the call, otherwise the outcome is unknown.
+`Context.record_kept()` is to be called about once a second: it records what
+could not be recorded during an outage.
+
+An error with `run_state` `not_run` says that this request was not run. It says
+nothing of earlier requests with the same key; callers repeat under that key.
+
+See Also:
+    `persimmonspan.request.ledger`: the transitions.
+"""
+
+import collections.abc
+import contextlib
+import hashlib
+import logging
+import threading
+import time
+import typing
+import urllib.parse
+import uuid
+
+from persimmonspan import errors
+from persimmonspan.request import ledger
+from persimmonspan.request import ledger_events
+
+_MAX_KEY_CHARS = 200
+_MAX_KEPT = 20_000
+
+_logger = logging.getLogger(__name__)
+
+Dispatch = collections.abc.Callable[[str], ledger_events.Answer]
+
+
+class Rows(typing.Protocol):
+    """Ledger rows in the store; each method waits for its result."""
+
+    def write(self,
+              command: ledger_events.WriteRow) -> ledger_events.WriteEnded:
+        """Writes a row if it has the expected version; never raises."""
+
+    def read(self, key: str) -> ledger_events.Row:
+        """Reads a row; raises `errors.StoreError`."""
+
+
+class Request(typing.NamedTuple):
+    """A non-idempotent request.
+
+    Attributes:
+        workspace: Workspace of the caller.
+        idempotency_key: Key of the caller; None makes one up, which guards
+            against repeats by this system only.
+        digest: Digest of method, path and body; see `digest`.
+        deadline_s: Monotonic time after which it must not be dispatched.
+    """
+
+    workspace: str
+    idempotency_key: str | None
+    digest: str
+    deadline_s: float
+
+
+class Clock(typing.NamedTuple):
+    """Sources of time."""
+
+    monotonic: collections.abc.Callable[[], float] = time.monotonic
+    wall: collections.abc.Callable[[], float] = time.time
+    sleep: collections.abc.Callable[[float], None] = time.sleep
+
+
+def _is_never_gone(holder: ledger_events.Holder) -> bool:
+    del holder
+    return False
+
+
+def _count_nothing(reason: str) -> None:
+    del reason
+
+
+class Context:
+    """What the calls of one process share.
+
+    Args:
+        rows: Ledger rows in the store.
+        holder: Name and incarnation of this process.
+        is_gone: Whether another holder's process is known to have ended.
+        count: Raises the counter of a reason.
+        clock: Sources of time.
+    """
+
+    def __init__(
+        self,
+        rows: Rows,
+        holder: ledger_events.Holder,
+        is_gone: collections.abc.Callable[[ledger_events.Holder],
+                                          bool] = _is_never_gone,
+        count: collections.abc.Callable[[str], None] = _count_nothing,
+        clock: Clock = Clock()
+    ) -> None:
+        self.rows = rows
+        self.holder = holder
+        self.count = count
+        self.clock = clock
+        self._is_gone = is_gone
+        self._lock = threading.Lock()
+        self._kept: dict[str, list[ledger_events.RowDocument]] = {}
+        self._active: dict[str, int] = {}
+
+    @property
+    def kept_rows(self) -> int:
+        """Number of rows that wait to be recorded."""
+        with self._lock:
+            return sum(map(len, self._kept.values()))
+
+    def is_holder_gone(self, row: ledger_events.Row) -> bool:
+        """Returns whether the process that wrote a row is known to be gone."""
+        if row.document is None:
+            return False
+        holder = ledger_events.Holder(row.document["daemon"],
+                                      row.document["incarnation"])
+        if holder.daemon == self.holder.daemon:
+            return holder.incarnation != self.holder.incarnation
+        return self._is_gone(holder)
+
+    @contextlib.contextmanager
+    def calling(
+        self, request: Request
+    ) -> collections.abc.Iterator[tuple[ledger_events.Call,
+                                        ledger_events.Begin]]:
+        """Counts a call in and out; yields it with its first event."""
+        key = row_key(request.workspace, request.idempotency_key)
+        with self._lock:
+            kept = self._kept.get(key, [])
+            self._active[key] = self._active.get(key, 0) + 1
+            call = ledger_events.Call(
+                key, request.digest,
+                uuid.uuid4().hex, self.holder, request.deadline_s,
+                self.clock.wall(),
+                frozenset(item["attempt"]
+                          for item in kept
+                          if item["state"] == ledger_events.RowState.RELEASED),
+                self._active[key] > 1)
+            known = [
+                item for item in kept
+                if item["state"] != ledger_events.RowState.RELEASED
+            ]
+        try:
+            yield call, ledger_events.Begin(known[0] if known else None)
+        finally:
+            with self._lock:
+                self._active[key] -= 1
+                if not self._active[key]:
+                    del self._active[key]
+
+    def keep(self, command: ledger_events.Keep) -> None:
+        """Keeps a row until it can be recorded."""
+        with self._lock:
+            if len(self._kept) >= _MAX_KEPT and command.key not in self._kept:
+                # The row in the table stays claimed, hence unknown to repeats.
+                self.count("ledger_kept_dropped")
+                return
+            self._kept.setdefault(command.key, []).append(command.document)
+
+    def record_kept(self) -> int:
+        """Records kept rows; returns how many remain."""
+        with self._lock:
+            kept = [(key, item)
+                    for key, items in self._kept.items()
+                    for item in items]
+        for key, document in kept:
+            try:
+                write = ledger.next_write(key, document, self.rows.read(key))
+            except errors.StoreError:
+                break
+            if write is not None and not self.rows.write(write).is_applied:
+                continue
+            with self._lock:
+                self._kept[key].remove(document)
+                if not self._kept[key]:
+                    del self._kept[key]
+            self.count("ledger_recorded_late")
+        return self.kept_rows
+
+
+def run(context: Context, request: Request,
+        dispatch: Dispatch) -> ledger_events.Answer:
+    """Runs a call at most once and returns its answer.
+
+    Args:
+        context: What the calls of this process share.
+        request: The request.
+        dispatch: Sends the call to its target; it is called at most once, with
+            the attempt id.
+
+    Raises:
+        errors.PersimmonspanError: The call has no answer; `run_state` says
+            whether it was run.
+    """
+    with context.calling(request) as (call, event):
+        state = ledger.State(call)
+        pending: list[ledger_events.Event] = [event]
+        while True:
+            state, commands = ledger.step(state, pending.pop(0),
+                                          context.clock.monotonic())
+            for command in commands:
+                if isinstance(command, ledger_events.Respond):
+                    return command.answer
+                if isinstance(command, ledger_events.Refuse):
+                    context.count(f"ledger_{command.code}")
+                    raise errors.PersimmonspanError(command.code,
+                                                    command.message,
+                                                    command.run_state,
+                                                    command.retry_after_s)
+                pending.extend(_carry_out(context, command, dispatch))
+
+
+def digest(method: str, path: str, body: bytes) -> str:
+    """Returns the digest by which a repeat with another body is recognised."""
+    head = f"{method} {path}\n".encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def row_key(workspace: str, idempotency_key: str | None) -> str:
+    """Returns the key of a call's ledger row.
+
+    >>> row_key("lima", "fee/7")
+    'ledger/lima/k-fee%2F7'
+
+    Raises:
+        errors.RefusalError: The idempotency key is empty or too long.
+    """
+    if idempotency_key is None:
+        return f"{ledger_events.PREFIX}{workspace}/g-{uuid.uuid4().hex}"
+    if not 0 < len(idempotency_key) <= _MAX_KEY_CHARS:
+        raise errors.RefusalError(
+            errors.Code.BAD_REQUEST,
+            f"Idempotency-Key must have 1 to {_MAX_KEY_CHARS} characters, "
+            f"got {len(idempotency_key)}")
+    name = urllib.parse.quote(idempotency_key, safe="")
+    return f"{ledger_events.PREFIX}{workspace}/k-{name}"
+
+
+def _carry_out(context: Context, command: ledger_events.Command,
+               dispatch: Dispatch) -> list[ledger_events.Event]:
+    if isinstance(command, ledger_events.WriteRow):
+        return [context.rows.write(command)]
+    if isinstance(command, ledger_events.ReadRow):
+        context.clock.sleep(command.delay_s)
+        try:
+            row = context.rows.read(command.key)
+        except errors.StoreError:
+            return [ledger_events.ReadFailed()]
+        return [ledger_events.RowRead(row, context.is_holder_gone(row))]
+    if isinstance(command, ledger_events.Dispatch):
+        if context.clock.monotonic() > command.not_after_s:
+            return [ledger_events.DispatchLate()]
+        return [_dispatch(command, dispatch)]
+    if isinstance(command, ledger_events.Keep):
+        context.keep(command)
+    elif isinstance(command, ledger_events.Count):
+        context.count(command.reason)
+    return []
+
+
+def _dispatch(command: ledger_events.Dispatch,
+              dispatch: Dispatch) -> ledger_events.Event:
+    try:
+        return ledger_events.TargetAnswered(dispatch(command.attempt))
+    except errors.TargetError as error:
+        if error.run_state == errors.RunState.NOT_RUN:
+            return ledger_events.TargetNotRun(str(error))
+        return ledger_events.TargetSilent(str(error))
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        # The call may have been sent, so whatever failed leaves it unknown.
+        _logger.exception("dispatch failed")
+        return ledger_events.TargetSilent(f"dispatch failed: {error}")
--- /dev/null
+++ b/persimmonspan/request/ledger.py
@@ -0,0 +1,369 @@
+"""State transitions of a non-idempotent call.
+
+A call claims its key by a conditional insert directly before dispatch. The row
+names the one attempt that may be dispatched, and a row in state `CLAIMED`
+belongs to that attempt for good: no timeout hands it to another. The row moves
+to `RECORDED` with the answer, to `UNKNOWN` if the target's answer was lost, or
+to `RELEASED` if the target certainly did not run the call; only a released row
+may be claimed again, by a conditional write on its version.
+
+A released row stays in the table, because an insert that is still under way
+must not find the row absent.
+
+`step` handles one `Call` from `Begin` to `Answer` or `Refuse`; the runner of
+`persimmonspan.request.at_most_once` carries out the commands. `Keep` hands over
+a row that could not be written; `next_write` says how to write it later.
+`docs/design/ledger.md` lists each fault and its outcome.
+
+>>> holder = ledger_events.Holder("daemon-1", "i1")
+>>> call = ledger_events.Call("ledger/lima/k-7", "d1g3st", "a1", holder, 9.0)
+>>> state, commands = step(State(call), ledger_events.Begin(), 0.0)
+>>> type(commands[0]).__name__, commands[0].expected_version
+('WriteRow', 0)
+>>> applied = ledger_events.WriteEnded(True, version=4)
+>>> type(step(state, applied, 0.1)[1][0]).__name__
+'Dispatch'
+"""
+
+import enum
+import functools
+import random
+import typing
+
+from persimmonspan import errors
+from persimmonspan.request import ledger_events
+
+CLAIM_FRESH_S = 2.0
+_WAIT_S = 1.5
+_POLL_S = 0.15
+_RETRY_AFTER_S = 2.0
+
+
+class Phase(enum.StrEnum):
+    """What the call waits for."""
+
+    START = "start"
+    CLAIM = "claim"
+    VERIFY = "verify"
+    WAIT = "wait"
+    DISPATCH = "dispatch"
+    RECORD = "record"
+    DONE = "done"
+
+
+class State(typing.NamedTuple):
+    """State of one call.
+
+    Attributes:
+        call: The call.
+        phase: What it waits for.
+        version: Version of the claimed row.
+        asked_s: When the last write or read was asked for.
+        wait_until_s: Until when to wait for another attempt's record.
+        final: The row to write when the attempt has ended.
+        end: What to tell the caller after that write.
+    """
+
+    call: ledger_events.Call
+    phase: Phase = Phase.START
+    version: int = 0
+    asked_s: float = 0.0
+    wait_until_s: float = 0.0
+    final: ledger_events.RowDocument | None = None
+    end: ledger_events.Respond | ledger_events.Refuse | None = None
+
+
+Result = tuple[State, list[ledger_events.Command]]
+
+
+def step(state: State,
+         event: ledger_events.Event,
+         now_s: float,
+         rng: random.Random | None = None) -> Result:
+    """Returns the next state and commands; an ended call ignores events."""
+    del rng  # No transition is random.
+    if state.phase == Phase.DONE:
+        return state, []
+    return _step(event, state, now_s)
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    del event, now_s
+    return state, []
+
+
+@_step.register
+def _(event: ledger_events.Begin, state: State, now_s: float) -> Result:
+    state = state._replace(wait_until_s=now_s + _WAIT_S)
+    if event.kept is not None:
+        end = _known(state.call, event.kept)
+        if end is not None:
+            return _end(state, end)
+    return _claim(state, 0, now_s)
+
+
+@_step.register
+def _(event: ledger_events.WriteEnded, state: State, now_s: float) -> Result:
+    if state.phase == Phase.CLAIM:
+        return _claim_ended(event, state, now_s)
+    if state.phase == Phase.RECORD:
+        return _record_ended(event, state)
+    return state, []
+
+
+@_step.register
+def _(event: ledger_events.RowRead, state: State, now_s: float) -> Result:
+    row = event.row
+    if state.phase == Phase.VERIFY:
+        if _is_own(state, row):
+            return _dispatch(state._replace(version=row.version), now_s)
+        return _taken(state, row, now_s)
+    if state.phase != Phase.WAIT:
+        return state, []
+    if event.is_holder_gone and _is_claimed(row):
+        end = _known(state.call, row.document) if row.document else None
+        return _end(state, end or
+                    _unknown("the daemon that ran this call is gone"))
+    return _taken(state, row, now_s)
+
+
+@_step.register
+def _(event: ledger_events.ReadFailed, state: State, now_s: float) -> Result:
+    del event
+    if state.phase == Phase.VERIFY:
+        return _give_up(state, errors.Code.STORE_UNAVAILABLE,
+                        "the claim could not be verified")
+    if state.phase == Phase.WAIT:
+        return _wait(state, now_s)
+    return state, []
+
+
+@_step.register
+def _(event: ledger_events.DispatchLate, state: State, now_s: float) -> Result:
+    del event
+    if state.phase != Phase.DISPATCH:
+        return state, []
+    return _verify(state, now_s)
+
+
+@_step.register
+def _(event: ledger_events.TargetAnswered, state: State,
+      now_s: float) -> Result:
+    document = _document(state.call, ledger_events.RowState.RECORDED,
+                         event.answer)
+    return _record(state, document, ledger_events.Respond(event.answer), now_s)
+
+
+@_step.register
+def _(event: ledger_events.TargetNotRun, state: State, now_s: float) -> Result:
+    document = _document(state.call,
+                         ledger_events.RowState.RELEASED,
+                         note=event.message)
+    end = _not_run(errors.Code.TARGET_FAILED, event.message)
+    return _record(state, document, end, now_s)
+
+
+@_step.register
+def _(event: ledger_events.TargetSilent, state: State, now_s: float) -> Result:
+    document = _document(state.call,
+                         ledger_events.RowState.UNKNOWN,
+                         note=event.message)
+    return _record(state, document, _unknown(event.message), now_s)
+
+
+def next_write(key: str, kept: ledger_events.RowDocument,
+               row: ledger_events.Row) -> ledger_events.WriteRow | None:
+    """Returns the write that brings a kept row into the table, if needed.
+
+    An absent row is written too: a release then keeps the claim's insert, which
+    may still be under way, from taking effect.
+
+    >>> kept = ledger_events.RowDocument(
+    ...     state="released", attempt="a1", daemon="d", incarnation="i",
+    ...     digest="x", claimed_at_s=0.0, answer=None, note="")
+    >>> other = ledger_events.Row(3, {**kept, "attempt": "a2"})
+    >>> next_write("k", kept, other) is None
+    True
+    >>> next_write("k", kept, ledger_events.Row(0, None)).expected_version
+    0
+    """
+    if row.document is not None and not (
+            _is_claimed(row) and row.document["attempt"] == kept["attempt"]):
+        return None
+    return ledger_events.WriteRow(key, row.version, kept)
+
+
+def _claim(state: State, expected_version: int, now_s: float) -> Result:
+    if now_s > state.call.deadline_s:
+        return _end(
+            state,
+            _not_run(errors.Code.DEADLINE_EXCEEDED,
+                     "the deadline passed before the claim"))
+    document = _document(state.call, ledger_events.RowState.CLAIMED)
+    return state._replace(phase=Phase.CLAIM, asked_s=now_s), [
+        ledger_events.WriteRow(state.call.key, expected_version, document)
+    ]
+
+
+def _claim_ended(event: ledger_events.WriteEnded, state: State,
+                 now_s: float) -> Result:
+    if event.is_applied:
+        return _dispatch(state._replace(version=event.version), now_s)
+    if event.conflict is not None:
+        if _is_own(state, event.conflict):
+            return _dispatch(state._replace(version=event.conflict.version),
+                             now_s)
+        return _taken(state, event.conflict, now_s)
+    end = (_in_progress() if state.call.has_rival else _not_run(
+        errors.Code.STORE_UNAVAILABLE, "the ledger did not take the claim"))
+    if event.is_applied is None:
+        released = _document(state.call,
+                             ledger_events.RowState.RELEASED,
+                             note="no claim")
+        return _end(state, end, ledger_events.Keep(state.call.key, released))
+    return _end(state, end)
+
+
+def _taken(state: State, row: ledger_events.Row, now_s: float) -> Result:
+    """Handles a row that another attempt wrote."""
+    document = row.document
+    if document is None or document[
+            "state"] == ledger_events.RowState.RELEASED or (
+                _is_claimed(row) and
+                document["attempt"] in state.call.abandoned):
+        return _claim(state, row.version, now_s)
+    end = _known(state.call, document)
+    return _end(state, end) if end is not None else _wait(state, now_s)
+
+
+def _known(
+    call: ledger_events.Call, document: ledger_events.RowDocument
+) -> ledger_events.Respond | ledger_events.Refuse | None:
+    """Returns the end that a row gives to a repeat, or None."""
+    if document["state"] == ledger_events.RowState.RELEASED:
+        return None
+    if document["digest"] != call.digest:
+        return _not_run(errors.Code.IDEMPOTENCY_KEY_REUSED,
+                        "the idempotency key belongs to another request")
+    if document["state"] == ledger_events.RowState.RECORDED and document[
+            "answer"]:
+        return ledger_events.Respond(document["answer"])
+    if document["state"] == ledger_events.RowState.UNKNOWN:
+        return _unknown("an earlier attempt was sent and not answered")
+    return None
+
+
+def _wait(state: State, now_s: float) -> Result:
+    if now_s >= min(state.wait_until_s, state.call.deadline_s):
+        return _end(state, _in_progress())
+    return state._replace(phase=Phase.WAIT, asked_s=now_s), [
+        ledger_events.ReadRow(state.call.key, _POLL_S)
+    ]
+
+
+def _dispatch(state: State, now_s: float) -> Result:
+    if now_s > state.call.deadline_s:
+        return _give_up(state, errors.Code.DEADLINE_EXCEEDED,
+                        "the deadline passed before the dispatch")
+    if now_s - state.asked_s > CLAIM_FRESH_S:
+        return _verify(state, now_s)
+    return state._replace(phase=Phase.DISPATCH), [
+        ledger_events.Dispatch(
+            state.call.attempt,
+            min(state.call.deadline_s, state.asked_s + CLAIM_FRESH_S))
+    ]
+
+
+def _verify(state: State, now_s: float) -> Result:
+    """Re-reads an old claim, which an operator may have settled meanwhile."""
+    if now_s > state.call.deadline_s:
+        return _give_up(state, errors.Code.DEADLINE_EXCEEDED,
+                        "the deadline passed before the dispatch")
+    return state._replace(phase=Phase.VERIFY, asked_s=now_s), [
+        ledger_events.ReadRow(state.call.key, 0.0)
+    ]
+
+
+def _give_up(state: State, code: errors.Code, message: str) -> Result:
+    """Releases a claim that was not dispatched."""
+    document = _document(state.call,
+                         ledger_events.RowState.RELEASED,
+                         note=message)
+    end = _not_run(code, message)
+    return state._replace(phase=Phase.RECORD, final=document, end=end), [
+        ledger_events.WriteRow(state.call.key, state.version, document)
+    ]
+
+
+def _record(state: State, document: ledger_events.RowDocument,
+            end: ledger_events.Respond | ledger_events.Refuse,
+            now_s: float) -> Result:
+    if state.phase != Phase.DISPATCH:
+        return state, [ledger_events.Count("ledger_unexpected_answer")]
+    return state._replace(phase=Phase.RECORD,
+                          final=document,
+                          end=end,
+                          asked_s=now_s), [
+                              ledger_events.WriteRow(state.call.key,
+                                                     state.version, document)
+                          ]
+
+
+def _record_ended(event: ledger_events.WriteEnded, state: State) -> Result:
+    assert state.final is not None and state.end is not None
+    if event.is_applied:
+        return _end(state, state.end)
+    if event.conflict is None:
+        return _end(state, state.end,
+                    ledger_events.Keep(state.call.key, state.final))
+    if event.conflict.document == state.final:
+        return _end(state, state.end)
+    return _end(state, state.end,
+                ledger_events.Count("ledger_record_superseded"))
+
+
+def _end(state: State, end: ledger_events.Respond | ledger_events.Refuse,
+         *before: ledger_events.Command) -> Result:
+    return state._replace(phase=Phase.DONE), [*before, end]
+
+
+def _is_claimed(row: ledger_events.Row) -> bool:
+    return row.document is not None and (row.document["state"]
+                                         == ledger_events.RowState.CLAIMED)
+
+
+def _is_own(state: State, row: ledger_events.Row) -> bool:
+    return (_is_claimed(row) and row.document is not None and
+            row.document["attempt"] == state.call.attempt)
+
+
+def _not_run(code: errors.Code, message: str) -> ledger_events.Refuse:
+    return ledger_events.Refuse(code, message, errors.RunState.NOT_RUN,
+                                _RETRY_AFTER_S)
+
+
+def _in_progress() -> ledger_events.Refuse:
+    return ledger_events.Refuse(
+        errors.Code.IN_PROGRESS,
+        "another attempt of this call is not recorded yet",
+        errors.RunState.UNKNOWN, _RETRY_AFTER_S)
+
+
+def _unknown(message: str) -> ledger_events.Refuse:
+    return ledger_events.Refuse(errors.Code.OUTCOME_UNKNOWN, message,
+                                errors.RunState.UNKNOWN)
+
+
+def _document(call: ledger_events.Call,
+              state: ledger_events.RowState,
+              answer: ledger_events.Answer | None = None,
+              note: str = "") -> ledger_events.RowDocument:
+    return ledger_events.RowDocument(state=state.value,
+                                     attempt=call.attempt,
+                                     daemon=call.holder.daemon,
+                                     incarnation=call.holder.incarnation,
+                                     digest=call.digest,
+                                     claimed_at_s=call.claimed_at_s,
+                                     answer=answer,
+                                     note=note)
--- /dev/null
+++ b/persimmonspan/request/ledger_events.py
@@ -0,0 +1,207 @@
+"""Rows, events and commands of the ledger.
+
+All values are immutable. A row of the table holds a `RowDocument` as JSON.
+Times named `*_s` are monotonic seconds unless stated otherwise.
+
+See Also:
+    `persimmonspan.request.ledger`: the transitions.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from persimmonspan import errors
+
+PREFIX = "ledger/"
+
+
+class RowState(enum.StrEnum):
+    """State of a ledger row."""
+
+    CLAIMED = "claimed"
+    RECORDED = "recorded"
+    UNKNOWN = "unknown"
+    RELEASED = "released"
+
+
+class Answer(typing.NamedTuple):
+    """The answer of a plain service as given to callers."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class RowDocument(typing.TypedDict):
+    """Value of a ledger row; `claimed_at_s` is wall time, for operators."""
+
+    state: str
+    attempt: str
+    daemon: str
+    incarnation: str
+    digest: str
+    claimed_at_s: float
+    answer: Answer | None
+    note: str
+
+
+class Row(typing.NamedTuple):
+    """A ledger row as read; `document` is None if the row is absent."""
+
+    version: int
+    document: RowDocument | None
+
+
+class Holder(typing.NamedTuple):
+    """The process that makes an attempt."""
+
+    daemon: str
+    incarnation: str
+
+
+class Call(typing.NamedTuple):
+    """One attempt to run a non-idempotent call.
+
+    Attributes:
+        key: Row key, from workspace and idempotency key.
+        digest: Digest of the request, in hex.
+        attempt: Id of this attempt, never used again.
+        holder: This process.
+        deadline_s: Monotonic time after which it is not dispatched.
+        claimed_at_s: Wall time, for operators only.
+        abandoned: Attempts on the key that this process claimed, perhaps, and
+            will never dispatch.
+        has_rival: Whether this process runs another attempt on the key.
+    """
+
+    key: str
+    digest: str
+    attempt: str
+    holder: Holder
+    deadline_s: float
+    claimed_at_s: float = 0.0
+    abandoned: frozenset[str] = frozenset()
+    has_rival: bool = False
+
+
+class Begin(typing.NamedTuple):
+    """The call starts; `kept` is what this process could not yet record."""
+
+    kept: RowDocument | None = None
+
+
+class WriteEnded(typing.NamedTuple):
+    """A `WriteRow` ended.
+
+    Attributes:
+        is_applied: True, False, or None if it is not known.
+        version: Version of the row if applied.
+        conflict: The row as it is, if it stood in the way.
+    """
+
+    is_applied: bool | None
+    version: int = 0
+    conflict: Row | None = None
+
+
+class RowRead(typing.NamedTuple):
+    """A `ReadRow` succeeded; `is_holder_gone` if its holder is known dead."""
+
+    row: Row
+    is_holder_gone: bool = False
+
+
+class ReadFailed(typing.NamedTuple):
+    """A `ReadRow` failed."""
+
+
+class DispatchLate(typing.NamedTuple):
+    """The time to dispatch passed before the dispatch, as after a pause."""
+
+
+class TargetAnswered(typing.NamedTuple):
+    """The target answered this call."""
+
+    answer: Answer
+
+
+class TargetNotRun(typing.NamedTuple):
+    """No byte was sent, or the target confirmed that it did not run it."""
+
+    message: str
+
+
+class TargetSilent(typing.NamedTuple):
+    """The call was sent, and no answer to it came."""
+
+    message: str
+
+
+class WriteRow(typing.NamedTuple):
+    """Write the row if it has the expected version; 0 means absent."""
+
+    key: str
+    expected_version: int
+    document: RowDocument
+
+
+class ReadRow(typing.NamedTuple):
+    """Read the row after a delay."""
+
+    key: str
+    delay_s: float
+
+
+class Dispatch(typing.NamedTuple):
+    """Send the call to the target once, unless `not_after_s` has passed."""
+
+    attempt: str
+    not_after_s: float
+
+
+class Respond(typing.NamedTuple):
+    """End the call with an answer."""
+
+    answer: Answer
+
+
+class Refuse(typing.NamedTuple):
+    """End the call with an error."""
+
+    code: errors.Code
+    message: str
+    run_state: errors.RunState
+    retry_after_s: float | None = None
+
+
+class Keep(typing.NamedTuple):
+    """Write this row later; answer repeats from it until then."""
+
+    key: str
+    document: RowDocument
+
+
+class Count(typing.NamedTuple):
+    """Raise the counter of a reason."""
+
+    reason: str
+
+
+Event = (Begin | WriteEnded | RowRead | ReadFailed | DispatchLate |
+         TargetAnswered | TargetNotRun | TargetSilent)
+Command = WriteRow | ReadRow | Dispatch | Respond | Refuse | Keep | Count
+
+
+def encode(document: RowDocument) -> str:
+    """Returns the value of a ledger row."""
+    return msgspec.json.encode(document).decode()
+
+
+_decoder = msgspec.json.Decoder(RowDocument)
+
+
+def decode(version: int, value: str) -> Row:
+    """Returns a row from its version and value."""
+    return Row(version, _decoder.decode(value) if version else None)
--- /dev/null
+++ b/testbed/platform.py
@@ -0,0 +1,340 @@
+"""Stand-in for the platform: table service, object store, VM list, weights.
+
+All state is in the memory of one process. Faults are set by flags and by
+`POST /fault` with a `FaultDocument`; each field that is present replaces the
+one in force. `GET /stats` counts reads and writes per client, taken from the
+header `X-Client`.
+"""
+
+import argparse
+import bisect
+import http
+import random
+import threading
+import time
+import typing
+
+import msgspec
+from cheroot import server
+
+from persimmonspan.connection import table_service
+from persimmonspan.connection import vm_list
+
+_THREADS = 48
+_MS_PER_S = 1000.0
+_WEIGHT_CHUNK_BYTES = 64 * 1024
+_UNTHROTTLED = 1e9
+
+
+class FaultDocument(typing.TypedDict, total=False):
+    """Faults of the stand-in.
+
+    `down_s` refuses requests for a time; `delay_ms` is added to each answer;
+    `lost_answers` is the share of writes that take effect and are not answered;
+    `late_writes` is the share of writes that time out at the client and take
+    effect `late_ms` later.
+    """
+
+    down_s: float
+    delay_ms: float
+    lost_answers: float
+    late_writes: float
+    late_ms: float
+    writes_per_s: float
+    reads_per_s: float
+
+
+class Throttle:
+    """Token bucket that holds one second's worth."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._tokens = rate_per_s
+        self._last_s = time.monotonic()
+
+    def take(self) -> bool:
+        """Returns whether one more operation is allowed now."""
+        now_s = time.monotonic()
+        self._tokens = min(
+            self._rate_per_s,
+            self._tokens + (now_s - self._last_s) * self._rate_per_s)
+        self._last_s = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Table:
+    """Rows with versions; a version is never used twice."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, table_service.RowDocument] = {}
+        self._keys: list[str] = []
+        self._version = 0
+
+    def transact(
+        self, body: table_service.TransactDocument
+    ) -> tuple[int, list[table_service.RowDocument]]:
+        """Returns the new version, or 0 and the rows that conflict."""
+        conflicts = [
+            row for check, row in zip(
+                body["checks"],
+                self.read([check["key"] for check in body["checks"]]))
+            if row["version"] != check["version"]
+        ]
+        if conflicts:
+            return 0, conflicts
+        self._version += 1
+        for put in body["puts"]:
+            if put["key"] not in self._rows:
+                bisect.insort(self._keys, put["key"])
+            self._rows[put["key"]] = table_service.RowDocument(
+                key=put["key"],
+                value=put["value"],
+                version=self._version,
+                write_id=body["write_id"])
+        for key in body["deletes"]:
+            if self._rows.pop(key, None) is not None:
+                self._keys.pop(bisect.bisect_left(self._keys, key))
+        return self._version, []
+
+    def read(self, keys: list[str]) -> list[table_service.RowDocument]:
+        """Returns one row a key; absent rows have version 0."""
+        return [
+            self._rows.get(key) or
+            table_service.RowDocument(key=key, value="", version=0, write_id="")
+            for key in keys
+        ]
+
+    def scan(
+            self, body: table_service.ScanDocument
+    ) -> list[table_service.RowDocument]:
+        """Returns rows under the prefix and after the key `after`."""
+        start = max(bisect.bisect_left(self._keys, body["prefix"]),
+                    bisect.bisect_right(self._keys, body["after"]))
+        keys = self._keys[start:start + body["limit"]]
+        return [
+            self._rows[key] for key in keys if key.startswith(body["prefix"])
+        ]
+
+
+class Platform:
+    """State and faults of the stand-in."""
+
+    def __init__(self, fault: FaultDocument, vm_lag_s: float, weight_bytes: int,
+                 weight_bytes_per_s: float, seed: int) -> None:
+        self.lock = threading.Lock()
+        self.weight_lock = threading.Lock()
+        self.table = Table()
+        self.objects: dict[str, bytes] = {}
+        self.weight_bytes = weight_bytes
+        self.weight_bytes_per_s = weight_bytes_per_s
+        self.fault: FaultDocument = {}
+        self._stats: dict[str, dict[str, int]] = {}
+        self._vms: list[tuple[float, list[vm_list.VmDocument]]] = [(0.0, [])]
+        self._vm_lag_s = vm_lag_s
+        self._down_until_s = 0.0
+        self._rng = random.Random(seed)
+        self._throttles = {
+            "reads": Throttle(_UNTHROTTLED),
+            "writes": Throttle(_UNTHROTTLED)
+        }
+        self.set_fault(fault)
+
+    def set_fault(self, fault: FaultDocument) -> None:
+        """Replaces the faults that are named."""
+        with self.lock:
+            self.fault |= fault
+            if "down_s" in fault:
+                self._down_until_s = time.monotonic() + fault["down_s"]
+            for name in ("reads", "writes"):
+                if f"{name}_per_s" in fault:
+                    self._throttles[name] = Throttle(fault[f"{name}_per_s"])
+
+    def is_down(self) -> bool:
+        """Returns whether the stand-in refuses requests now."""
+        return time.monotonic() < self._down_until_s
+
+    def admit(self, client: str, operation: str) -> bool:
+        """Counts an operation and returns whether the throttle lets it by."""
+        with self.lock:
+            counts = self._stats.setdefault(client, {})
+            counts[operation] = counts.get(operation, 0) + 1
+            is_admitted = self._throttles[operation].take()
+            if not is_admitted:
+                name = f"{operation}_throttled"
+                counts[name] = counts.get(name, 0) + 1
+            return is_admitted
+
+    def happens(self, name: str) -> bool:
+        """Returns whether a fault with a share strikes now."""
+        with self.lock:
+            return self._rng.random() < self.fault.get(name, 0.0)
+
+    def stats(self) -> dict[str, dict[str, int]]:
+        """Returns counts per client."""
+        with self.lock:
+            return {client: dict(item) for client, item in self._stats.items()}
+
+    def set_vms(self, vms: list[vm_list.VmDocument]) -> None:
+        """Sets the true list, which readers see after the lag."""
+        with self.lock:
+            self._vms.append((time.monotonic() + self._vm_lag_s, vms))
+
+    def vms(self) -> list[vm_list.VmDocument]:
+        """Returns the list as readers see it now."""
+        with self.lock:
+            now_s = time.monotonic()
+            return [vms for since_s, vms in self._vms if since_s <= now_s][-1]
+
+
+class _Request:
+    """One HTTP request to the stand-in."""
+
+    def __init__(self, request: server.HTTPRequest, state: Platform) -> None:
+        self._request = request
+        self._state = state
+        self._path = request.path.decode()
+        self._client = request.inheaders.get(
+            table_service.CLIENT_HEADER.encode(), b"-").decode()
+
+    def respond(self) -> None:
+        """Serves the request."""
+        body = self._request.rfile.read()
+        if self._path in ("/fault", "/stats", "/vms"):
+            self._control(body)
+            return
+        time.sleep(self._state.fault.get("delay_ms", 0.0) / _MS_PER_S)
+        if self._state.is_down():
+            self._answer(http.HTTPStatus.SERVICE_UNAVAILABLE, {})
+        elif self._path.startswith("/objects/"):
+            self._object(body)
+        elif self._path == "/v1/vms":
+            self._answer(http.HTTPStatus.OK, {"vms": self._state.vms()})
+        elif self._path.startswith("/v1/weights/"):
+            self._weights()
+        elif self._path == "/v1/transact":
+            self._transact(body)
+        elif self._path in ("/v1/read", "/v1/scan"):
+            self._rows(body)
+        else:
+            self._answer(http.HTTPStatus.NOT_FOUND, {})
+
+    def _control(self, body: bytes) -> None:
+        if self._path == "/fault":
+            self._state.set_fault(msgspec.json.decode(body, type=FaultDocument))
+        elif self._path == "/vms":
+            self._state.set_vms(
+                msgspec.json.decode(body, type=vm_list.VmListDocument)["vms"])
+        self._answer(http.HTTPStatus.OK, self._state.stats())
+
+    def _transact(self, body: bytes) -> None:
+        document = msgspec.json.decode(body,
+                                       type=table_service.TransactDocument)
+        if not self._state.admit(self._client, "writes"):
+            self._answer(http.HTTPStatus.TOO_MANY_REQUESTS, {})
+            return
+        is_late = self._state.happens("late_writes")
+        if is_late:
+            time.sleep(self._state.fault.get("late_ms", 0.0) / _MS_PER_S)
+        with self._state.lock:
+            version, conflicts = self._state.table.transact(document)
+        if is_late or self._state.happens("lost_answers"):
+            self._drop()
+        elif conflicts:
+            self._answer(http.HTTPStatus.CONFLICT, {"rows": conflicts})
+        else:
+            self._answer(http.HTTPStatus.OK, {"version": version})
+
+    def _rows(self, body: bytes) -> None:
+        if not self._state.admit(self._client, "reads"):
+            self._answer(http.HTTPStatus.TOO_MANY_REQUESTS, {})
+            return
+        with self._state.lock:
+            if self._path == "/v1/read":
+                rows = self._state.table.read(
+                    msgspec.json.decode(
+                        body, type=table_service.ReadDocument)["keys"])
+            else:
+                rows = self._state.table.scan(
+                    msgspec.json.decode(body, type=table_service.ScanDocument))
+        self._answer(http.HTTPStatus.OK, {"rows": rows})
+
+    def _object(self, body: bytes) -> None:
+        name = self._path.removeprefix("/objects/")
+        if self._request.method == b"PUT":
+            self._state.objects[name] = body
+            self._answer(http.HTTPStatus.OK, {})
+        elif name in self._state.objects:
+            self._send(http.HTTPStatus.OK, self._state.objects[name])
+        else:
+            self._answer(http.HTTPStatus.NOT_FOUND, {})
+
+    def _weights(self) -> None:
+        size = self._state.weight_bytes
+        self._start(http.HTTPStatus.OK, size)
+        for start in range(0, size, _WEIGHT_CHUNK_BYTES):
+            count = min(_WEIGHT_CHUNK_BYTES, size - start)
+            with self._state.weight_lock:  # All readers share one link.
+                time.sleep(count / self._state.weight_bytes_per_s)
+            self._request.write(bytes(count))
+
+    def _drop(self) -> None:
+        """Closes the connection without an answer."""
+        self._request.sent_headers = True
+        self._request.close_connection = True
+
+    def _start(self, status: http.HTTPStatus, size: int) -> None:
+        self._request.status = f"{status.value} {status.phrase}".encode()
+        self._request.outheaders = [(b"Content-Length", b"%d" % size)]
+        self._request.ensure_headers_sent()
+
+    def _answer(self, status: http.HTTPStatus, body: object) -> None:
+        self._send(status, msgspec.json.encode(body))
+
+    def _send(self, status: http.HTTPStatus, data: bytes) -> None:
+        self._start(status, len(data))
+        self._request.write(data)
+
+
+def make_server(address: tuple[str, int], state: Platform) -> server.HTTPServer:
+    """Returns a server for the stand-in."""
+
+    class _Gateway(server.Gateway):
+
+        def respond(self) -> None:
+            """Serves one request."""
+            _Request(self.req, state).respond()
+
+    return server.HTTPServer(address, _Gateway, _THREADS, _THREADS)
+
+
+def main() -> None:
+    """Runs the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    for name in ("down-s", "delay-ms", "lost-answers", "late-writes",
+                 "late-ms"):
+        parser.add_argument("--" + name, type=float, default=0.0)
+    for name in ("writes-per-s", "reads-per-s"):
+        parser.add_argument("--" + name, type=float, default=_UNTHROTTLED)
+    parser.add_argument("--vm-lag-s", type=float, default=2.0)
+    parser.add_argument("--weight-bytes", type=int, default=1 << 20)
+    parser.add_argument("--weight-bytes-per-s", type=float, default=1e8)
+    parser.add_argument("--seed", type=int, default=0)
+    options = vars(parser.parse_args())
+    port = options.pop("port")
+    fault = typing.cast(
+        FaultDocument, {
+            name: value
+            for name, value in options.items()
+            if name in FaultDocument.__annotations__
+        })
+    state = Platform(fault, options["vm_lag_s"], options["weight_bytes"],
+                     options["weight_bytes_per_s"], options["seed"])
+    make_server(("127.0.0.1", port), state).safe_start()
+
+
+if __name__ == "__main__":
+    main()
