--- a/persimmonspan/errors.py
+++ b/persimmonspan/errors.py
@@ -42,6 +42,9 @@
     TARGET_FAILED = "target_failed"
     STREAM_CUT = "stream_cut"
     STORE_UNAVAILABLE = "store_unavailable"
+    STORE_THROTTLED = "store_throttled"
+    IN_PROGRESS = "in_progress"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
 
@@ -54,6 +57,8 @@
     Code.METHOD_NOT_ALLOWED: 405,
     Code.CONFLICT: 409,
     Code.OUTCOME_UNKNOWN: 409,
+    Code.IN_PROGRESS: 409,
+    Code.IDEMPOTENCY_KEY_REUSED: 409,
     Code.BODY_TOO_LARGE: 413,
     Code.QUARANTINED: 422,
     Code.LIMIT_EXCEEDED: 429,
