Run non-idempotent calls through the ledger

Cause: a fee payment was dispatched without a claim, so a repeat or a retry on another target could run it twice. Change: plain_call sends non-idempotent calls through at_most_once; each attempt claims directly before dispatch, and only a confirmed not-run goes elsewhere. A daemon without a table service keeps its ledger in memory.

--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -13,6 +13,7 @@
 import threading
 import time
 import typing
+import uuid
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
@@ -21,6 +22,7 @@
 from persimmonspan.connection import tls
 from persimmonspan.process import daemon_operations
 from persimmonspan.process import local_configuration
+from persimmonspan.process import memory_rows
 from persimmonspan.process import metrics
 from persimmonspan.process import operations
 from persimmonspan.process import peer_actor
@@ -28,9 +30,11 @@
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import scheduler_view
 from persimmonspan.process import settings
+from persimmonspan.request import at_most_once
 from persimmonspan.request import events
 from persimmonspan.request import gate
 from persimmonspan.request import handler
+from persimmonspan.request import ledger_events
 from persimmonspan.version import check
 from persimmonspan.version import model
 
@@ -64,6 +68,11 @@
         self._settings = options
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._gate = gate.Gate(self.metrics)
+        self._ledger = at_most_once.Context(memory_rows.MemoryRows(),
+                                            ledger_events.Holder(
+                                                options.name,
+                                                uuid.uuid4().hex),
+                                            count=self.metrics.count)
         self._poller = report_poller.ReportPoller(self.scheduler.tell,
                                                   engine.read_load)
         self._configuration: model.Configuration | None = None
@@ -112,7 +121,7 @@
             self._in_flight += 1
             return handler.Context(self._configuration, self.scheduler,
                                    self.metrics, self._relay, self._gate,
-                                   self._settings.write_timeout_s)
+                                   self._ledger, self._settings.write_timeout_s)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request out."""
--- a/persimmonspan/request/handler.py
+++ b/persimmonspan/request/handler.py
@@ -11,12 +11,12 @@
 import msgspec
 
 from persimmonspan import errors
-from persimmonspan.connection import engine
 from persimmonspan.connection import plain_service
 from persimmonspan.process import scheduler_actor
 from persimmonspan.request import completion
 from persimmonspan.request import events
 from persimmonspan.request import generation
+from persimmonspan.request import plain_call
 from persimmonspan.request import session
 from persimmonspan.version import model
 
@@ -128,7 +128,7 @@
 
     def attempt(dispatch: events.Dispatch, target: events.Target) -> bool:
         del dispatch
-        answer = _ask(owner, target)
+        answer = plain_call.attempt(owner, target)
         if answer is not None:
             answers.append(answer)
         return answer is not None
@@ -166,43 +166,6 @@
         scheduler.tell(scheduler_actor.Finished(owner.call.request_id))
 
 
-def _ask(owner: session.Session,
-         target: events.Target) -> plain_service.Answer | None:
-    """Asks one target; returns None if another may be asked.
-
-    Raises:
-        errors.TargetError: Whether a non-idempotent call ran is not known.
-    """
-    call = owner.call
-    timeouts = owner.context.configuration.timeouts
-    order = plain_service.Order(call.request_id, call.method,
-                                call.path + call.query, call.body)
-    try:
-        answer = plain_service.dispatch(
-            target.address, order, timeouts.connect_s,
-            min(timeouts.first_token_s, owner.remaining_s()))
-    except engine.NotSentError:
-        owner.end_attempt(target.name, events.Outcome.CONNECT_FAILED)
-        return None
-    except engine.NotRunError:
-        owner.end_attempt(target.name, events.Outcome.REFUSED)
-        return None
-    except errors.TargetError as error:
-        owner.may_have_run = True
-        is_crossed = isinstance(error, plain_service.CrossedAnswerError)
-        owner.context.metrics.count(
-            "plain_crossed" if is_crossed else "plain_no_answer")
-        if call.kind.is_idempotent:
-            owner.end_attempt(target.name,
-                              events.Outcome.FAILED_BEFORE_FIRST_TOKEN)
-            return None
-        owner.end_attempt(target.name, events.Outcome.FAILED_AFTER_FIRST_TOKEN)
-        raise errors.TargetError(errors.Code.OUTCOME_UNKNOWN, str(error),
-                                 errors.RunState.UNKNOWN) from error
-    owner.end_attempt(target.name, events.Outcome.COMPLETED)
-    return answer
-
-
 def _arrived(call: Call, request: completion.Request | None) -> events.Arrived:
     return events.Arrived(
         request_id=call.request_id,
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -15,6 +15,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.request import at_most_once
 from persimmonspan.request import events
 from persimmonspan.request import gate
 from persimmonspan.version import model
@@ -30,6 +31,7 @@
     metrics: metrics.Metrics
     relay: relay.Relay
     gate: gate.Gate
+    ledger: at_most_once.Context
     write_s: float  # How long a caller may take no byte.
 
 
