--- /dev/null
+++ b/persimmonspan/process/load_view.py
@@ -0,0 +1,325 @@
+"""Load of targets as one daemon sees it, corrected for lag.
+
+Reports of targets arrive late and may stop, so they are not the base of the
+view. The base is what this daemon itself has on a target, which it knows
+exactly, and what its peers say they have. A report only adds what neither
+explains, and that addition fades with the age of the report. What peers started
+since they last spoke is estimated by this daemon's own recent starts: peers see
+the same empty target and act alike.
+
+The memory that running generations will need is a profile: for a few horizons
+of further tokens, the expectation and the variance of the tokens they hold by
+then, given the tokens each has reached. All sequences of an engine advance one
+token a step, so that horizons in tokens are common to them.
+
+See Also:
+    `persimmonspan.request.admission`: builds profiles and decides on them.
+"""
+
+import math
+import typing
+
+import immutables
+
+from persimmonspan.request import events
+
+HORIZONS_TOKENS = (0, 64, 256, 1024, 3072, 8192)
+_NO_PROFILE = (0.0,) * len(HORIZONS_TOKENS)
+# Peers send a digest about every second.
+_RECENT_S = 1.2
+_REPORT_FADES_S = 5.0
+_PEER_FORGOTTEN_S = 10.0
+_INTERVAL_GAIN = 0.15
+_INTERVAL_FADES_S = 8.0
+# Progress is reported at most every 0.25 s, here with room for a slow one.
+_SILENT_S = 1.5
+
+Vector = tuple[float, ...]
+
+
+class Profile(typing.NamedTuple):
+    """Tokens held at each horizon: expectation and variance."""
+
+    mean: Vector = _NO_PROFILE
+    variance: Vector = _NO_PROFILE
+
+
+class TargetView(typing.NamedTuple):
+    """What is known of one target."""
+
+    target: events.Target
+    running: int = 0
+    long_running: int = 0
+    own: Profile = Profile()
+    peers: Profile = Profile()
+    peers_running: int = 0
+    extra_tokens: float = 0.0  # Reported, but neither own nor of peers.
+    reported_s: float = -math.inf  # When the report was measured.
+    waiting: int = 0
+    preemptions: int = 0
+    caution: float = 0.0  # Rises with each preemption seen, fades.
+    caution_s: float = 0.0
+    recent_tokens: float = 0.0
+    recent_s: float = 0.0
+    interval_s: float = 0.0  # Between tokens of a stream; 0 when unknown.
+    progress_s: float = 0.0
+    decoding: int = 0
+    avoid_until_s: float = -math.inf
+    failures: int = 0
+
+
+class Peer(typing.NamedTuple):
+    """What a peer last said."""
+
+    heard_s: float
+    loads: immutables.Map[str, events.TargetLoad]
+
+
+class View(typing.NamedTuple):
+    """All targets and peers. Removed targets stay until nothing runs there."""
+
+    targets: immutables.Map[str, TargetView] = immutables.Map()
+    groups: immutables.Map[str, tuple[str, ...]] = immutables.Map()
+    peers: immutables.Map[str, Peer] = immutables.Map()
+
+
+def add(one: Vector, other: Vector) -> Vector:
+    """Returns the sum of two vectors."""
+    a, b, c, d, e, f = one
+    u, v, w, x, y, z = other
+    return (a + u, b + v, c + w, d + x, e + y, f + z)
+
+
+def subtract(one: Vector, other: Vector) -> Vector:
+    """Returns the difference of two vectors."""
+    a, b, c, d, e, f = one
+    u, v, w, x, y, z = other
+    return (a - u, b - v, c - w, d - x, e - y, f - z)
+
+
+def _set(view: View, item: TargetView) -> View:
+    return view._replace(targets=view.targets.set(item.target.name, item))
+
+
+def started(view: View, name: str, profile: Profile, is_long: bool,
+            now_s: float) -> View:
+    """Counts an attempt that was sent to a target."""
+    item = view.targets[name]
+    own = Profile(add(item.own.mean, profile.mean),
+                  add(item.own.variance, profile.variance))
+    return _set(
+        view,
+        item._replace(running=item.running + 1,
+                      long_running=item.long_running + is_long,
+                      own=own,
+                      recent_tokens=recent_tokens(item, now_s) +
+                      max(profile.mean),
+                      recent_s=now_s,
+                      progress_s=item.progress_s if item.decoding else now_s))
+
+
+def ended(view: View, name: str, profile: Profile, is_long: bool,
+          was_decoding: bool) -> View:
+    """Takes away an attempt that ended."""
+    item = view.targets.get(name)
+    if item is None:
+        return view
+    if item.running == 1:
+        # Rounding errors of the sums end here.
+        own = Profile()
+    else:
+        own = Profile(subtract(item.own.mean, profile.mean),
+                      subtract(item.own.variance, profile.variance))
+    item = item._replace(running=item.running - 1,
+                         long_running=item.long_running - is_long,
+                         own=own,
+                         decoding=item.decoding - was_decoding)
+    if not item.running and not _is_listed(view, item):
+        return view._replace(targets=view.targets.delete(name))
+    return _set(view, item)
+
+
+def _is_listed(view: View, item: TargetView) -> bool:
+    return item.target.name in view.groups.get(item.target.service, ())
+
+
+def grew(view: View, name: str, old: Profile, new: Profile,
+         long_change: int) -> View:
+    """Replaces the profile of an attempt."""
+    item = view.targets[name]
+    own = Profile(add(subtract(item.own.mean, old.mean), new.mean),
+                  add(subtract(item.own.variance, old.variance), new.variance))
+    return _set(
+        view,
+        item._replace(own=own, long_running=item.long_running + long_change))
+
+
+def progressed(view: View, name: str, tokens: int, seconds: float, now_s: float,
+               is_first: bool) -> View:
+    """Learns the time between tokens from the progress of one stream."""
+    item = view.targets[name]
+    learned_s = item.interval_s
+    if tokens > 0 and seconds > 0:
+        sample_s = seconds / tokens
+        learned_s = (sample_s if not learned_s else learned_s + _INTERVAL_GAIN *
+                     (sample_s - learned_s))
+    return _set(
+        view,
+        item._replace(interval_s=learned_s,
+                      progress_s=now_s,
+                      decoding=item.decoding + is_first,
+                      failures=0))
+
+
+def interval_s(item: TargetView, usual_s: float, now_s: float) -> float:
+    """Returns the time between tokens to expect of a target.
+
+    A target whose streams are silent is at least as slow as the silence. What
+    was learned fades towards the usual interval when nothing runs there.
+    """
+    silent_s = now_s - item.progress_s
+    known_s = item.interval_s or usual_s
+    if item.decoding > 0:
+        if silent_s > _SILENT_S:
+            return max(known_s, silent_s / 4)
+        return known_s
+    part = math.exp(-max(0.0, silent_s) / _INTERVAL_FADES_S)
+    return usual_s + part * (known_s - usual_s)
+
+
+def recent_tokens(item: TargetView, now_s: float) -> float:
+    """Returns the tokens this daemon sent there since peers last spoke."""
+    if not item.recent_tokens:
+        return 0.0
+    return item.recent_tokens * math.exp((item.recent_s - now_s) / _RECENT_S)
+
+
+def extra_tokens(item: TargetView, now_s: float) -> float:
+    """Returns reported tokens that nobody explains, less for an old report."""
+    if not item.extra_tokens:
+        return 0.0
+    return item.extra_tokens * math.exp(
+        (item.reported_s - now_s) / _REPORT_FADES_S)
+
+
+def caution(item: TargetView, now_s: float) -> float:
+    """Returns how many preemptions were seen of late."""
+    if not item.caution:
+        return 0.0
+    return item.caution * math.exp((item.caution_s - now_s) / _CAUTION_FADES_S)
+
+
+_CAUTION_FADES_S = 10.0
+
+
+def reported(view: View, event: events.LoadReported, now_s: float) -> View:
+    """Applies a load report."""
+    item = view.targets.get(event.target)
+    if item is None or now_s - event.age_s < item.reported_s:
+        return view
+    explained = item.own.mean[0] + item.peers.mean[0]
+    seen = item.reported_s > -math.inf
+    new = max(0, event.preemptions - item.preemptions) if seen else 0
+    return _set(
+        view,
+        item._replace(extra_tokens=max(0.0, event.kv_used_tokens - explained),
+                      reported_s=now_s - event.age_s,
+                      waiting=event.waiting,
+                      preemptions=event.preemptions,
+                      caution=caution(item, now_s) + new,
+                      caution_s=now_s))
+
+
+def peer_spoke(view: View, event: events.PeerLoad, now_s: float) -> View:
+    """Replaces what a peer has on each target."""
+    old = view.peers.get(event.daemon)
+    loads = immutables.Map({item.target: item for item in event.loads})
+    targets = view.targets
+    for name in set(loads) | set(old.loads if old else ()):
+        item = targets.get(name)
+        if item is None:
+            continue
+        before = old.loads.get(name) if old else None
+        targets = targets.set(name, _with_peer(item, before, loads.get(name)))
+    return view._replace(targets=targets,
+                         peers=view.peers.set(event.daemon, Peer(now_s, loads)))
+
+
+def _with_peer(item: TargetView, old: events.TargetLoad | None,
+               new: events.TargetLoad | None) -> TargetView:
+    mean, variance = item.peers
+    running = item.peers_running
+    if old is not None:
+        mean = subtract(mean, _mean(old))
+        variance = subtract(variance, _variance(old))
+        running -= old.outstanding
+    if new is not None:
+        mean = add(mean, _mean(new))
+        variance = add(variance, _variance(new))
+        running += new.outstanding
+    return item._replace(peers=Profile(mean, variance), peers_running=running)
+
+
+def _mean(load: events.TargetLoad) -> Vector:
+    if len(load.profile_tokens) == len(HORIZONS_TOKENS):
+        return load.profile_tokens
+    return (float(load.predicted_tokens),) * len(HORIZONS_TOKENS)
+
+
+def _variance(load: events.TargetLoad) -> Vector:
+    return (float(load.deviation_tokens)**2,) * len(HORIZONS_TOKENS)
+
+
+def forget_silent_peers(view: View, now_s: float) -> View:
+    """Drops the load of peers that have not spoken for long."""
+    for name, peer in view.peers.items():
+        if now_s - peer.heard_s > _PEER_FORGOTTEN_S:
+            view = peer_spoke(view, events.PeerLoad(name, ()), now_s)
+            view = view._replace(peers=view.peers.delete(name))
+    return view
+
+
+def own_loads(view: View) -> tuple[events.TargetLoad, ...]:
+    """Returns what this daemon tells its peers."""
+    return tuple(
+        events.TargetLoad(item.target.name, item.running,
+                          round(max(item.own.mean)),
+                          tuple(round(value)
+                                for value in item.own.mean),
+                          round(max(0.0, *item.own.variance)**0.5))
+        for item in view.targets.values()
+        if item.running)
+
+
+def listed(view: View, groups: typing.Mapping[str, tuple[events.Target,
+                                                         ...]]) -> View:
+    """Replaces the targets to which new work may go.
+
+    Targets that are no longer listed stay as long as an attempt runs there.
+    """
+    kept = {name: item for name, item in view.targets.items() if item.running}
+    targets = immutables.Map(kept)
+    for members in groups.values():
+        for target in members:
+            item = view.targets.get(target.name)
+            if item is None:
+                item = TargetView(target)
+                for peer in view.peers.values():
+                    item = _with_peer(item, None, peer.loads.get(target.name))
+            targets = targets.set(target.name, item._replace(target=target))
+    names = {
+        service: tuple(target.name for target in members)
+        for service, members in groups.items()
+    }
+    return View(targets, immutables.Map(names), view.peers)
+
+
+def avoid(view: View, name: str, until_s: float) -> View:
+    """Sends nothing new to a target until a time."""
+    item = view.targets.get(name)
+    if item is None:
+        return view
+    return _set(
+        view,
+        item._replace(avoid_until_s=max(until_s, item.avoid_until_s),
+                      failures=item.failures + 1))
--- /dev/null
+++ b/persimmonspan/request/admission.py
@@ -0,0 +1,126 @@
+"""Memory-aware admission: what a target can take without preemption.
+
+An engine that runs out of KV memory preempts a generation and computes it
+again, which stalls its stream and wastes its tokens. A request is therefore
+admitted to an engine only if, at each horizon, the expected memory of all that
+runs there, with the request, plus some standard deviations of it, fits. The
+expectation alone would be exceeded half of the time; the sum of high quantiles
+of each generation would leave most memory idle.
+
+Long work may not use the last part of the memory and of the running slots,
+which is thus free for short work at any moment.
+
+See Also:
+    `persimmonspan.process.load_view`: the load against which is admitted.
+    `persimmonspan.request.length`: survival of a generation.
+"""
+
+from persimmonspan.process import load_view
+from persimmonspan.request import events
+from persimmonspan.request import length
+
+# Standard deviations of the predicted memory that are kept free.
+_DEVIATIONS = 1.3
+# More of them after preemptions were seen on the target, up to the limit.
+_DEVIATIONS_PER_CAUTION = 0.15
+_MOST_DEVIATIONS = 2.6
+# Engines keep some blocks free and fill the last block of each sequence half.
+_SEQUENCE_OVERHEAD_TOKENS = 12
+_USABLE_SHARE = 0.985
+# Part of memory and slots that long work leaves to short work.
+_SHORT_RESERVE_SHARE = 0.05
+_LONG_SLOTS_SHARE = 0.75
+# A report this old no longer says that the engine has no queue.
+_REPORT_TRUSTED_S = 2.0
+# Usable memory falls by this share as reports grow old, until the age.
+_OLD_REPORT_SHARE = 0.08
+_OLD_REPORT_S = 15.0
+
+
+def profile(curve: length.Curve, prompt_tokens: int, tokens: int,
+            max_output_tokens: int) -> load_view.Profile:
+    """Returns the memory that a generation will hold at each horizon.
+
+    Args:
+        curve: Survival of its lane.
+        prompt_tokens: Tokens of its prompt.
+        tokens: Tokens it has generated.
+        max_output_tokens: Tokens after which it ends in any case.
+    """
+    alive = length.survival(curve, tokens)
+    held = float(prompt_tokens + tokens + _SEQUENCE_OVERHEAD_TOKENS)
+    mean, variance = [held], [0.0]
+    for ahead in load_view.HORIZONS_TOKENS[1:]:
+        if tokens + ahead >= max_output_tokens:
+            mean.append(0.0)
+            variance.append(0.0)
+            continue
+        part = min(1.0, length.survival(curve, tokens + ahead) / alive)
+        then = held + ahead
+        mean.append(part * then)
+        variance.append(part * (1 - part) * then * then)
+    return load_view.Profile(tuple(mean), tuple(variance))
+
+
+def fits(item: load_view.TargetView, new: load_view.Profile, is_long: bool,
+         peers: int, now_s: float) -> float | None:
+    """Returns the part of a target that is used with a request, or None.
+
+    Args:
+        item: The target.
+        new: Profile of the request.
+        is_long: Whether it belongs to the long class.
+        peers: Number of peers that send to the same targets.
+        now_s: Time.
+
+    Returns:
+        The largest part of the memory or, for plain services, of the slots
+        that is predicted to be in use; None when it does not fit.
+    """
+    target = item.target
+    running = item.running + item.peers_running + 1
+    if running > target.max_running:
+        return None
+    if not target.kv_capacity_tokens:
+        return running / target.max_running
+    if is_long and not _long_slot_free(item, target, now_s):
+        return None
+    limit = _USABLE_SHARE * target.kv_capacity_tokens
+    if is_long:
+        limit -= _SHORT_RESERVE_SHARE * target.kv_capacity_tokens
+    age_s = min(_OLD_REPORT_S, now_s - item.reported_s)
+    if peers and age_s > _REPORT_TRUSTED_S:
+        limit *= 1 - _OLD_REPORT_SHARE * age_s / _OLD_REPORT_S
+    used = peak_tokens(item, new, peers, now_s)
+    if used > limit:
+        return None
+    return used / target.kv_capacity_tokens
+
+
+def _long_slot_free(item: load_view.TargetView, target: events.Target,
+                    now_s: float) -> bool:
+    if item.long_running >= _LONG_SLOTS_SHARE * target.max_running:
+        return False
+    is_queueing = item.waiting and now_s - item.reported_s < _REPORT_TRUSTED_S
+    return not is_queueing
+
+
+def peak_tokens(item: load_view.TargetView, new: load_view.Profile, peers: int,
+                now_s: float) -> float:
+    """Returns the largest predicted memory, with its safety margin."""
+    deviations = min(
+        _MOST_DEVIATIONS,
+        _DEVIATIONS + _DEVIATIONS_PER_CAUTION * load_view.caution(item, now_s))
+    peak = 0.0
+    for own, own_v, peer, peer_v, mean, variance in zip(item.own.mean,
+                                                        item.own.variance,
+                                                        item.peers.mean,
+                                                        item.peers.variance,
+                                                        new.mean, new.variance):
+        spread = own_v + peer_v + variance
+        value = own + peer + mean
+        if spread > 0:
+            value += deviations * spread**0.5
+        peak = max(peak, value)
+    return (peak + load_view.extra_tokens(item, now_s) +
+            peers * load_view.recent_tokens(item, now_s))
--- /dev/null
+++ b/persimmonspan/request/choice.py
@@ -0,0 +1,133 @@
+"""Choice of a target.
+
+Of the targets that admit the request, the one is chosen that is predicted to be
+used least, weighted by how slow its streams are compared with the usual ones.
+With few targets all are compared; of many, two at random, and all only if
+neither admits (the power of two choices). Many daemons that see the same load
+would all choose the same target; each therefore adds a small bias of its own,
+and the load counts what peers are likely to have started.
+
+A daemon sends only to its subset of many targets, chosen by rendezvous hashing
+and spread over failure domains, so that load reports and state stay bounded.
+
+References:
+    Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE
+    Transactions on Parallel and Distributed Systems 12, 2001.
+    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
+    IEEE/ACM Transactions on Networking 6, 1998 (rendezvous hashing).
+"""
+
+import hashlib
+import random
+import typing
+
+from persimmonspan.process import load_view
+from persimmonspan.request import admission
+from persimmonspan.request import events
+
+SUBSET_TARGETS = 24
+_COMPARE_ALL = 8
+# Targets slower than this many times the usual interval get new work only when
+# no other target admits it.
+_STRAGGLER_RATIO = 2.0
+# Random part of the score, which keeps daemons from agreeing on one target.
+_BIAS = 0.04
+DEFAULT_INTERVAL_S = 0.02
+
+
+def subset(daemon: str,
+           targets: typing.Sequence[events.Target],
+           size: int = SUBSET_TARGETS) -> tuple[events.Target, ...]:
+    """Returns the targets of a service that a daemon sends to.
+
+    Takes from each failure domain in turn the target that ranks highest for
+    this daemon. A change of one target changes at most one member per domain.
+    """
+    if len(targets) <= size:
+        return tuple(targets)
+    domains: dict[str, list[tuple[bytes, events.Target]]] = {}
+    for target in targets:
+        domains.setdefault(target.failure_domain, []).append(
+            (_rank(daemon, target.name), target))
+    for members in domains.values():
+        members.sort(key=lambda item: item[0])
+    order = sorted(domains, key=lambda name: _rank(daemon, name))
+    chosen: list[events.Target] = []
+    while len(chosen) < size:
+        for name in order:
+            if domains[name] and len(chosen) < size:
+                chosen.append(domains[name].pop()[1])
+    return tuple(chosen)
+
+
+def _rank(daemon: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{daemon}/{name}".encode(), digest_size=8).digest()
+
+
+def usual_interval_s(view: load_view.View, service: str) -> float:
+    """Returns the median time between tokens of the targets of a service."""
+    known = sorted(view.targets[name].interval_s
+                   for name in view.groups.get(service, ())
+                   if view.targets[name].interval_s)
+    return known[len(known) // 2] if known else DEFAULT_INTERVAL_S
+
+
+class Wanted(typing.NamedTuple):
+    """What is to be placed."""
+
+    service: str
+    profile: load_view.Profile
+    is_long: bool
+    excluded: tuple[str, ...]
+
+
+def choose(view: load_view.View, wanted: Wanted, only: tuple[str, ...],
+           leaving: frozenset[str], usual_s: float, now_s: float,
+           rng: random.Random) -> str | None:
+    """Returns the target for a request, or None when none admits it.
+
+    `only`, if not empty, restricts the choice to some targets.
+    """
+    names = view.groups.get(wanted.service, ())
+    if only:
+        names = tuple(name for name in only if name in names)
+    if len(names) > _COMPARE_ALL:
+        few = (names[int(rng.random() * len(names))],
+               names[int(rng.random() * len(names))])
+        best = _best(view, few, wanted, leaving, usual_s, now_s, rng)
+        if best is not None:
+            return best
+    return _best(view, names, wanted, leaving, usual_s, now_s, rng)
+
+
+def _best(view: load_view.View, names: typing.Iterable[str], wanted: Wanted,
+          leaving: frozenset[str], usual_s: float, now_s: float,
+          rng: random.Random) -> str | None:
+    best, best_score = None, 0.0
+    peers = len(view.peers)
+    for name in names:
+        if name in leaving or name in wanted.excluded:
+            continue
+        item = view.targets[name]
+        if now_s < item.avoid_until_s:
+            continue
+        used = admission.fits(item, wanted.profile, wanted.is_long, peers,
+                              now_s)
+        if used is None:
+            continue
+        ratio = load_view.interval_s(item, usual_s, now_s) / usual_s
+        if ratio > _STRAGGLER_RATIO:
+            if wanted.is_long:
+                continue
+            used += ratio
+        score = used * max(1.0, ratio) + _BIAS * rng.random()
+        if best is None or score < best_score:
+            best, best_score = name, score
+    return best
+
+
+def any_open(view: load_view.View, service: str, leaving: frozenset[str],
+             excluded: tuple[str, ...]) -> bool:
+    """Returns whether a service has a target that may get work at all."""
+    return any(name not in leaving and name not in excluded
+               for name in view.groups.get(service, ()))
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -115,11 +115,18 @@
 
 
 class TargetLoad(typing.NamedTuple):
-    """What one daemon has outstanding on one target."""
+    """What one daemon has outstanding on one target.
+
+    `predicted_tokens` is the expected peak of KV memory. `profile_tokens` is
+    the expected KV memory at each horizon of `load_view.HORIZONS_TOKENS`, and
+    `deviation_tokens` its largest standard deviation.
+    """
 
     target: str
     outstanding: int
     predicted_tokens: int
+    profile_tokens: tuple[int, ...] = ()
+    deviation_tokens: int = 0
 
 
 class PeerLoad(typing.NamedTuple):
@@ -136,6 +143,7 @@
     targets: tuple[Target, ...]
     kinds: tuple[KindPolicy, ...]
     workspaces: tuple[WorkspaceShare, ...]
+    daemon: str = ""  # Name of this daemon, for its subset of targets.
 
 
 class TargetLeaving(typing.NamedTuple):
@@ -178,7 +186,10 @@
 
 
 class Dispatch(typing.NamedTuple):
-    """Send the request to the target."""
+    """Send the request to the target.
+
+    An engine runs lower numbers of `priority` first.
+    """
 
     request_id: str
     target: str
--- /dev/null
+++ b/persimmonspan/request/length.py
@@ -0,0 +1,205 @@
+"""Remaining length of generations whose length nobody knows.
+
+Lengths are observed per lane, a lane being a workspace and a request kind. A
+lane keeps, for each bucket of half an octave of tokens, how many generations
+ended in the bucket and how many passed through it. The hazard of a bucket is
+the share that ended, and survival is the product of the complements (the
+Kaplan-Meier estimator). A running generation counts in the buckets it has
+passed, so that long ones are not underestimated before the first of them ends.
+
+The hazard of a lane is shrunk towards that of its kind, and that of the kind
+towards a wide lognormal prior, by a few pseudo-observations. A bucket that
+nobody has reached is thus as uncertain as the prior. Counts of a bucket are
+halved when they exceed a bound, by which old observations fade.
+
+>>> lengths = Lengths()
+>>> for _ in range(60):
+...     lengths = observe_passed(lengths, "w", "k", False, 0, index(100))
+...     lengths = observe_ended(lengths, "w", "k", False, 100)
+>>> 60 < quantile(curve(lengths, "w", "k", False), 0, 0.5) < 140
+True
+
+References:
+    Kaplan and Meier, "Nonparametric Estimation from Incomplete Observations",
+    Journal of the American Statistical Association 53, 1958.
+"""
+
+import math
+import typing
+
+import immutables
+
+_PER_OCTAVE = 2
+BUCKETS = 17 * _PER_OCTAVE
+_PSEUDO_OBSERVATIONS = 4.0
+_FADE_ABOVE = 256.0
+# A lane's curve is rebuilt after this share of new observations.
+_REBUILD_SHARE = 1 / 16
+_SHORT_MEDIAN_TOKENS = 64.0
+_LONG_MEDIAN_TOKENS = 1000.0
+_PRIOR_SIGMA = 1.3
+_LEAST_SURVIVAL = 1e-9
+
+Curve = tuple[float, ...]
+_ZEROS: Curve = (0.0,) * BUCKETS
+
+
+class Lane(typing.NamedTuple):
+    """Observations of a workspace and kind, or of a kind."""
+
+    ended: Curve = _ZEROS
+    passed: Curve = _ZEROS
+    survival: Curve = ()
+    observations: int = 0
+    rebuilt_at: int = 0
+
+
+class Lengths(typing.NamedTuple):
+    """Observed lengths; kinds are lanes with an empty workspace."""
+
+    lanes: immutables.Map[tuple[str, str], Lane] = immutables.Map()
+
+
+def index(tokens: float) -> int:
+    """Returns the bucket that a number of tokens falls in.
+
+    >>> index(0), index(1), index(1e9) == BUCKETS - 1
+    (0, 2, True)
+    """
+    return min(BUCKETS - 1, int(_PER_OCTAVE * math.log2(tokens + 1)))
+
+
+def lower_tokens(bucket: float) -> float:
+    """Returns the least number of tokens in a bucket."""
+    return 2**(bucket / _PER_OCTAVE) - 1
+
+
+def _prior(median_tokens: float) -> tuple[Curve, Curve]:
+
+    def _survival(bucket: int) -> float:
+        z = math.log((lower_tokens(bucket) + 0.5) / median_tokens)
+        return max(_LEAST_SURVIVAL, 0.5 * math.erfc(z / _PRIOR_SIGMA / 2**0.5))
+
+    hazard = tuple(1 - _survival(i + 1) / _survival(i) for i in range(BUCKETS))
+    return hazard, _product(hazard)
+
+
+def _product(hazard: typing.Iterable[float]) -> Curve:
+    reached = [1.0]
+    for value in hazard:
+        reached.append(max(_LEAST_SURVIVAL, reached[-1] * (1 - value)))
+    return tuple(reached)
+
+
+_PRIORS = {
+    True: _prior(_SHORT_MEDIAN_TOKENS),
+    False: _prior(_LONG_MEDIAN_TOKENS)
+}
+
+
+def observe_passed(lengths: Lengths, workspace: str, kind: str, is_short: bool,
+                   first: int, last: int) -> Lengths:
+    """Counts a generation that left the buckets `first` to `last` - 1."""
+    if last <= first:
+        return lengths
+    lanes = lengths.lanes
+    for key in (("", kind), (workspace, kind)):
+        lane = lanes.get(key) or Lane(survival=_PRIORS[is_short][1])
+        passed = (lane.passed[:first] +
+                  tuple(value + 1 for value in lane.passed[first:last]) +
+                  lane.passed[last:])
+        lanes = lanes.set(key, lane._replace(passed=passed))
+    return Lengths(lanes)
+
+
+def observe_ended(lengths: Lengths, workspace: str, kind: str, is_short: bool,
+                  tokens: int) -> Lengths:
+    """Counts a generation that ended by itself after `tokens`."""
+    lanes = lengths.lanes
+    bucket = index(tokens)
+    hazard = _PRIORS[is_short][0]
+    for key in (("", kind), (workspace, kind)):
+        lane = lanes.get(key) or Lane()
+        ended = (lane.ended[:bucket] + (lane.ended[bucket] + 1,) +
+                 lane.ended[bucket + 1:])
+        count = lane.observations + 1
+        lane = Lane(ended, lane.passed, lane.survival, count, lane.rebuilt_at)
+        if key[0] or count - lane.rebuilt_at >= _REBUILD_SHARE * count:
+            hazard = _hazard(lane, hazard)
+        if (not lane.survival or
+                count - lane.rebuilt_at >= _REBUILD_SHARE * min(count, 64)):
+            lane = _faded(
+                lane._replace(survival=_product(hazard), rebuilt_at=count))
+        lanes = lanes.set(key, lane)
+    return Lengths(lanes)
+
+
+def _hazard(lane: Lane, prior: Curve) -> Curve:
+    return tuple(
+        (ended + _PSEUDO_OBSERVATIONS * value) /
+        (ended + passed + _PSEUDO_OBSERVATIONS)
+        for ended, passed, value in zip(lane.ended, lane.passed, prior))
+
+
+def _faded(lane: Lane) -> Lane:
+    if lane.ended[0] + lane.passed[0] <= _FADE_ABOVE:
+        return lane
+    return lane._replace(ended=tuple(value / 2 for value in lane.ended),
+                         passed=tuple(value / 2 for value in lane.passed))
+
+
+def curve(lengths: Lengths, workspace: str, kind: str, is_short: bool) -> Curve:
+    """Returns the survival of a lane, or of its kind, or the prior.
+
+    Entry `b` is the probability that a generation reaches bucket `b`.
+    """
+    lane = lengths.lanes.get((workspace, kind))
+    if lane is None or not lane.observations:
+        lane = lengths.lanes.get(("", kind))
+    if lane is None or not lane.observations:
+        return _PRIORS[is_short][1]
+    return lane.survival
+
+
+def survival(values: Curve, tokens: float) -> float:
+    """Returns the probability that a generation reaches `tokens`."""
+    position = _PER_OCTAVE * math.log2(tokens + 1)
+    bucket = int(position)
+    if bucket >= BUCKETS:
+        return values[BUCKETS]
+    low = values[bucket]
+    return low + (position - bucket) * (values[bucket + 1] - low)
+
+
+def quantile(values: Curve, tokens: int, part: float) -> float:
+    """Returns the length that a part of those that reach `tokens` stay under.
+    """
+    level = survival(values, tokens) * (1 - part)
+    for bucket in range(index(tokens), BUCKETS):
+        if values[bucket + 1] <= level:
+            low, high = values[bucket], values[bucket + 1]
+            inside = (low - level) / (low - high) if low > high else 0.0
+            return max(float(tokens), lower_tokens(bucket + max(0.0, inside)))
+    return lower_tokens(BUCKETS)
+
+
+def work(values: Curve, prompt_tokens: int, most_tokens: float) -> float:
+    """Returns the expected KV memory by time of a whole generation.
+
+    Args:
+        values: Survival of the lane.
+        prompt_tokens: Tokens of the prompt.
+        most_tokens: Tokens after which the generation is cut.
+
+    Returns:
+        Tokens held, summed over the decoding steps.
+    """
+    total = low = 0.0
+    for bucket in range(BUCKETS):
+        high = min(most_tokens, lower_tokens(bucket + 1))
+        alive = (values[bucket] + values[bucket + 1]) / 2
+        total += alive * (high - low) * (prompt_tokens + (low + high) / 2)
+        if high >= most_tokens:
+            break
+        low = high
+    return total + prompt_tokens
--- /dev/null
+++ b/persimmonspan/request/queueing.py
@@ -0,0 +1,266 @@
+"""Queue of requests: order, ageing, fair sharing and refusal at the peak.
+
+Requests wait in lanes, a lane being a service, workspace and kind; within a
+lane first in, first out. Lanes of the short and of the long class are ordered
+separately by a score: worth per expected work, multiplied by a factor for
+ageing, which grows as the time to start runs out, and by a factor for fairness,
+which falls as the workspace has got more than its share of late. A share that
+is not used is thus lent, and a workspace that asks for much cannot starve one
+that asks for little.
+
+A request has a latest start, from which it would probably not end within its
+deadline; then it is refused. It is refused at once when its lane is longer than
+what the lane's recent rate can start by then. Expiry is a calendar of short
+intervals, so that no event scans the queue.
+
+References:
+    Demers, Keshav, Shenker, "Analysis and Simulation of a Fair Queueing
+    Algorithm", SIGCOMM 1989.
+    Brown, "Calendar Queues", Communications of the ACM 31, 1988.
+"""
+
+import bisect
+import math
+import random
+import typing
+
+import immutables
+
+from persimmonspan.process import load_view
+from persimmonspan.request import events
+
+LaneKey = tuple[str, str, str]  # Service, workspace, kind.
+OrderKey = tuple[str, bool]  # Service, whether the class is long.
+
+_CALENDAR_S = 0.1
+_RATE_S = 10.0
+# Requests that a lane may hold whatever its rate, so that a lane that was idle
+# does not refuse its first requests.
+_LEAST_LANE_LENGTH = 4
+_USAGE_S = 30.0
+_FAIRNESS = 1.0
+_FAIRNESS_FLOOR = 0.05
+_WORK_EXPONENT = 0.7
+_AGEING = 4.0
+_RETRY_AFTER_S = (1.0, 60.0)
+_RETRY_JITTER = 0.25
+
+
+class Queued(typing.NamedTuple):
+    """A request that waits."""
+
+    arrived: events.Arrived
+    arrived_s: float
+    latest_s: float
+    is_long: bool
+    profile: load_view.Profile
+    work: float
+    worth: float
+    tried: tuple[str, ...] = ()
+    is_clean: bool = True  # No attempt may have run.
+    slot: int = 0
+
+    @property
+    def lane(self) -> LaneKey:
+        """Returns the lane of the request."""
+        return self.arrived.service, self.arrived.workspace, self.arrived.kind
+
+
+class Lane(typing.NamedTuple):
+    """Waiting requests by slot; the first is at `head`."""
+
+    items: immutables.Map[int, str] = immutables.Map()
+    head: int = 0
+    tail: int = 0
+
+
+class Decayed(typing.NamedTuple):
+    """An amount that fades exponentially."""
+
+    amount: float = 0.0
+    at_s: float = 0.0
+
+    def at(self, now_s: float, fades_s: float) -> float:
+        """Returns the amount at a time."""
+        return self.amount * math.exp((self.at_s - now_s) / fades_s)
+
+
+class Queue(typing.NamedTuple):
+    """All that waits, and what was served of late."""
+
+    requests: immutables.Map[str, Queued] = immutables.Map()
+    lanes: immutables.Map[LaneKey, Lane] = immutables.Map()
+    order: immutables.Map[OrderKey, tuple[tuple[float, LaneKey],
+                                          ...]] = immutables.Map()
+    calendar: immutables.Map[int, tuple[str, ...]] = immutables.Map()
+    calendar_at: int | None = None
+    rates: immutables.Map[LaneKey, Decayed] = immutables.Map()
+    usage: immutables.Map[tuple[str, str], Decayed] = immutables.Map()
+    shares: immutables.Map[str, float] = immutables.Map()
+
+
+def push(queue: Queue,
+         item: Queued,
+         now_s: float,
+         is_first: bool = False) -> Queue:
+    """Adds a request, at the front of its lane for one that is retried."""
+    key = item.lane
+    lane = queue.lanes.get(key, Lane())
+    slot = lane.head - 1 if is_first else lane.tail
+    item = item._replace(slot=slot)
+    request_id = item.arrived.request_id
+    was_empty = not lane.items
+    lane = Lane(lane.items.set(slot, request_id),
+                slot if is_first or was_empty else lane.head,
+                lane.tail if is_first and not was_empty else slot + 1)
+    day = int(item.latest_s / _CALENDAR_S)
+    today = int(now_s / _CALENDAR_S)
+    at = queue.calendar_at
+    queue = queue._replace(requests=queue.requests.set(request_id, item),
+                           lanes=queue.lanes.set(key, lane),
+                           calendar=queue.calendar.set(
+                               max(day, today),
+                               queue.calendar.get(max(day, today),
+                                                  ()) + (request_id,)),
+                           calendar_at=today if at is None else at)
+    if was_empty or is_first:
+        queue = _rescore(queue, key, item, now_s)
+    return queue
+
+
+def remove(queue: Queue, request_id: str) -> Queue:
+    """Takes a request out."""
+    item = queue.requests[request_id]
+    key = item.lane
+    lane = queue.lanes[key]
+    items = lane.items.delete(item.slot)
+    requests = queue.requests.delete(request_id)
+    if not items:
+        return queue._replace(requests=requests, lanes=queue.lanes.delete(key))
+    head = lane.head
+    while head not in items:
+        head += 1
+    return queue._replace(requests=requests,
+                          lanes=queue.lanes.set(key,
+                                                Lane(items, head, lane.tail)))
+
+
+def first(queue: Queue, order: OrderKey, skip: int) -> Queued | None:
+    """Returns the head of the lane with the best score, after `skip` lanes."""
+    for _, key in queue.order.get(order, ()):
+        lane = queue.lanes.get(key)
+        if lane is None:
+            continue
+        if skip == 0:
+            return queue.requests[lane.items[lane.head]]
+        skip -= 1
+    return None
+
+
+def take(queue: Queue, item: Queued, now_s: float) -> Queue:
+    """Takes out a request that is dispatched."""
+    queue = remove(queue, item.arrived.request_id)
+    lane = queue.lanes.get(item.lane)
+    if lane is not None:
+        head = queue.requests[lane.items[lane.head]]
+        queue = _rescore(queue, item.lane, head, now_s)
+    return queue
+
+
+def served(queue: Queue, item: Queued, now_s: float) -> Queue:
+    """Counts a request that is dispatched, whether it waited or not."""
+    rate = queue.rates.get(item.lane, Decayed())
+    service, workspace, _ = item.lane
+    usage = queue.usage
+    for name in (workspace, ""):
+        used = usage.get((service, name), Decayed())
+        usage = usage.set((service, name),
+                          Decayed(used.at(now_s, _USAGE_S) + item.work, now_s))
+    return queue._replace(rates=queue.rates.set(
+        item.lane, Decayed(rate.at(now_s, _RATE_S) + 1, now_s)),
+                          usage=usage)
+
+
+def _rescore(queue: Queue, key: LaneKey, head: Queued, now_s: float) -> Queue:
+    order = (key[0], head.is_long)
+    entries = [item for item in queue.order.get(order, ()) if item[1] != key]
+    bisect.insort(entries, (-score(queue, head, now_s), key))
+    return queue._replace(order=queue.order.set(order, tuple(entries)))
+
+
+def reorder(queue: Queue, now_s: float) -> Queue:
+    """Scores all lanes that are not empty; at a tick, not at each event."""
+    if not queue.lanes:
+        if queue.order:
+            return queue._replace(order=immutables.Map())
+        return queue
+    entries: dict[OrderKey, list[tuple[float, LaneKey]]] = {}
+    for key, lane in queue.lanes.items():
+        head = queue.requests[lane.items[lane.head]]
+        entries.setdefault((key[0], head.is_long), []).append(
+            (-score(queue, head, now_s), key))
+    return queue._replace(order=immutables.Map({
+        key: tuple(sorted(value)) for key, value in entries.items()
+    }))
+
+
+def score(queue: Queue, item: Queued, now_s: float) -> float:
+    """Returns how much a request is to be preferred."""
+    time_s = max(_CALENDAR_S, item.latest_s - item.arrived_s)
+    waited = min(1.0, (now_s - item.arrived_s) / time_s)
+    density = item.worth / item.work**_WORK_EXPONENT
+    ageing = 1 + _AGEING * waited * waited
+    return density * ageing * _fairness(queue, item.lane, now_s)
+
+
+def _fairness(queue: Queue, key: LaneKey, now_s: float) -> float:
+    service, workspace, _ = key
+    total = queue.usage.get((service, ""))
+    if total is None:
+        return 1.0
+    used = queue.usage.get((service, workspace), Decayed())
+    all_shares = sum(queue.shares.values()) or 1.0
+    share = queue.shares.get(workspace, 1.0) / all_shares
+    part = used.at(now_s, _USAGE_S) / max(1e-9, total.at(now_s, _USAGE_S))
+    return (1 + _FAIRNESS_FLOOR) / (part / share + _FAIRNESS_FLOOR)**_FAIRNESS
+
+
+def is_overlong(queue: Queue, item: Queued, now_s: float) -> bool:
+    """Returns whether a lane is too long for a request to start in time."""
+    lane = queue.lanes.get(item.lane)
+    if lane is None or len(lane.items) < _LEAST_LANE_LENGTH:
+        return False
+    rate = queue.rates.get(item.lane, Decayed()).at(now_s, _RATE_S) / _RATE_S
+    return len(lane.items) > rate * (item.latest_s - now_s)
+
+
+def retry_after_s(queue: Queue, item: Queued, now_s: float,
+                  rng: random.Random) -> float:
+    """Returns when the lane will probably have room, with jitter."""
+    lane = queue.lanes.get(item.lane)
+    waiting = len(lane.items) if lane else 0
+    rate = queue.rates.get(item.lane, Decayed()).at(now_s, _RATE_S) / _RATE_S
+    wait_s = (waiting + 1) / rate if rate > 0 else _RETRY_AFTER_S[1]
+    low, high = _RETRY_AFTER_S
+    jitter = 1 + _RETRY_JITTER * (2 * rng.random() - 1)
+    return min(high, max(low, wait_s)) * jitter
+
+
+def expired(queue: Queue, now_s: float) -> tuple[Queue, list[Queued]]:
+    """Takes out the requests whose latest start has passed."""
+    if queue.calendar_at is None:
+        return queue, []
+    today = int(now_s / _CALENDAR_S)
+    over: list[Queued] = []
+    calendar = queue.calendar
+    for day in range(queue.calendar_at, today):
+        for request_id in calendar.get(day, ()):
+            item = queue.requests.get(request_id)
+            if item is not None and item.latest_s <= now_s:
+                over.append(item)
+                queue = remove(queue, request_id)
+        if day in calendar:
+            calendar = calendar.delete(day)
+    at = today if queue.requests else None
+    return queue._replace(calendar=calendar if at else immutables.Map(),
+                          calendar_at=at), over
