--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -27,7 +27,7 @@
 _NO_PROFILE = (0.0,) * len(HORIZONS_TOKENS)
 # Peers send a digest about every second.
 _RECENT_S = 1.2
-_REPORT_FADES_S = 5.0
+REPORT_FADES_S = 5.0
 _PEER_FORGOTTEN_S = 10.0
 _INTERVAL_GAIN = 0.15
 _INTERVAL_FADES_S = 8.0
@@ -199,7 +199,7 @@
     if not item.extra_tokens:
         return 0.0
     return item.extra_tokens * math.exp(
-        (item.reported_s - now_s) / _REPORT_FADES_S)
+        (item.reported_s - now_s) / REPORT_FADES_S)
 
 
 def caution(item: TargetView, now_s: float) -> float:
--- a/persimmonspan/process/scheduler_view.py
+++ b/persimmonspan/process/scheduler_view.py
@@ -4,8 +4,11 @@
 actor can evaluate it between two events.
 """
 
+import collections
+import math
 import typing
 
+from persimmonspan.process import load_view
 from persimmonspan.process import operations
 from persimmonspan.request import events
 from persimmonspan.request import scheduler
@@ -20,33 +23,39 @@
 
 def view(state: scheduler.State, now_s: float) -> View:
     """Returns targets and queue lengths for the status page."""
-    del now_s
     targets = [
-        operations.TargetDocument(name=target.name,
-                                  service=target.service,
-                                  address=target.address,
-                                  failure_domain=target.failure_domain,
-                                  is_leaving=target.name in state.leaving,
-                                  outstanding=state.outstanding.get(
-                                      target.name, 0),
-                                  report_age_s=None,
-                                  report_trust=0.0,
-                                  kv_used_tokens=0,
-                                  kv_capacity_tokens=target.kv_capacity_tokens,
-                                  weight=1.0)
-        for target in state.targets.values()
+        _target(state, item, now_s) for item in state.view.targets.values()
     ]
-    return View(sorted(targets, key=lambda item: item["name"]), {})
+    queued = collections.Counter(
+        item.arrived.kind for item in state.queue.requests.values())
+    return View(sorted(targets, key=lambda item: item["name"]), dict(queued))
+
+
+def _target(state: scheduler.State, item: load_view.TargetView,
+            now_s: float) -> operations.TargetDocument:
+    has_report = math.isfinite(item.reported_s)
+    age_s = now_s - item.reported_s if has_report else None
+    own = item.own.mean[0] + item.peers.mean[0]
+    return operations.TargetDocument(
+        name=item.target.name,
+        service=item.target.service,
+        address=item.target.address,
+        failure_domain=item.target.failure_domain,
+        is_leaving=item.target.name in state.leaving,
+        outstanding=item.running,
+        report_age_s=age_s,
+        report_trust=0.0
+        if age_s is None else math.exp(-age_s / load_view.REPORT_FADES_S),
+        kv_used_tokens=round(own + load_view.extra_tokens(item, now_s)),
+        kv_capacity_tokens=item.target.kv_capacity_tokens,
+        weight=0.0 if now_s < item.avoid_until_s else 1.0)
 
 
 def loads(state: scheduler.State,
           now_s: float) -> tuple[events.TargetLoad, ...]:
     """Returns what this daemon has outstanding, for its peers."""
     del now_s
-    return tuple(
-        events.TargetLoad(name, count, 0)
-        for name, count in state.outstanding.items()
-        if count)
+    return scheduler.peer_loads(state)
 
 
 def quarantined(state: scheduler.State,
