--- a/persimmonspan/connection/peer.py
+++ b/persimmonspan/connection/peer.py
@@ -7,8 +7,8 @@
 it dials. A connection that is not established takes no messages, so that
 nothing stale is delivered after an outage.
 
-One thread polls all sockets. After it wakes it waits for `_GATHER_S`, so that
-messages that arrive close together cost one wakeup.
+One thread looks at all sockets every `_CYCLE_S`, or at once after `wake`, hands
+what it finds to `handle` and carries out its commands.
 
 See Also:
     `persimmonspan.process.gossip`: finds silent links and has them reopened.
@@ -20,7 +20,6 @@
 import contextlib
 import logging
 import os
-import queue
 import threading
 import time
 import typing
@@ -33,7 +32,10 @@
 from persimmonspan.connection import peer_messages
 from persimmonspan.process import gossip_state
 
-_GATHER_S = 0.01
+# A wakeup for each message costs several times its handling, as caches are cold
+# then. A change passes at most three daemons on its way, so that it waits 0.3 s
+# at most.
+_CYCLE_S = 0.1
 TICK_INTERVAL_S = 0.25
 _ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 _ZAP_DOMAIN = b"persimmonspan"
@@ -45,6 +47,7 @@
 _HANDSHAKE_MS = 3000
 # The ROUTER drops connections whose other end does not answer pings.
 _PING_MS = 15_000
+_MS_PER_S = 1000.0
 _FRAME_BYTES = 35  # CURVE adds this to each frame.
 
 _logger = logging.getLogger(__name__)
@@ -67,6 +70,10 @@
     is_tick: bool
 
 
+LinkCommand = gossip_state.Send | gossip_state.Open | gossip_state.Close
+Handle = typing.Callable[[Batch], list[LinkCommand]]
+
+
 class Links:
     """Sockets to all peers and the thread that polls them.
 
@@ -74,7 +81,8 @@
         address: Address and port to accept links on.
         keys: Key pair of the own daemon.
         public_keys: Public key of each daemon.
-        deliver: Called with each batch, on the polling thread.
+        handle: Called with each batch, on the polling thread; returns the
+            commands to carry out.
         count: Called with the reason of each counted event.
         is_blocked: Says of a peer whether its messages are dropped in both
             directions, by which tests and benchmarks cut links.
@@ -85,13 +93,13 @@
             address: str,
             keys: peer_keys.KeyPair,
             public_keys: dict[str, str],
-            deliver: typing.Callable[[Batch], None],
+            handle: Handle,
             count: typing.Callable[[str], None],
             is_blocked: typing.Callable[[str],
                                         bool] = lambda peer: False) -> None:
         self.traffic = Traffic()
         self._keys = keys
-        self._deliver = deliver
+        self._handle = handle
         self._count = count
         self._is_blocked = is_blocked
         self._names: dict[bytes, str] = {}
@@ -100,20 +108,18 @@
         self._dealers: dict[str, zmq.Socket] = {}
         self._peers: dict[zmq.Socket, str] = {}
         self._routes: dict[str, bytes] = {}
-        self._commands: queue.SimpleQueue[gossip_state.Send |
-                                          gossip_state.Open |
-                                          gossip_state.Close] = (
-                                              queue.SimpleQueue())
         self._wake = os.eventfd(0, os.EFD_NONBLOCK)
         self._is_stopping = False
+        self._stop_lock = threading.Lock()
         self._context = zmq.Context()
         self._context.set(zmq.MAX_SOCKETS, 4096)
         self._poller = zmq.Poller()
+        self._waker = zmq.Poller()
+        self._waker.register(self._wake, zmq.POLLIN)
         self._zap = self._context.socket(zmq.REP)
         self._zap.linger = 0
         self._zap.bind(_ZAP_ENDPOINT)
         self._router = self._make_router(address)
-        self._poller.register(self._wake, zmq.POLLIN)
         self._poller.register(self._zap, zmq.POLLIN)
         self._poller.register(self._router, zmq.POLLIN)
         self._thread = threading.Thread(target=self._run,
@@ -126,8 +132,11 @@
 
     def stop(self) -> None:
         """Closes all links and ends the thread."""
-        self._is_stopping = True
-        os.eventfd_write(self._wake, 1)
+        with self._stop_lock:
+            if self._is_stopping:
+                return
+            os.eventfd_write(self._wake, 1)
+            self._is_stopping = True
         self._thread.join()
         os.close(self._wake)
 
@@ -138,17 +147,11 @@
             z85.decode(key): name for name, key in public_keys.items()
         }
 
-    def carry_out(
-        self, commands: typing.Iterable[gossip_state.Send | gossip_state.Open |
-                                        gossip_state.Close]
-    ) -> None:
-        """Queues commands for the polling thread."""
-        is_empty = True
-        for command in commands:
-            self._commands.put(command)
-            is_empty = False
-        if not is_empty and not self._is_stopping:
-            os.eventfd_write(self._wake, 1)
+    def wake(self) -> None:
+        """Has the polling thread call `handle` at once."""
+        with self._stop_lock:
+            if not self._is_stopping:
+                os.eventfd_write(self._wake, 1)
 
     def _make_router(self, address: str) -> zmq.Socket:
         router = self._context.socket(zmq.ROUTER)
@@ -169,27 +172,22 @@
     def _run(self) -> None:
         next_tick_s = time.monotonic()
         while not self._is_stopping:
-            wait_s = next_tick_s - time.monotonic()
-            ready = self._poller.poll(max(0.0, wait_s) * 1000)
-            if ready and not self._is_stopping:
-                time.sleep(_GATHER_S)
+            if self._waker.poll(_CYCLE_S * _MS_PER_S):
+                os.eventfd_read(self._wake)
             received: list[gossip_state.Received] = []
-            for socket, _ in ready:
-                if socket == self._wake:
-                    os.eventfd_read(self._wake)
-                elif socket is self._zap:
+            for socket, _ in self._poller.poll(0):
+                if socket is self._zap:
                     self._authenticate()
                 elif socket is self._router:
                     self._drain_router(received)
                 else:
                     self._drain_dealer(socket, received)
-            self._run_commands()
             now_s = time.monotonic()
             is_tick = now_s >= next_tick_s
             if is_tick:
                 next_tick_s = now_s + TICK_INTERVAL_S
-            if received or is_tick:
-                self._deliver(Batch(tuple(received), is_tick))
+            for command in self._handle(Batch(tuple(received), is_tick)):
+                self._carry_out(command)
         self._context.destroy(linger=0)
 
     def _authenticate(self) -> None:
@@ -241,18 +239,15 @@
                                 "reason": str(error)
                             })
 
-    def _run_commands(self) -> None:
-        with contextlib.suppress(queue.Empty):
-            while True:
-                command = self._commands.get_nowait()
-                if isinstance(command, gossip_state.Send):
-                    data = peer_messages.encode(command.message)
-                    for peer in command.peers:
-                        self._send(peer, data)
-                elif isinstance(command, gossip_state.Open):
-                    self._open(command)
-                else:
-                    self._close(command.peer)
+    def _carry_out(self, command: LinkCommand) -> None:
+        if isinstance(command, gossip_state.Send):
+            data = peer_messages.encode(command.message)
+            for peer in command.peers:
+                self._send(peer, data)
+        elif isinstance(command, gossip_state.Open):
+            self._open(command)
+        else:
+            self._close(command.peer)
 
     def _send(self, peer: str, data: bytes) -> None:
         if self._is_blocked(peer) or peer not in self._public_keys:
--- a/persimmonspan/process/gossip.py
+++ b/persimmonspan/process/gossip.py
@@ -233,7 +233,7 @@
     for summary in message.summaries:
         state, more = _take_summary(state, summary, peer, now_s)
         commands += more
-    is_equal = (message.members_hash == gossip_round.identities_hash(state) and
+    is_equal = (message.members_hash == state.identities_hash and
                 message.facts_hash == gossip_facts.digest(state.facts))
     state, more = _repair(state, peer, is_equal, now_s)
     return state, commands + more
--- a/persimmonspan/process/gossip_round.py
+++ b/persimmonspan/process/gossip_round.py
@@ -59,8 +59,7 @@
     return tuple(sorted(pairs)), age_s
 
 
-def identities_hash(state: types.State) -> int:
-    """Returns a hash of all identities that mates should agree on."""
+def _identities_hash(state: types.State) -> int:
     members = state.members
     pairs = [(members.own.daemon, members.own.incarnation)]
     for name in state.plan.mates:
@@ -80,7 +79,8 @@
                            sequence=state.sequence + 1)
     state, commands = _keep_links(state, now_s, rng)
     round_s = options.mesh_round_s if state.plan.is_mesh else options.round_s
-    state = state._replace(next_round_s=now_s + round_s)
+    state = state._replace(next_round_s=now_s + round_s,
+                           identities_hash=_identities_hash(state))
     greeted = tuple(peer for peer, link in state.links.items()
                     if link.is_dialed and link.heard_s < link.opened_s)
     if greeted:
@@ -98,10 +98,11 @@
     loads, told = gossip_plan.choose_loads(state.loads, state.told,
                                            state.sequence, int(limit))
     digest = peer_messages.Digest(state.members.own.daemon,
-                                  state.members.own.incarnation, state.sequence,
-                                  state.revision, store_age_s(state, now_s),
-                                  identities_hash(state), loads,
-                                  state.is_draining,
+                                  state.members.own.incarnation,
+                                  state.sequence, state.revision,
+                                  store_age_s(state,
+                                              now_s), state.identities_hash,
+                                  loads, state.is_draining,
                                   gossip_facts.digest(state.facts), relayed)
     keep = {
         key: held
--- a/persimmonspan/process/gossip_state.py
+++ b/persimmonspan/process/gossip_state.py
@@ -78,6 +78,8 @@
     members: membership.State
     plan: gossip_plan.Plan
     sequence: int = 0
+    # Hash of the identities that mates should agree on, as of the last round.
+    identities_hash: int = 0
     next_round_s: float = -math.inf
     revision: int = 0
     whole: peer_messages.Whole | None = None
--- a/persimmonspan/process/peer_actor.py
+++ b/persimmonspan/process/peer_actor.py
@@ -17,22 +17,28 @@
 | `drain()` | a planned stop began |
 | `status()`, `identity()` | for the administration API and the member row |
 
-`deliver` is called on the actor's thread with `events.PeerLoad` (all loads of a
-peer; empty when it died; `domain/<name>` for a sum), `QuarantineShared`,
-`QuarantineLifted`, `TargetLeaving`, `peer_messages.Change`, `peer_messages.
-Whole` (bytes as given to `publish_change` and `adopt_whole`) and `membership.
-MajorityHeard`. The receiver applies a change only if its base is in force, and
+`deliver` must not block; it is called on the polling thread with
+`events.PeerLoad` (all loads of a peer; empty when it died; `domain/<name>` for
+a sum), `QuarantineShared`, `QuarantineLifted`, `TargetLeaving`,
+`peer_messages.Change`, `peer_messages.Whole` (bytes as given to
+`publish_change` and `adopt_whole`) and `membership.MajorityHeard`. The receiver
+applies a change only if its base is in force, and
 calls `adopt_whole` after every adoption; questions of peers are answered here
 from what `publish_change` and `adopt_whole` gave.
+
+The actor is the polling thread itself and not a pykka actor: a second thread
+would be woken for each batch and wake the polling thread for each answer.
 """
 
+from concurrent import futures
+import contextlib
 import logging
+import queue
 import random
 import secrets
 import time
 import typing
-
-import pykka
+import zlib
 
 from persimmonspan import errors
 from persimmonspan.connection import peer
@@ -75,72 +81,68 @@
     traffic: peer.Traffic
 
 
-class _StatusAsked(typing.NamedTuple):
-    """Asks for the status."""
-
-
-class PeerActor(pykka.ThreadingActor):
-    """Runs `gossip.step` and carries out its commands."""
-
-    use_daemon_thread = True
+class PeerActor:
+    """Runs `gossip.step` on the polling thread and carries out its commands."""
 
     def __init__(self, own: membership.Identity, keys: peer_keys.KeyPair,
                  public_keys: dict[str, str], deliver: Deliver,
                  count: CountReason, gossip_options: gossip_state.Options,
                  is_blocked: typing.Callable[[str], bool]) -> None:
-        super().__init__()
         self._state = gossip.make_state(own, gossip_options)
         self._rng = random.Random(secrets.randbits(_SEED_BITS))
         self._deliver = deliver
         self._count = count
-        self._links = peer.Links(own.address, keys, public_keys,
-                                 self._deliver_batch, count, is_blocked)
-
-    def on_start(self) -> None:
-        """Starts the links."""
+        self._inbox: queue.SimpleQueue[gossip_state.Event |
+                                       futures.Future[Status]] = (
+                                           queue.SimpleQueue())
+        self._links = peer.Links(own.address, keys, public_keys, self._handle,
+                                 count, is_blocked)
         self._links.start()
 
-    def on_stop(self) -> None:
-        """Closes the links."""
+    def tell(self,
+             message: gossip_state.Event | futures.Future[Status],
+             is_urgent: bool = True) -> None:
+        """Queues an event, or a future for the status.
+
+        Args:
+            message: The event.
+            is_urgent: Whether it is taken at once instead of at the next tick.
+        """
+        self._inbox.put(message)
+        if is_urgent:
+            self._links.wake()
+
+    def stop(self) -> None:
+        """Closes the links and ends the thread."""
         self._links.stop()
 
-    def on_receive(self, message: typing.Any) -> typing.Any:
-        """Applies a batch, an event or a question for the status."""
-        if isinstance(message, _StatusAsked):
-            return self._status()
-        if not isinstance(message, peer.Batch):
-            self._carry_out(self._apply(message))
-            return None
-        commands: list[gossip_state.Command] = []
-        for received in message.received:
-            commands += self._apply(received)
-        if message.is_tick:
-            commands += self._apply(gossip_state.Tick())
-        self._carry_out(commands)
-        return None
-
-    def _apply(self, event: gossip_state.Event) -> list[gossip_state.Command]:
+    def _handle(self, batch: peer.Batch) -> list[peer.LinkCommand]:
+        outgoing: list[peer.LinkCommand] = []
+        with contextlib.suppress(queue.Empty):
+            while True:
+                message = self._inbox.get_nowait()
+                if isinstance(message, futures.Future):
+                    message.set_result(self._status())
+                else:
+                    outgoing += self._apply(message)
+        for received in batch.received:
+            outgoing += self._apply(received)
+        if batch.is_tick:
+            outgoing += self._apply(gossip_state.Tick())
+        return outgoing
+
+    def _apply(self, event: gossip_state.Event) -> list[peer.LinkCommand]:
         self._state, commands = gossip.step(self._state, event,
                                             time.monotonic(), self._rng)
-        return commands
-
-    def _carry_out(self, commands: list[gossip_state.Command]) -> None:
-        outgoing: list[gossip_state.Send | gossip_state.Open |
-                       gossip_state.Close] = []
+        outgoing: list[peer.LinkCommand] = []
         for command in commands:
             if isinstance(command, gossip_state.Deliver):
-                self._deliver(command.event)
+                self._deliver(_unpacked(command.event))
             elif isinstance(command, gossip_state.Count):
                 self._count(command.reason)
             else:
                 outgoing.append(command)
-        self._links.carry_out(outgoing)
-
-    def _deliver_batch(self, batch: peer.Batch) -> None:
-        try:
-            self.actor_ref.tell(batch)
-        except pykka.ActorDeadError:
-            pass  # The actor stops and is about to close the links.
+        return outgoing
 
     def _status(self) -> Status:
         now_s = time.monotonic()
@@ -158,10 +160,16 @@
             self._links.traffic)
 
 
+def _unpacked(event: typing.Any) -> typing.Any:
+    if isinstance(event, peer_messages.Whole):
+        return event._replace(document=zlib.decompress(event.document))
+    return event
+
+
 class Peers:
     """Handle of the actor."""
 
-    def __init__(self, actor: pykka.ActorRef) -> None:
+    def __init__(self, actor: PeerActor) -> None:
         self._actor = actor
 
     def seed_vms(self, vms: tuple[membership.Identity, ...]) -> None:
@@ -174,11 +182,11 @@
 
     def store_read(self) -> None:
         """Tells that the configuration head was read now."""
-        self._actor.tell(gossip_state.StoreRead())
+        self._actor.tell(gossip_state.StoreRead(), is_urgent=False)
 
     def publish_loads(self, loads: tuple[events.TargetLoad, ...]) -> None:
         """Tells what this daemon has outstanding on all targets."""
-        self._actor.tell(gossip_state.LoadsPublished(loads))
+        self._actor.tell(gossip_state.LoadsPublished(loads), is_urgent=False)
 
     def publish_quarantine(self, fingerprint: str, crashes: int,
                            ttl_s: float) -> None:
@@ -198,7 +206,9 @@
 
     def adopt_whole(self, whole: peer_messages.Whole) -> None:
         """Tells which revision is in force here, with its document."""
-        self._actor.tell(gossip_state.WholeAdopted(whole))
+        # A document of 2,300 replicas shrinks to about a tenth.
+        packed = whole._replace(document=zlib.compress(whole.document))
+        self._actor.tell(gossip_state.WholeAdopted(packed))
 
     def drain(self) -> None:
         """Tells peers that this daemon drains."""
@@ -208,9 +218,11 @@
         """Returns members and traffic.
 
         Raises:
-            pykka.Timeout: The actor did not answer in time.
+            TimeoutError: The polling thread did not answer in time.
         """
-        return self._actor.ask(_StatusAsked(), timeout=timeout_s)
+        answer: futures.Future[Status] = futures.Future()
+        self._actor.tell(answer)
+        return answer.result(timeout_s)
 
     def identity(self, timeout_s: float = 1.0) -> membership.Identity:
         """Returns the own identity, for the `member/` row."""
@@ -235,7 +247,7 @@
         options: Settings with peer address and key files.
         incarnation: Number above that of earlier runs, such as the wall clock
             in milliseconds; a number that is too low is raised by the peers.
-        deliver: Receives events, on the actor's thread.
+        deliver: Receives events, on the polling thread.
         count: Raises a counter.
         gossip_options: Intervals and budget.
         is_blocked: Cuts links, for tests.
@@ -265,5 +277,5 @@
                      "known_keys": len(public_keys)
                  })
     return Peers(
-        PeerActor.start(own, keys, public_keys, deliver, count, gossip_options,
-                        is_blocked))
+        PeerActor(own, keys, public_keys, deliver, count, gossip_options,
+                  is_blocked))
