--- a/persimmonspan/process/cli.py
+++ b/persimmonspan/process/cli.py
@@ -1,19 +1,44 @@
 """Command line of persimmonspan.
 
-Exit codes: 0 success, 1 a document or setting is not valid, 2 wrong usage, 3 a
-stop that cut requests.
+The exit codes are part of the public interface and are listed in the help text.
 """
 
 import argparse
 import collections.abc
+import json
 import sys
+import typing
 
 from persimmonspan import errors
+from persimmonspan.process import commands
 from persimmonspan.process import daemon
+from persimmonspan.process import load
 from persimmonspan.process import logs
 from persimmonspan.process import settings
+from persimmonspan.version import check
+from persimmonspan.version import model
 
 EXIT_INVALID = 1
+EXIT_CONFLICT = 4
+EXIT_UNAVAILABLE = 5
+
+_EXIT_CODES = """exit codes:
+  0  success
+  1  a document, setting or request is not valid, or not allowed
+  2  wrong usage of the command line
+  3  a second signal cut requests in flight
+  4  another change came first; read the configuration and try again
+  5  the daemon or the store is not reachable, or the outcome is not known
+  6  the target still has work outstanding (drain --wait)
+"""
+
+_EXIT_BY_CODE = {
+    errors.Code.CONFLICT: EXIT_CONFLICT,
+    errors.Code.NO_TARGET: EXIT_UNAVAILABLE,
+    errors.Code.OUTCOME_UNKNOWN: EXIT_UNAVAILABLE,
+    errors.Code.STORE_UNAVAILABLE: EXIT_UNAVAILABLE,
+    errors.Code.CONFIG_UNVERIFIED: EXIT_UNAVAILABLE,
+}
 
 
 def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
@@ -23,24 +48,45 @@
         return parsed.run(parsed)
     except errors.PersimmonspanError as error:
         print(error, file=sys.stderr)
-        return EXIT_INVALID
+        return _EXIT_BY_CODE.get(error.code, EXIT_INVALID)
+    except KeyboardInterrupt:
+        return 0
 
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="persimmonspan",
         description="Serves generations of unknown length on crowded engines.",
-        epilog="Exit codes: 0 success, 1 a document or setting is not valid, "
-        "2 wrong usage, 3 a stop that cut requests.")
-    commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    serve = commands.add_parser("serve", help="run the daemon")
+        epilog=_EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter)
+    subcommands = parser.add_subparsers(required=True, metavar="COMMAND")
+    serve = subcommands.add_parser("serve", help="run the daemon")
     settings.add_arguments(serve)
     serve.set_defaults(run=_serve)
-    check = commands.add_parser("check",
-                                help="validate an inventory and rules offline")
-    check.add_argument("inventory", help="inventory file")
-    check.add_argument("rules", nargs="?", help="rules file")
-    check.set_defaults(run=_check)
+    validate = subcommands.add_parser(
+        "check", help="validate an inventory and rules offline")
+    validate.add_argument("inventory", help="inventory file")
+    validate.add_argument("rules", nargs="?", help="rules file")
+    validate.set_defaults(run=_check)
+    commands.add_parsers(subcommands)
+    send = subcommands.add_parser(
+        "load",
+        help="send a bounded mixed load to daemons and report what callers see")
+    send.add_argument("inventory", help="inventory file: kinds and workspaces")
+    send.add_argument("keys",
+                      help="JSON file with a workspace key by workspace name")
+    send.add_argument("--daemon",
+                      action="append",
+                      help="address and port of a daemon; may be repeated "
+                      "(default 127.0.0.1:8080)")
+    send.add_argument("--rate", type=float, default=10.0, help="requests/s")
+    send.add_argument("--duration", type=float, default=10.0, help="seconds")
+    send.add_argument("--tries",
+                      type=int,
+                      default=1,
+                      help="how often a request without an answer is sent")
+    send.add_argument("--seed", type=int, default=0)
+    send.set_defaults(run=_load)
     return parser
 
 
@@ -51,9 +97,34 @@
 
 
 def _check(parsed: argparse.Namespace) -> int:
-    configuration = daemon.load_configuration(parsed.inventory, parsed.rules)
+    configuration = check.build(
+        *daemon.load_documents(parsed.inventory, parsed.rules))
     targets = sum(len(service.targets) for service in configuration.services)
     print(f"valid: {len(configuration.services)} services, {targets} targets, "
           f"{len(configuration.workspaces)} workspaces, "
           f"{len(configuration.kinds)} request kinds")
     return 0
+
+
+def _load(parsed: argparse.Namespace) -> int:
+    inventory = typing.cast(model.InventoryDocument,
+                            check.load_file(parsed.inventory))
+    problems = check.check_documents(inventory, {}, parsed.inventory)
+    if problems:
+        raise errors.ConfigurationError(errors.Code.BAD_REQUEST,
+                                        "\n".join(map(str, problems)))
+    keys = typing.cast(dict[str, str], check.load_file(parsed.keys))
+    missing = [
+        item["name"]
+        for item in inventory["workspaces"]
+        if item["name"] not in keys
+    ]
+    if missing:
+        raise errors.ConfigurationError(
+            errors.Code.BAD_REQUEST,
+            f"{parsed.keys}: no key for the workspaces {', '.join(missing)}")
+    planned = load.plan(inventory, parsed.rate, parsed.duration, parsed.seed)
+    with load.balancing(parsed.daemon or ["127.0.0.1:8080"]) as balancer:
+        results = load.run(planned, balancer, keys, parsed.tries)
+    print(json.dumps(load.summarise(results), indent=2))
+    return 0
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -29,11 +29,12 @@
         self._sum_s = 0.0
         self._lock = threading.Lock()
 
-    def observe(self, latency_s: float) -> None:
-        """Records one latency in seconds."""
+    def observe(self, latency_s: float, count: int = 1) -> None:
+        """Records a latency in seconds, seen `count` times."""
         with self._lock:
-            self._histogram.record_value(max(1, int(latency_s * _US_PER_S)))
-            self._sum_s += latency_s
+            self._histogram.record_value(max(1, int(latency_s * _US_PER_S)),
+                                         count)
+            self._sum_s += latency_s * count
 
     def quantile_s(self, quantile: float) -> float:
         """Returns the latency at a quantile between 0 and 1, in seconds."""
@@ -83,6 +84,15 @@
         """Raises the counter of a reason."""
         self._reasons.labels(reason).inc()
 
+    def counts(self) -> dict[str, int]:
+        """Returns the counter of each reason that was counted."""
+        return {
+            sample.labels["reason"]: int(sample.value)
+            for metric in self._reasons.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
     def exposition(self) -> bytes:
         """Returns the Prometheus text exposition."""
         return prometheus_client.generate_latest(self.registry)
