--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -160,11 +160,17 @@
 
 
 class QuarantineShared(typing.NamedTuple):
-    """A peer reports a fingerprint that crashed targets."""
+    """A peer reports a fingerprint that crashed targets.
+
+    `isolated_on` names the target that the peer keeps free to try it alone;
+    `died_on` names the first target that it crashed, once it is condemned.
+    """
 
     fingerprint: str
     crashes: int
     ttl_s: float
+    isolated_on: str = ""
+    died_on: str = ""
 
 
 class QuarantineLifted(typing.NamedTuple):
@@ -204,11 +210,13 @@
 
 
 class ShareQuarantine(typing.NamedTuple):
-    """Tell peers about a fingerprint."""
+    """Tell peers about a fingerprint, as `QuarantineShared` reports it."""
 
     fingerprint: str
     crashes: int
     ttl_s: float
+    isolated_on: str = ""
+    died_on: str = ""
 
 
 class Count(typing.NamedTuple):
