Track leaving targets from all sources in the daemon

Cause: only the inventory could mark a target as leaving, and nothing unmarked it. Change: a tracker applies inventory, VM list, peers' notices and incarnations to the leaving decision and tells the scheduler each change once; the scheduler takes returned targets back; reports are polled for this daemon's subset only.

--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -21,6 +21,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.connection import tls
 from persimmonspan.process import daemon_operations
+from persimmonspan.process import leaving_tracker
 from persimmonspan.process import local_configuration
 from persimmonspan.process import memory_rows
 from persimmonspan.process import metrics
@@ -31,6 +32,7 @@
 from persimmonspan.process import scheduler_view
 from persimmonspan.process import settings
 from persimmonspan.request import at_most_once
+from persimmonspan.request import choice
 from persimmonspan.request import events
 from persimmonspan.request import gate
 from persimmonspan.request import handler
@@ -42,7 +44,7 @@
 _NS_PER_MS = 1_000_000
 _PUBLISH_INTERVAL_S = 0.5
 _SCHEDULER_EVENTS = (events.PeerLoad, events.QuarantineShared,
-                     events.QuarantineLifted, events.TargetLeaving)
+                     events.QuarantineLifted)
 EXIT_CUT = 3
 # With the default of 5 ms the relay thread would wait that long for the
 # interpreter lock whenever another thread computes.
@@ -73,8 +75,10 @@
                                                 options.name,
                                                 uuid.uuid4().hex),
                                             count=self.metrics.count)
-        self._poller = report_poller.ReportPoller(self.scheduler.tell,
-                                                  engine.read_load)
+        self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell)
+        self._poller = report_poller.ReportPoller(
+            self.scheduler.tell, engine.read_load,
+            self._leaving.incarnation_seen)
         self._configuration: model.Configuration | None = None
         self._in_flight = 0
         self._idle = threading.Condition()
@@ -94,10 +98,11 @@
                 configuration.revision, targets, configuration.kinds,
                 tuple(
                     events.WorkspaceShare(item.name, item.share)
-                    for item in configuration.workspaces)))
-        for name in configuration.leaving:
-            self.scheduler.tell(events.TargetLeaving(name))
-        self._poller.set_targets(targets)
+                    for item in configuration.workspaces), self.name))
+        self._leaving.adopted(configuration)
+        self._poller.set_targets(
+            tuple(target for service in configuration.services
+                  for target in choice.subset(self.name, service.targets)))
         _logger.info("configuration in force",
                      extra={"revision": configuration.revision})
 
@@ -195,7 +200,9 @@
 
     def _receive(self, event: object) -> None:
         """Takes what peers said, on the thread of the peer actor."""
-        if isinstance(event, _SCHEDULER_EVENTS):
+        if isinstance(event, events.TargetLeaving):
+            self._leaving.reclaimed(event.target)
+        elif isinstance(event, _SCHEDULER_EVENTS):
             self.scheduler.tell(event)
 
     def _publish(self, stopped: threading.Event) -> None:
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -27,6 +27,7 @@
 
 Send = collections.abc.Callable[[events.Event], None]
 ReadLoad = collections.abc.Callable[[str, float], engine.LoadDocument]
+SeeIncarnation = collections.abc.Callable[[str, str], None]
 
 
 class _Seen(typing.NamedTuple):
@@ -37,8 +38,10 @@
 class Observer:
     """Turns the answers of one target after the other into events."""
 
-    def __init__(self, read_load: ReadLoad) -> None:
+    def __init__(self, read_load: ReadLoad,
+                 see_incarnation: SeeIncarnation) -> None:
         self._read_load = read_load
+        self._see_incarnation = see_incarnation
         self._seen: dict[str, _Seen] = {}
 
     def poll(self, target: events.Target) -> list[events.Event]:
@@ -52,6 +55,7 @@
             self._seen[target.name] = before._replace(is_up=False)
             return [events.TargetDied(target.name)]
         self._seen[target.name] = _Seen(report["incarnation"], True)
+        self._see_incarnation(target.name, report["incarnation"])
         found: list[events.Event] = []
         if (before is not None and before.is_up and
                 before.incarnation != report["incarnation"]):
@@ -85,9 +89,10 @@
 class ReportPoller:
     """Polls all targets round and round, a few at the same time."""
 
-    def __init__(self, send: Send, read_load: ReadLoad) -> None:
+    def __init__(self, send: Send, read_load: ReadLoad,
+                 see_incarnation: SeeIncarnation) -> None:
         self._send = send
-        self._observer = Observer(read_load)
+        self._observer = Observer(read_load, see_incarnation)
         self._targets: tuple[events.Target, ...] = ()
         self._busy: set[str] = set()
         self._stopped = threading.Event()
--- /dev/null
+++ b/persimmonspan/process/tests/test_leaving_tracker.py
@@ -0,0 +1,49 @@
+"""Guards against a leaving target that is not told, told twice or kept out."""
+
+import json
+import pathlib
+
+from persimmonspan.connection import vm_list
+from persimmonspan.process import leaving_tracker
+from persimmonspan.request import events
+from persimmonspan.version import check
+
+_SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
+_TARGET = "permit-model-1"
+
+
+def _configuration(revision, leaving=()):
+    inventory = json.loads(
+        (_SAMPLES / "plaza-verde-inventory.json").read_text())
+    for service in inventory["services"]:
+        for i, replica in enumerate(service["replicas"]):
+            replica["address"] = f"10.0.{len(service['replicas'])}.{i}:80"
+    return check.build(revision, inventory, {"leaving": list(leaving)})
+
+
+def test_drain_and_undrain_are_told_once():
+    sent = []
+    tracker = leaving_tracker.LeavingTracker(sent.append)
+    tracker.adopted(_configuration(1))
+    tracker.adopted(_configuration(2, [_TARGET]))
+    tracker.adopted(_configuration(3, [_TARGET]))
+    tracker.adopted(_configuration(4))
+    assert sent == [
+        events.TargetLeaving(_TARGET),
+        events.TargetReturned(_TARGET)
+    ]
+
+
+def test_leaving_vm_takes_its_target_until_a_new_incarnation():
+    sent = []
+    tracker = leaving_tracker.LeavingTracker(sent.append)
+    tracker.adopted(_configuration(1))
+    tracker.incarnation_seen(_TARGET, "a")
+    leaving_vm = vm_list.Vm("vm-1", "10.0.6.0", True)
+    tracker.vms_listed([leaving_vm], 0.5)
+    tracker.vms_listed([leaving_vm], 0.5)
+    assert sent == [events.TargetLeaving(_TARGET)]
+    tracker.incarnation_seen(_TARGET, "b")
+    assert sent[1:] == [events.TargetReturned(_TARGET)]
+    tracker.vms_listed([leaving_vm], 300.0)
+    assert len(sent) == 2
--- a/persimmonspan/process/tests/test_report_poller.py
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -29,7 +29,7 @@
             raise errors.TargetError(errors.Code.TARGET_FAILED, "refused")
         return _report(answer)
 
-    observer = report_poller.Observer(read_load)
+    observer = report_poller.Observer(read_load, lambda target, seen: None)
     return [[type(event).__name__
              for event in observer.poll(_TARGET)]
             for _ in answers]
