Add configuration commits, adoption, settlement and stateful fuzzing

Cause: a revision could be neither accepted nor adopted, calls with an unknown outcome could not be settled, and the transitions were tested one by one only. Change: difference and three-way merge by item names, commit with a witness row, adoption with freshness, majority rule and withdrawal, reference-counted versions, the configuration actor, operators' settlement with an audit row, and fuzzing machines for ledger and configuration with six deliberate faults. Conclusion: the first change from the empty document was not adopted by its own daemon (it had no base document); adoption now starts from the empty document.

--- /dev/null
+++ b/persimmonspan/process/tests/test_configuration_actor.py
@@ -0,0 +1,136 @@
+"""Guards commits and adoption over the real wire format."""
+
+import contextlib
+import pathlib
+import threading
+import time
+
+import msgspec
+import pytest
+
+from persimmonspan.connection import object_store
+from persimmonspan.process import configuration_actor
+from persimmonspan.process import store_actor
+from persimmonspan.version import adoption
+from persimmonspan.version import commit
+from persimmonspan.version import difference
+from testbed import platform
+from testbed import processes
+
+_SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
+_SHARE = ("inventory", "workspaces")
+
+
+class _Daemon:
+    """A configuration with recorded callbacks."""
+
+    def __init__(self, address, name):
+        self.adopted = []
+        self.changes = []
+        self.client = store_actor.start(address, name, 1)
+        self.configuration = configuration_actor.start(
+            self.client, object_store.ObjectStore(address),
+            configuration_actor.Callbacks(
+                lambda revision, document: self.adopted.append(revision),
+                lambda is_serving: None, self.changes.append,
+                lambda revision: None))
+        self.configuration.offer(adoption.MajorityHeard(True))
+
+    def commit(self, base, document, commit_id, **fields):
+        """Commits a document."""
+        return self.configuration.submit(
+            commit.Change(commit_id, base, document, "ana", "test", **fields))
+
+    def wait_for(self, revision):
+        """Waits until a revision is adopted."""
+        while self.configuration.state().revision < revision:
+            time.sleep(0.02)
+
+
+@pytest.fixture(name="daemons")
+def _daemons():
+    with contextlib.ExitStack() as stack:
+        port = processes.free_port()
+        state = platform.Platform({}, 0.0, 0, 1.0, 7)
+        server = platform.make_server(("127.0.0.1", port), state)
+        server.prepare()
+        thread = threading.Thread(target=server.serve)
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(server.stop)
+        items = [_Daemon(f"127.0.0.1:{port}", name) for name in ("d1", "d2")]
+        for item in items:
+            stack.callback(item.client.stop)
+            stack.callback(item.configuration.stop)
+        yield state, *items
+
+
+def _document():
+    return {
+        part:
+            msgspec.json.decode(
+                (_SAMPLES / f"plaza-verde-{part}.json").read_bytes())
+        for part in ("inventory", "rules")
+    }
+
+
+def _with_share(document, workspace, share):
+    return difference.apply(
+        document,
+        [difference.Edit("set", (*_SHARE, workspace, "share"), share)])
+
+
+def test_accepted_change_reaches_another_daemon_by_poll(daemons):
+    _, one, two = daemons
+    done = one.commit(0, _document(), "c1")
+    assert (done.status, done.revision) == ("accepted", 1)
+    two.wait_for(1)
+    done = one.commit(1, _with_share(_document(), "surco", 9), "c2")
+    two.wait_for(2)
+    assert two.adopted == [1, 2] and one.changes[-1].revision == 2
+
+
+def test_disjoint_changes_merge_and_others_conflict(daemons):
+    _, one, two = daemons
+    base = _document()
+    one.commit(0, base, "c1")
+    one.commit(1, _with_share(base, "surco", 9), "c2")
+    done = two.commit(1, _with_share(base, "lince", 9), "c3")
+    assert done.status == "accepted"
+    two.wait_for(3)
+    shares = {
+        item["name"]: item["share"] for item in
+        two.configuration.state().document["inventory"]["workspaces"]
+    }
+    assert (shares["surco"], shares["lince"]) == (9, 9)
+    done = two.commit(1, _with_share(base, "surco", 5), "c4")
+    assert done.status == "conflict"
+    assert done.messages == (
+        "inventory.workspaces.surco.share: yours is 5, accepted is 9",)
+
+
+def test_lost_answer_of_a_commit_is_settled(daemons):
+    state, one, _ = daemons
+    state.set_fault({"lost_answers": 1.0})
+    assert one.commit(0, _document(), "c1").status == "accepted"
+    assert len(state.table.scan({
+        "prefix": "audit/",
+        "limit": 9,
+        "after": ""
+    })) == 1
+
+
+def test_dry_run_invalid_and_unverified_write_nothing(daemons):
+    state, one, _ = daemons
+    assert one.commit(0, _document(), "c1", is_dry_run=True).status == "dry_run"
+    bad = _with_share(_document(), "surco", -1)
+    assert one.commit(0, bad, "c2").status == "invalid"
+    one.configuration.offer(adoption.MajorityHeard(False))
+    assert one.commit(0, _document(), "c3").status == "refused"
+    assert state.table.read(["config/head"])[0]["version"] == 0
+
+
+def test_outage_refuses_a_commit(daemons):
+    state, one, _ = daemons
+    state.set_fault({"down_s": 60.0})
+    assert one.commit(0, _document(), "c1").status == "refused"
--- /dev/null
+++ b/persimmonspan/version/difference.py
@@ -0,0 +1,232 @@
+"""Difference, application and three-way merge of configuration documents.
+
+A configuration document is one JSON object with `inventory` and `rules`. Items
+of a list are matched by their `name`, or by themselves if they are strings; a
+list with other items, or with an identity twice, is one value. A difference is
+a list of edits, each with a path of field names and item identities:
+
+    ["set", path, value]     set a field, or add or replace an item at the end
+    ["remove", path]         remove a field or an item
+    ["order", path, names]   order of the items of a list
+
+`apply(base, difference(base, new)) == new`, the order of items included. Two
+differences from one base are merged if no edit of one touches the path of an
+edit of the other; equal edits agree.
+
+>>> base = {"rules": {"leaving": ["a"]}}
+>>> ours = {"rules": {"leaving": ["a", "b"]}}
+>>> theirs = {"rules": {"leaving": ["a", "c"]}}
+>>> merge(base, ours, theirs)
+{'rules': {'leaving': ['a', 'c', 'b']}}
+
+References:
+    S. Khanna, K. Kunal, B. Pierce, "A formal investigation of diff3", 2007.
+"""
+
+import typing
+
+import msgspec
+
+from persimmonspan import errors
+
+Json = typing.Any
+Path = tuple[str, ...]
+
+
+class Edit(typing.NamedTuple):
+    """One edit; `value` is the new value or the order of names."""
+
+    kind: typing.Literal["set", "remove", "order"]
+    path: Path
+    value: Json = None
+
+
+class Conflict(typing.NamedTuple):
+    """Two edits that touch the same part."""
+
+    path: str
+    ours: str
+    theirs: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: yours is {self.ours}, accepted is {self.theirs}"
+
+
+class MergeConflictError(errors.ConfigurationError):
+    """Two changes touch the same parts."""
+
+    def __init__(self, conflicts: list[Conflict]) -> None:
+        super().__init__(errors.Code.CONFLICT, "\n".join(map(str, conflicts)))
+        self.conflicts = conflicts
+
+
+def difference(base: Json, new: Json) -> list[Edit]:
+    """Returns the edits that turn a document into another."""
+    return _difference((), base, new)
+
+
+def apply(document: Json, edits: list[Edit]) -> Json:
+    """Returns a document with edits applied; the argument is not changed.
+
+    Raises:
+        errors.ConfigurationError: An edit names a part that does not exist.
+    """
+    for edit in edits:
+        document = _apply(document, edit, edit.path)
+    return document
+
+
+def merge(base: Json, ours: Json, theirs: Json) -> Json:
+    """Returns `theirs` with the edits from `base` to `ours`.
+
+    Raises:
+        MergeConflictError: Edits of both touch the same parts.
+    """
+    our_edits = difference(base, ours)
+    their_edits = difference(base, theirs)
+    conflicts = [
+        Conflict(_text(max(mine.path, other.path, key=len)), _show(mine),
+                 _show(other))
+        for mine in our_edits
+        for other in their_edits
+        if _collide(mine, other)
+    ]
+    if conflicts:
+        raise MergeConflictError(conflicts)
+    agreed = [_encode(edit) for edit in their_edits]
+    return apply(theirs,
+                 [edit for edit in our_edits if _encode(edit) not in agreed])
+
+
+def encode(edits: list[Edit]) -> str:
+    """Returns the JSON form of a difference."""
+    return msgspec.json.encode(edits).decode()
+
+
+_decoder = msgspec.json.Decoder(list[Edit])
+
+
+def decode(value: str | bytes) -> list[Edit]:
+    """Returns a difference from its JSON form.
+
+    Raises:
+        errors.ConfigurationError: It is not a difference.
+    """
+    try:
+        return _decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise errors.ConfigurationError(errors.Code.BAD_REQUEST,
+                                        f"difference: {error}") from error
+
+
+def is_same(left: Json, right: Json) -> bool:
+    """Returns whether two JSON values are equal; 1, 1.0 and true differ.
+
+    >>> is_same({"a": 1, "b": 2}, {"b": 2, "a": 1}), is_same(1, True)
+    (True, False)
+    """
+    return _encode(left) == _encode(right)
+
+
+def _encode(value: Json) -> bytes:
+    return msgspec.json.encode(value, order="deterministic")
+
+
+def _identity(item: Json) -> str | None:
+    if isinstance(item, str):
+        return item
+    if isinstance(item, dict) and isinstance(item.get("name"), str):
+        return item["name"]
+    return None
+
+
+def _items(value: Json) -> dict[str, Json] | None:
+    """Returns the items of a list by identity, or None if it is one value."""
+    if not isinstance(value, list):
+        return None
+    items = {_identity(item): item for item in value}
+    if None in items or len(items) != len(value):
+        return None
+    kinds = {isinstance(item, str) for item in value}
+    return typing.cast(dict, items) if len(kinds) < 2 else None
+
+
+def _has_strings(items: dict[str, Json]) -> bool:
+    return any(isinstance(item, str) for item in items.values())
+
+
+def _difference(path: Path, base: Json, new: Json) -> list[Edit]:
+    if is_same(base, new):
+        return []
+    if isinstance(base, dict) and isinstance(new, dict):
+        return _fields(path, base, new)
+    base_items, new_items = _items(base), _items(new)
+    if (base_items is None or new_items is None or
+            _has_strings(base_items) != _has_strings(new_items)):
+        return [Edit("set", path, new)]
+    edits = _fields(path, base_items, new_items)
+    kept = [name for name in base_items if name in new_items]
+    added = [name for name in new_items if name not in base_items]
+    if kept + added != list(new_items):
+        edits.append(Edit("order", path, list(new_items)))
+    return edits
+
+
+def _fields(path: Path, base: dict[str, Json], new: dict[str,
+                                                         Json]) -> list[Edit]:
+    edits = [Edit("remove", (*path, name)) for name in base if name not in new]
+    for name, value in new.items():
+        if name not in base:
+            edits.append(Edit("set", (*path, name), value))
+        else:
+            edits.extend(_difference((*path, name), base[name], value))
+    return edits
+
+
+def _apply(value: Json, edit: Edit, path: Path) -> Json:
+    if not path:
+        return _order(value, edit) if edit.kind == "order" else edit.value
+    is_object = isinstance(value, dict)
+    parts = value if is_object else _items(value)
+    name = path[0]
+    if parts is None or (name not in parts and
+                         (len(path) > 1 or edit.kind != "set")):
+        raise errors.ConfigurationError(errors.Code.CONFLICT,
+                                        f"no part {_text(edit.path)}")
+    parts = dict(parts)
+    if len(path) == 1 and edit.kind == "remove":
+        del parts[name]
+    else:
+        parts[name] = _apply(parts.get(name), edit, path[1:])
+    return parts if is_object else list(parts.values())
+
+
+def _order(value: Json, edit: Edit) -> Json:
+    items = _items(value)
+    if items is None:
+        raise errors.ConfigurationError(errors.Code.CONFLICT,
+                                        f"no list {_text(edit.path)}")
+    first = [items[name] for name in edit.value if name in items]
+    names = set(edit.value)
+    return first + [item for name, item in items.items() if name not in names]
+
+
+def _collide(mine: Edit, other: Edit) -> bool:
+    length = min(len(mine.path), len(other.path))
+    if mine.path[:length] != other.path[:length] or _encode(mine) == _encode(
+            other):
+        return False
+    # The order of a list does not touch what its items contain.
+    shorter = min(mine, other, key=lambda edit: len(edit.path))
+    return len(mine.path) == len(other.path) or shorter.kind != "order"
+
+
+def _text(path: Path) -> str:
+    return ".".join(path) or "(top level)"
+
+
+def _show(edit: Edit) -> str:
+    if edit.kind == "remove":
+        return "removed"
+    text = msgspec.json.encode(edit.value).decode()
+    return f"order {text}" if edit.kind == "order" else text
--- /dev/null
+++ b/testbed/configuration_world.py
@@ -0,0 +1,321 @@
+"""Several daemons' configuration over in-memory fakes, for fuzzing.
+
+The world holds daemons with their adoption state, commits under way, the rows
+of the store and the messages between peers. Whoever drives it chooses what
+happens next; `check` compares each daemon with the log of accepted revisions.
+"""
+
+import enum
+import random
+import typing
+
+from persimmonspan.version import adoption
+from persimmonspan.version import commit
+from persimmonspan.version import difference
+from testbed import ledger_world
+
+Fate = ledger_world.Fate
+_WORKSPACES = ("a", "b", "c")
+
+
+class Fault(enum.StrEnum):
+    """Deliberate faults, by which the oracle is shown to fail."""
+
+    NONE = "none"
+    ADOPT_ANY = "adopt_any"
+    SERVE_ISOLATED = "serve_isolated"
+    BLIND_COMMIT = "blind_commit"
+
+
+class _Commit:
+    """One commit under way on a daemon."""
+
+    def __init__(self, daemon: int, change: commit.Change,
+                 event: commit.Event) -> None:
+        self.daemon = daemon
+        self.state = commit.State(change)
+        self.event: commit.Event | None = event
+        self.command: commit.Command | None = None
+
+
+class World:
+    """Daemons, store and peers."""
+
+    def __init__(self, daemons: int, fault: Fault = Fault.NONE) -> None:
+        self.now_s = 0.0
+        self.fault = fault
+        self.states = [adoption.State() for _ in range(daemons)]
+        self.store_cut: set[int] = set()
+        self.peer_cut: set[int] = set()
+        self.paused: set[int] = set()
+        self.isolated_s = [0.0] * daemons
+        self.commits: list[_Commit] = []
+        self.log: list[tuple[str, difference.Json]] = []
+        self.objects: dict[str, difference.Json] = {}
+        self.flying: list[commit.Transact] = []
+        self.messages: list[tuple[int, adoption.Event]] = []
+        self.ended: dict[str, commit.Status] = {}
+        self.wanted: dict[str, tuple[str, int]] = {}
+        self._rng = random.Random(0)
+
+    def pass_time(self, seconds: float) -> None:
+        """Time passes; daemons that are not paused notice."""
+        self.now_s += seconds
+        for daemon in range(len(self.states)):
+            if daemon not in self.paused:
+                self._step(daemon, adoption.Tick())
+
+    def poll(self, daemon: int, delay_s: float) -> None:
+        """A daemon reads the head; the answer takes a while."""
+        if daemon in self.paused:
+            return
+        if daemon in self.store_cut:
+            self._step(daemon, adoption.HeadUnavailable())
+            return
+        head = commit.Head(len(self.log), len(self.log),
+                           self._name(len(self.log)))
+        self.messages.append(
+            (daemon,
+             adoption.HeadRead(head.revision, head.document_name,
+                               self.now_s - delay_s)))
+
+    def hear(self, daemon: int) -> None:
+        """A daemon learns whether it hears a majority, itself included."""
+        if daemon in self.paused:
+            return
+        heard = self._heard(daemon)
+        highest = max((self.states[peer].revision for peer in heard), default=0)
+        self._step(
+            daemon,
+            adoption.MajorityHeard(2 * (len(heard) + 1) > len(self.states),
+                                   highest))
+
+    def deliver(self, index: int, is_kept: bool) -> None:
+        """One message arrives, perhaps again later."""
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        daemon, event = self.messages[index]
+        if daemon in self.paused:
+            return
+        if not is_kept:
+            del self.messages[index]
+        self._step(daemon, event)
+
+    def deliver_all(self, daemon: int) -> None:
+        """A daemon gets its messages in order, and those that follow."""
+        if daemon in self.paused:
+            return
+        while any(peer == daemon for peer, _ in self.messages):
+            index = [peer for peer, _ in self.messages].index(daemon)
+            self.deliver(index, False)
+
+    def begin(self, daemon: int, workspace: int, share: int) -> None:
+        """An operator changes the share of a workspace on a daemon."""
+        if daemon in self.paused:
+            return
+        state = self.states[daemon]
+        name = _WORKSPACES[workspace % len(_WORKSPACES)]
+        commit_id = f"c{len(self.wanted) + 1}"
+        self.wanted[commit_id] = (name, share)
+        document = _with_share(state.document or _empty(), name, share)
+        change = commit.Change(commit_id, state.revision, document, "ana", "")
+        self.commits.append(
+            _Commit(daemon, change, commit.Begin(state.is_majority_heard)))
+
+    def advance(self, index: int, fate: Fate) -> None:
+        """Lets one commit take one step."""
+        if not self.commits:
+            return
+        item = self.commits[index % len(self.commits)]
+        if item.daemon in self.paused:
+            return
+        if item.event is not None:
+            item.state, commands = commit.step(item.state, item.event,
+                                               self.now_s, self._rng)
+            item.event, item.command = None, commands[0]
+        elif isinstance(item.command, commit.Done):
+            self._end(item, item.command)
+        elif item.command is not None:
+            item.event = self._carry_out(item, item.command, fate)
+
+    def land(self, index: int) -> None:
+        """A transaction that was under way reaches the store."""
+        if self.flying:
+            self._apply(self.flying.pop(index % len(self.flying)))
+
+    def restart(self, daemon: int) -> None:
+        """A daemon dies and starts without a configuration."""
+        self.states[daemon] = adoption.State()
+        self.paused.discard(daemon)
+        self.isolated_s[daemon] = self.now_s
+        self.commits = [item for item in self.commits if item.daemon != daemon]
+        self.messages = [item for item in self.messages if item[0] != daemon]
+
+    def cut(self, daemon: int, is_store: bool, is_cut: bool) -> None:
+        """Cuts or restores a daemon's link to the store or to all peers."""
+        links = self.store_cut if is_store else self.peer_cut
+        (links.add if is_cut else links.discard)(daemon)
+        if not self._is_isolated(daemon):
+            self.isolated_s[daemon] = self.now_s
+        for peer in range(len(self.states)):
+            self.hear(peer)
+
+    def heal(self) -> None:
+        """All links return and all daemons run."""
+        self.paused.clear()
+        for daemon in range(len(self.states)):
+            self.cut(daemon, True, False)
+            self.cut(daemon, False, False)
+
+    def check(self) -> None:
+        """Raises AssertionError if a guarantee is broken."""
+        names = [name for name, _ in self.log]
+        assert len(set(names)) == len(names), "a commit was accepted twice"
+        for daemon, state in enumerate(self.states):
+            if state.revision:
+                assert difference.is_same(
+                    state.document,
+                    self.log[state.revision -
+                             1][1]), (f"daemon {daemon} holds another revision "
+                                      f"{state.revision}")
+            if (daemon not in self.paused and self._is_isolated(daemon) and
+                    self.now_s - self.isolated_s[daemon]
+                    > adoption.FRESHNESS_S):
+                assert not state.is_serving, f"daemon {daemon} is isolated"
+        for name, status in self.ended.items():
+            assert status == commit.Status.UNKNOWN or (
+                status == commit.Status.ACCEPTED) == (name in names), (
+                    f"commit {name} ended as {status}")
+        before = _empty()
+        for name, document in self.log:
+            workspace, share = self.wanted[name]
+            assert difference.is_same(
+                document, _with_share(before, workspace,
+                                      share)), (f"commit {name} lost a change")
+            before = document
+
+    def _step(self, daemon: int, event: adoption.Event) -> None:
+        before = self.states[daemon]
+        if (self.fault == Fault.ADOPT_ANY and
+                isinstance(event, adoption.WholeOffered)):
+            self.states[daemon] = before._replace(revision=0)
+        if self.fault == Fault.SERVE_ISOLATED and isinstance(
+                event, adoption.HeadUnavailable):
+            event = adoption.HeadRead(before.known, "", self.now_s)
+        self.states[daemon], commands = adoption.step(self.states[daemon],
+                                                      event, self.now_s)
+        assert self.states[daemon].revision >= before.revision, (
+            f"daemon {daemon} reverted")
+        for command in commands:
+            self._react(daemon, command)
+
+    def _react(self, daemon: int, command: adoption.Command) -> None:
+        if isinstance(command, adoption.Adopt) and command.change is not None:
+            self._push(daemon, command.change)
+        elif isinstance(command, adoption.FetchWhole):
+            if daemon not in self.store_cut:
+                self.messages.append((daemon,
+                                      adoption.WholeOffered(
+                                          command.revision,
+                                          self.objects[command.document_name])))
+        elif isinstance(command, adoption.AskWhole):
+            for peer in self._heard(daemon):
+                state = self.states[peer]
+                if state.revision:
+                    self.messages.append(
+                        (daemon,
+                         adoption.WholeOffered(state.revision, state.document)))
+
+    def _push(self, daemon: int, change: adoption.ChangeOffered) -> None:
+        self.messages.extend((peer, change) for peer in self._heard(daemon))
+
+    def _carry_out(self, item: _Commit, command: commit.Command,
+                   fate: Fate) -> commit.Event:
+        if isinstance(command, commit.Transact):
+            return self._transact(
+                command,
+                Fate.REFUSED if item.daemon in self.store_cut else fate)
+        if fate == Fate.REFUSED or item.daemon in self.store_cut:
+            return commit.Failed("store down")
+        match command:
+            case commit.ReadHead():
+                revision = len(self.log)
+                return commit.HeadRead(
+                    commit.Head(revision, revision, self._name(revision)))
+            case commit.Fetch(revision):
+                return commit.Fetched(revision, self.log[revision - 1][1])
+            case commit.Store(name, document):
+                self.objects[name] = document
+        return commit.Stored(self.states[item.daemon].is_majority_heard)
+
+    def _transact(self, command: commit.Transact,
+                  fate: Fate) -> commit.TransactEnded:
+        if fate == Fate.REFUSED:
+            return commit.TransactEnded(False)
+        if fate in (Fate.LATE, Fate.TWICE):
+            self.flying.append(command)
+        if fate in (Fate.DONE, Fate.TWICE):
+            return self._apply(command)
+        if fate == Fate.LOST_AFTER:
+            self._apply(command)
+        return commit.TransactEnded(None)
+
+    def _apply(self, command: commit.Transact) -> commit.TransactEnded:
+        revision = command.head["revision"]
+        commit_id = command.head["commit_id"]
+        if command.head_version != len(self.log):
+            if self.fault != Fault.BLIND_COMMIT:
+                winner = self.log[revision -
+                                  1][0] if revision <= len(self.log) else None
+                return commit.TransactEnded(False, True, winner)
+        self.log.append(
+            (commit_id, self.objects[command.head["document_name"]]))
+        return commit.TransactEnded(True)
+
+    def _end(self, item: _Commit, done: commit.Done) -> None:
+        self.commits.remove(item)
+        self.ended[item.state.change.commit_id] = done.status
+        if done.status == commit.Status.ACCEPTED:
+            self._step(
+                item.daemon,
+                adoption.ChangeOffered(done.revision, done.base_revision,
+                                       done.edits))
+
+    def _heard(self, daemon: int) -> list[int]:
+        if daemon in self.peer_cut:
+            return []
+        return [
+            peer for peer in range(len(self.states))
+            if peer not in self.peer_cut | self.paused | {daemon}
+        ]
+
+    def _is_isolated(self, daemon: int) -> bool:
+        return daemon in self.store_cut and daemon in self.peer_cut
+
+    def _name(self, revision: int) -> str:
+        return f"config/{revision}-{self.log[revision - 1][0]}" if (
+            revision) else ""
+
+
+def _empty() -> difference.Json:
+    return {
+        "inventory": {
+            "places": [],
+            "services": [],
+            "request_kinds": [],
+            "workspaces": [{
+                "name": name,
+                "share": 1,
+                "key_sha256": []
+            } for name in _WORKSPACES]
+        },
+        "rules": {}
+    }
+
+
+def _with_share(document: difference.Json, name: str,
+                share: int) -> difference.Json:
+    path = ("inventory", "workspaces", name, "share")
+    edit = typing.cast(typing.Literal["set"], "set")
+    return difference.apply(document, [difference.Edit(edit, path, share)])
--- /dev/null
+++ b/testbed/ledger_world.py
@@ -0,0 +1,269 @@
+"""Several daemons' ledger calls over in-memory fakes, for fuzzing.
+
+The world holds daemons, a table and the targets' log of runs. Whoever drives it
+chooses what happens next and the fate of each message; `check` compares what
+callers were told with what the targets ran. Time is monotonic; the wall clock
+that goes into rows jumps at random.
+"""
+
+import enum
+import itertools
+import random
+import typing
+
+from persimmonspan import errors
+from persimmonspan.request import ledger
+from persimmonspan.request import ledger_events
+from persimmonspan.request import settlement
+
+_DEADLINE_S = 20.0
+
+
+class Fate(enum.StrEnum):
+    """What becomes of a message and its answer."""
+
+    DONE = "done"
+    LOST_BEFORE = "lost_before"  # No effect, no answer.
+    LOST_AFTER = "lost_after"  # Effect, no answer.
+    LATE = "late"  # No answer; the effect may come later.
+    REFUSED = "refused"  # No effect, and the answer says so.
+    TWICE = "twice"  # Effect and answer; arrives again later.
+
+
+class Fault(enum.StrEnum):
+    """Deliberate faults, by which the oracle is shown to fail."""
+
+    NONE = "none"
+    SKIP_CLAIM = "skip_claim"
+    TAKE_OVER = "take_over"
+    FALSE_NOT_RUN = "false_not_run"
+
+
+class Ticket(typing.NamedTuple):
+    """A dispatch that may still reach a target."""
+
+    key: str
+    attempt: str
+
+
+class _Running:
+    """One call on a daemon."""
+
+    def __init__(self, daemon: int, call: ledger_events.Call,
+                 begin: ledger_events.Begin) -> None:
+        self.daemon = daemon
+        self.state = ledger.State(call)
+        self.todo: list[ledger_events.Command] = []
+        self.inbox: list[ledger_events.Event] = [begin]
+
+
+class World:
+    """Daemons, table and targets."""
+
+    def __init__(self, daemons: int, fault: Fault = Fault.NONE) -> None:
+        self.now_s = 0.0
+        self.rng = random.Random(0)
+        self.fault = fault
+        self.incarnations = [0] * daemons
+        self.paused: set[int] = set()
+        self.calls: list[_Running] = []
+        self.table: dict[str, ledger_events.Row] = {}
+        self.flying: list[ledger_events.WriteRow] = []
+        self.tickets: list[Ticket] = []
+        self.runs: dict[str, list[str]] = {}
+        self.kept: list[dict[str, list[ledger_events.RowDocument]]] = [
+            {} for _ in range(daemons)
+        ]
+        self.not_run: set[str] = set()
+        self.told: dict[str, ledger_events.Answer] = {}
+        self.recorded: dict[str, ledger_events.Answer | None] = {}
+        self._ids = itertools.count(1)
+        self._versions = itertools.count(1)
+
+    def begin(self, daemon: int, key: str, digest: str) -> None:
+        """A caller sends a call to a daemon."""
+        kept = self.kept[daemon].get(key, [])
+        released = {
+            item["attempt"] for item in kept if item["state"] == "released"
+        }
+        if self.fault == Fault.TAKE_OVER and key in self.table:
+            document = self.table[key].document
+            released.add(document["attempt"] if document else "")
+        known = [item for item in kept if item["state"] != "released"]
+        has_rival = any(item.daemon == daemon and item.state.call.key == key
+                        for item in self.calls)
+        call = ledger_events.Call(key, digest, f"a{next(self._ids)}",
+                                  self._holder(daemon),
+                                  self.now_s + _DEADLINE_S,
+                                  self.rng.uniform(-1e9, 1e9),
+                                  frozenset(released), has_rival)
+        self.calls.append(
+            _Running(daemon, call,
+                     ledger_events.Begin(known[0] if known else None)))
+
+    def advance(self, index: int, fate: Fate) -> None:
+        """Lets one call take one step; paused daemons do nothing."""
+        if not self.calls:
+            return
+        call = self.calls[index % len(self.calls)]
+        if call.daemon in self.paused:
+            return
+        if call.inbox:
+            call.state, commands = ledger.step(call.state, call.inbox.pop(0),
+                                               self.now_s)
+            call.todo.extend(commands)
+        elif call.todo:
+            self._carry_out(call, call.todo.pop(0), fate)
+        if not call.inbox and not call.todo:
+            self.calls.remove(call)
+
+    def land(self, index: int) -> None:
+        """A write that was under way reaches the table."""
+        if self.flying:
+            self._apply(self.flying.pop(index % len(self.flying)))
+
+    def arrive(self, index: int, is_run: bool) -> None:
+        """A dispatch that was under way reaches its target, or is lost."""
+        if self.tickets:
+            ticket = self.tickets.pop(index % len(self.tickets))
+            if is_run:
+                self._run(ticket)
+
+    def kill(self, daemon: int) -> None:
+        """A daemon dies with its memory and starts again."""
+        self.incarnations[daemon] += 1
+        self.paused.discard(daemon)
+        self.kept[daemon] = {}
+        self.calls = [item for item in self.calls if item.daemon != daemon]
+
+    def record_kept(self, daemon: int, fate: Fate) -> None:
+        """A daemon tries to record what it kept."""
+        if daemon in self.paused:
+            return
+        for key, documents in list(self.kept[daemon].items()):
+            for document in list(documents):
+                write = ledger.next_write(key, document, self._row(key))
+                if write is None or self._write(write, fate).is_applied:
+                    documents.remove(document)
+
+    def settle(self, key: str) -> None:
+        """An operator settles a call by what the target's log says."""
+        row = self._row(key)
+        if row.document is None:
+            return
+        attempt = row.document["attempt"]
+        holder = ledger_events.Holder(row.document["daemon"],
+                                      row.document["incarnation"])
+        is_stopped = all(holder != self._holder(daemon)
+                         for daemon in range(len(self.incarnations)))
+        if any(ticket.attempt == attempt for ticket in self.tickets):
+            return
+        has_run = attempt in self.runs.get(key, [])
+        finding = settlement.Finding(
+            settlement.Outcome.RAN if has_run else settlement.Outcome.NOT_RUN,
+            "ana", "log", _answer(attempt), is_stopped)
+        try:
+            document = settlement.settled(row, finding)
+        except errors.PersimmonspanError:
+            return
+        self._apply(ledger_events.WriteRow(key, row.version, document))
+
+    def check(self) -> None:
+        """Raises AssertionError if a guarantee is broken."""
+        for key, attempts in self.runs.items():
+            assert len(attempts) <= 1, f"{key} was run by {attempts}"
+            ran = self.not_run & set(attempts)
+            assert not ran, f"{ran} of {key} was run but told not_run"
+        for key, row in self.table.items():
+            if key in self.recorded:
+                assert row.document and row.document["answer"] == self.recorded[
+                    key], f"{key} changed"
+
+    def _carry_out(self, call: _Running, command: ledger_events.Command,
+                   fate: Fate) -> None:
+        key = call.state.call.key
+        match command:
+            case ledger_events.WriteRow():
+                call.inbox.append(self._write(command, fate))
+            case ledger_events.ReadRow():
+                call.inbox.append(self._read(call, fate))
+            case ledger_events.Dispatch(attempt, not_after_s):
+                call.inbox.append(
+                    self._dispatch(Ticket(key, attempt), fate) if self.now_s <=
+                    not_after_s else ledger_events.DispatchLate())
+            case ledger_events.Keep(key, document):
+                self.kept[call.daemon].setdefault(key, []).append(document)
+            case ledger_events.Respond(answer):
+                assert self.told.setdefault(
+                    key, answer) == answer, f"two answers for {key}"
+                assert answer.body.decode() in self.runs.get(
+                    key, []), (f"{key} was answered and not run")
+            case ledger_events.Refuse(_, _, errors.RunState.NOT_RUN):
+                self.not_run.add(call.state.call.attempt)
+
+    def _read(self, call: _Running, fate: Fate) -> ledger_events.Event:
+        if fate in (Fate.REFUSED, Fate.LOST_BEFORE, Fate.LOST_AFTER):
+            return ledger_events.ReadFailed()
+        row = self._row(call.state.call.key)
+        holder = None
+        if row.document is not None:
+            holder = ledger_events.Holder(row.document["daemon"],
+                                          row.document["incarnation"])
+        is_gone = (holder is not None and
+                   holder.daemon == call.state.call.holder.daemon and
+                   holder != call.state.call.holder)
+        return ledger_events.RowRead(row, is_gone)
+
+    def _write(self, command: ledger_events.WriteRow,
+               fate: Fate) -> ledger_events.WriteEnded:
+        if (self.fault == Fault.SKIP_CLAIM and
+                command.document["state"] == "claimed"):
+            return ledger_events.WriteEnded(True, 1)
+        if fate == Fate.REFUSED:
+            return ledger_events.WriteEnded(False)
+        if fate in (Fate.LATE, Fate.TWICE):
+            self.flying.append(command)
+        if fate in (Fate.DONE, Fate.TWICE):
+            return self._apply(command)
+        if fate == Fate.LOST_AFTER:
+            self._apply(command)
+        return ledger_events.WriteEnded(None)
+
+    def _apply(self,
+               command: ledger_events.WriteRow) -> ledger_events.WriteEnded:
+        row = self._row(command.key)
+        if row.version != command.expected_version:
+            return ledger_events.WriteEnded(False, conflict=row)
+        row = ledger_events.Row(next(self._versions), command.document)
+        self.table[command.key] = row
+        if command.document["state"] == "recorded":
+            self.recorded.setdefault(command.key, command.document["answer"])
+        return ledger_events.WriteEnded(True, row.version)
+
+    def _dispatch(self, ticket: Ticket, fate: Fate) -> ledger_events.Event:
+        if fate == Fate.REFUSED:
+            return ledger_events.TargetNotRun("busy")
+        if fate in (Fate.DONE, Fate.TWICE):
+            self._run(ticket)
+            return ledger_events.TargetAnswered(_answer(ticket.attempt))
+        if fate == Fate.LOST_AFTER:
+            self._run(ticket)
+        elif fate == Fate.LATE:
+            self.tickets.append(ticket)
+        if self.fault == Fault.FALSE_NOT_RUN:
+            return ledger_events.TargetNotRun("no answer")
+        return ledger_events.TargetSilent("no answer")
+
+    def _run(self, ticket: Ticket) -> None:
+        self.runs.setdefault(ticket.key, []).append(ticket.attempt)
+
+    def _row(self, key: str) -> ledger_events.Row:
+        return self.table.get(key, ledger_events.Row(0, None))
+
+    def _holder(self, daemon: int) -> ledger_events.Holder:
+        return ledger_events.Holder(f"daemon-{daemon}",
+                                    f"i{self.incarnations[daemon]}")
+
+
+def _answer(attempt: str) -> ledger_events.Answer:
+    return ledger_events.Answer(200, "text/plain", attempt.encode())
