--- a/persimmonspan/request/isolation.py
+++ b/persimmonspan/request/isolation.py
@@ -160,7 +160,7 @@
 
 
 def rank(fingerprint: str, target: str) -> int:
-    """Orders targets alike at all daemons that isolate a fingerprint at once."""
+    """Orders targets alike at all daemons that isolate a fingerprint."""
     return zlib.crc32(f"{fingerprint}/{target}".encode())
 
 
