--- a/bench/health.py
+++ b/bench/health.py
@@ -1,7 +1,7 @@
 """Detection of stragglers and hangs by `process.health`, without any I/O.
 
 Streams progress on targets whose time per token grows with their number; a
-stream that ends is replaced by one on a target drawn by weight. One target
+stream that ends is replaced by one on the less busy of two targets. One target
 becomes slower, or hangs, or all become slower at once and unevenly (a load
 spike). All times are simulated.
 
@@ -74,6 +74,7 @@
                                     events.TargetsChanged(1, targets, (), ()),
                                     0.0)
         self.number = 0
+        self.counts = dict.fromkeys(self.names, 0)
         self.streams = [
             self._begin(name, self.rng.uniform(0, 5.0))
             for name in self.names * setup.streams
@@ -88,11 +89,8 @@
         """Runs to the end and returns what was seen."""
         for i in range(int(_RUN_S / _STEP_S)):
             now_s = i * _STEP_S
-            counts = dict.fromkeys(self.names, 0)
-            for stream in self.streams:
-                counts[stream.target] += 1
             self.streams = [
-                self._advance(stream, counts[stream.target], now_s)
+                self._advance(stream, self.counts[stream.target], now_s)
                 for stream in self.streams
             ]
             for name in self.names:
@@ -110,6 +108,7 @@
 
     def _begin(self, name: str, now_s: float, probe: bool = False) -> _Stream:
         self.number += 1
+        self.counts[name] += 1
         request_id = f"r{self.number}"
         self.state, _ = health.step(self.state,
                                     events.Dispatch(request_id, name, 0, 1),
@@ -119,6 +118,14 @@
         length = 20.0 if probe else self.rng.expovariate(1 / _MEAN_TOKENS) + 20
         return _Stream(request_id, name, now_s, first_s, length)
 
+    def _choose(self) -> str:
+        """Takes the less busy of two targets for its weight, as `choice`."""
+        weights = {name: health.weight(self.state, name) for name in self.names}
+        usable = [name for name in self.names if weights[name] > 0.0]
+        pair = self.rng.sample(usable, min(2, len(usable)))
+        return min(pair,
+                   key=lambda name: (self.counts[name] + 1) / weights[name])
+
     def _factor(self, name: str, now_s: float) -> float:
         factor = self.factors[name]
         if _ONSET_S <= now_s < _RECOVERY_S:
@@ -152,9 +159,8 @@
                 events.AttemptEnded(stream.request_id,
                                     stream.target, events.Outcome.COMPLETED,
                                     int(tokens)), now_s)
-            weights = [health.weight(self.state, name) for name in self.names]
-            name = self.rng.choices(self.names, weights)[0]
-            return self._begin(name, now_s)
+            self.counts[stream.target] -= 1
+            return self._begin(self._choose(), now_s)
         self.state, _ = health.step(
             self.state,
             events.Progressed(stream.request_id, stream.target, int(tokens)),
--- a/persimmonspan/request/isolation.py
+++ b/persimmonspan/request/isolation.py
@@ -6,8 +6,9 @@
 stays open for another suspect for `OPEN_S`, because it is idle at that moment
 and would have to be drained again.
 
-Two daemons may reserve one target at once. Both keep the reservation whose
-fingerprint sorts first, so that they agree without another message.
+Two daemons may reserve one target at once, mostly one that has just restarted
+and is idle. Both keep the reservation whose fingerprint sorts first, so that
+they agree without another message, and neither starts before `ANNOUNCE_S`.
 
 >>> reserved = reserve(Reservations(), "f", "e1", 0.0)
 >>> is_held(reserved, "e1", 1.0), is_held(reserved, "e2", 1.0)
@@ -27,6 +28,7 @@
 from persimmonspan.request import events
 
 OPEN_S = 0.5
+ANNOUNCE_S = 0.5  # Until every peer has heard, even if the target is idle.
 DRAIN_S = 10.0  # Then the suspect runs beside what is left on the target.
 _PEER_LOAD_TTL_S = 5.0  # A peer that is gone has no work there.
 _MARGIN_S = 5.0  # Until the scheduler sends the suspect, or a peer says so.
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -23,11 +23,10 @@
 free too. A crash is not alone if a peer had work on the target by its last
 `PeerLoad`.
 
-How to call it: `plan` before each dispatch; `reserve` for a plan with a target;
-`dispatched` for each `events.Dispatch`; `step` with the events `AttemptEnded`,
-`TargetDied`, `PeerLoad`, `QuarantineShared`, `QuarantineLifted` and `Tick`. No
-other work may go to a target for which `is_reserved` returns true. The commands
-are `ShareQuarantine` and `Count`.
+How to call it: `plan` before each dispatch, `reserve` for a plan with a target,
+`dispatched` for each `events.Dispatch`, and `step` with the scheduler's events.
+No other work may go to a target for which `is_reserved` returns true. The
+commands are `ShareQuarantine` and `Count`.
 
 >>> state = dispatched(State(), "r1", "f", "e1", 0.0)
 >>> state = dispatched(state, "r2", "g", "e1", 0.0)
@@ -118,8 +117,7 @@
 class State(typing.NamedTuple):
     """Attempts in flight per target, and the records of fingerprints.
 
-    `lifted_s` holds when a fingerprint was lifted or cleared; `peers` holds per
-    peer daemon what it has outstanding on each target.
+    `lifted_s` holds when a fingerprint was lifted or cleared.
     """
 
     runs: immutables.Map[str, _Runs] = immutables.Map()
@@ -145,22 +143,24 @@
     kept = isolation.target_of(state.reserved, fingerprint)
     if kept in targets:
         waited_s = now_s - state.reserved[kept].since_s
-        is_idle = not _work(state, kept, now_s)
-        is_ready = is_idle or waited_s >= isolation.DRAIN_S
+        is_busy = _work(state, kept, now_s) > 0
+        is_ready = waited_s >= (isolation.DRAIN_S if is_busy else
+                                isolation.ANNOUNCE_S if state.peers else 0.0)
         return Plan(Action.ISOLATE if is_ready else Action.DRAIN, kept)
     free = [
         target for target in targets
-        if isolation.is_open(state.reserved, target) or
-        not isolation.is_held(state.reserved, target, now_s)
+        if not _runs_suspect(state, target, now_s) and
+        (isolation.is_open(state.reserved, target) or
+         not isolation.is_held(state.reserved, target, now_s))
     ]
-    free = [item for item in free if not _runs_suspect(state, item, now_s)]
     reserved = len(targets) - len(free)
     if not free or reserved >= max(1, len(targets) // RESERVED_SHARE):
         return Plan(Action.WAIT)
     work, _, target = min(
         (_work(state, item, now_s), isolation.rank(fingerprint, item), item)
         for item in free)
-    return Plan(Action.DRAIN if work else Action.ISOLATE, target)
+    must_wait = work or state.peers
+    return Plan(Action.DRAIN if must_wait else Action.ISOLATE, target)
 
 
 def reserve(state: State, fingerprint: str, target: str, now_s: float) -> State:
@@ -366,7 +366,7 @@
                              expires_s=now_s + SUSPECT_TTL_S)
     if record.crashes < CRASHES:
         return record
-    ttl_s = min(CONDEMNED_TTL_S, HOLD_TTL_S * 2**(record.crashes - CRASHES))
+    ttl_s = min(CONDEMNED_TTL_S / 2, HOLD_TTL_S * 2**(record.crashes - CRASHES))
     if record.crashes_alone >= CRASHES_ALONE:
         ttl_s = CONDEMNED_TTL_S
     # It stays a suspect after the refusal, so that it starts in isolation.
@@ -428,9 +428,7 @@
 
 
 def _runs_suspect(state: State, target: str, now_s: float) -> bool:
-    if not state.records:
-        return False
-    return any(
+    return bool(state.records) and any(
         run.fingerprint in state.records and run.broke_s == math.inf and now_s -
         run.begun_s < _exclusive_s(state.records[run.fingerprint])
         for run in state.runs.get(target, _NO_RUNS).values())
--- a/persimmonspan/request/tests/test_quarantine.py
+++ b/persimmonspan/request/tests/test_quarantine.py
@@ -58,7 +58,21 @@
     hold_s = quarantine.HOLD_TTL_S
     assert quarantine.is_quarantined(state, "p", 1.9 + hold_s)
     action, _ = quarantine.plan(state, "p", _TARGETS, 2.1 + hold_s)
-    assert action is _ACTIONS.ISOLATE
+    assert action is _ACTIONS.DRAIN
+
+
+def test_daemons_that_choose_one_idle_target_at_once_agree():
+    loads = events.PeerLoad("peer", ())
+    ready = {}
+    for own, other in (("p", "i1"), ("i1", "p")):
+        state, _ = quarantine.step(_after_death(), loads, 1.0)
+        action, target = quarantine.plan(state, own, ["e2"], 1.0)
+        assert (action, target) == (_ACTIONS.DRAIN, "e2")
+        state = quarantine.reserve(state, own, "e2", 1.0)
+        shared = events.QuarantineShared(other, 1, 300.0, "e2")
+        state, _ = quarantine.step(state, shared, 1.2)
+        ready[own] = quarantine.plan(state, own, ["e2"], 1.6).action
+    assert ready == {"p": _ACTIONS.WAIT, "i1": _ACTIONS.ISOLATE}
 
 
 def test_no_third_target_is_risked_before_the_second_death_is_known():
