Admit against less margin, keep more memory for short work

Change: 0.4 instead of 1.3 standard deviations; short work is checked only at the horizons it lives to; what peers may have started counts lasting work only; 8% instead of 5% of memory reserved for short work; each daemon may use its even part of the slots; lanes may hold 1.5 times what their rate starts in time.

--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -34,6 +34,10 @@
 # Progress is reported at most every 0.25 s, here with room for a slow one.
 _SILENT_S = 1.5
 
+# Horizon from which work counts as lasting: short work that peers may have
+# started will have ended before they speak again.
+_LASTING = 2
+
 Vector = tuple[float, ...]
 
 
@@ -113,7 +117,7 @@
                       long_running=item.long_running + is_long,
                       own=own,
                       recent_tokens=recent_tokens(item, now_s) +
-                      max(profile.mean),
+                      profile.mean[_LASTING],
                       recent_s=now_s,
                       progress_s=item.progress_s if item.decoding else now_s))
 
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -20,16 +20,18 @@
 from persimmonspan.request import length
 
 # Standard deviations of the predicted memory that are kept free.
-_DEVIATIONS = 1.3
+_DEVIATIONS = 0.4
 # More of them after preemptions were seen on the target, up to the limit.
-_DEVIATIONS_PER_CAUTION = 0.15
+_DEVIATIONS_PER_CAUTION = 0.5
 _MOST_DEVIATIONS = 2.6
 # Engines keep some blocks free and fill the last block of each sequence half.
 _SEQUENCE_OVERHEAD_TOKENS = 12
 _USABLE_SHARE = 0.985
 # Part of memory and slots that long work leaves to short work.
-_SHORT_RESERVE_SHARE = 0.05
+_SHORT_RESERVE_SHARE = 0.08
 _LONG_SLOTS_SHARE = 0.75
+# Below this part of its first memory a request counts as ended.
+_GONE_SHARE = 0.05
 # A report this old no longer says that the engine has no queue.
 _REPORT_TRUSTED_S = 2.0
 # Usable memory falls by this share as reports grow old, until the age.
@@ -78,8 +80,10 @@
         that is predicted to be in use; None when it does not fit.
     """
     target = item.target
+    # A daemon may always use its even part; what peers leave is lent.
     running = item.running + item.peers_running + 1
-    if running > target.max_running:
+    if (running > target.max_running and
+            item.running * (peers + 1) >= target.max_running):
         return None
     if not target.kv_capacity_tokens:
         return running / target.max_running
@@ -107,16 +111,23 @@
 
 def peak_tokens(item: load_view.TargetView, new: load_view.Profile, peers: int,
                 now_s: float) -> float:
-    """Returns the largest predicted memory, with its safety margin."""
+    """Returns the largest predicted memory, with its safety margin.
+
+    Horizons at which the request will have ended do not count: short work does
+    not wait for a peak that it will not see.
+    """
     deviations = min(
         _MOST_DEVIATIONS,
         _DEVIATIONS + _DEVIATIONS_PER_CAUTION * load_view.caution(item, now_s))
+    least = _GONE_SHARE * new.mean[0]
     peak = 0.0
     for own, own_v, peer, peer_v, mean, variance in zip(item.own.mean,
                                                         item.own.variance,
                                                         item.peers.mean,
                                                         item.peers.variance,
                                                         new.mean, new.variance):
+        if mean < least:
+            break
         spread = own_v + peer_v + variance
         value = own + peer + mean
         if spread > 0:
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -37,6 +37,8 @@
 # Requests that a lane may hold whatever its rate, so that a lane that was idle
 # does not refuse its first requests.
 _LEAST_LANE_LENGTH = 4
+# Rates are measured over a short time and crests end: a longer lane may start.
+_LANE_SLACK = 1.5
 _USAGE_S = 30.0
 _FAIRNESS = 1.0
 _FAIRNESS_FLOOR = 0.05
@@ -231,7 +233,9 @@
     if lane is None or len(lane.items) < _LEAST_LANE_LENGTH:
         return False
     rate = queue.rates.get(item.lane, Decayed()).at(now_s, _RATE_S) / _RATE_S
-    return len(lane.items) > rate * (item.latest_s - now_s)
+    return len(
+        lane.items
+    ) > _LEAST_LANE_LENGTH + _LANE_SLACK * rate * (item.latest_s - now_s)
 
 
 def retry_after_s(queue: Queue, item: Queued, now_s: float,
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -114,7 +114,7 @@
     item = _queued(state, event, now_s)
     if not choice.any_open(state.view, event.service, state.leaving, ()):
         return _refuse(state, item, errors.Code.NO_TARGET, now_s, rng)
-    if not state.queue.order.get((event.service, item.is_long)):
+    if queueing.first(state.queue, (event.service, item.is_long), 0) is None:
         placed, commands = _place(state, item, (), now_s, rng)
         if commands:
             return placed, commands
