--- a/persimmonspan/process/configuration_actor.py
+++ b/persimmonspan/process/configuration_actor.py
@@ -34,7 +34,7 @@
 from persimmonspan.version import difference
 
 POLL_INTERVAL_S = 1.0
-_TICK_INTERVAL_S = 0.1
+_TICK_INTERVAL_S = 0.25
 _WAIT_S = 10.0
 _FETCH_THREADS = 2
 
--- a/persimmonspan/process/store_actor.py
+++ b/persimmonspan/process/store_actor.py
@@ -115,6 +115,7 @@
         self._pool = concurrent.futures.ThreadPoolExecutor(
             _POOL_THREADS, "store")
         self._stopped = threading.Event()
+        self._has_waiting = threading.Event()
 
     def on_start(self) -> None:
         """Starts the timer."""
@@ -123,6 +124,7 @@
     def on_stop(self) -> None:
         """Stops the timer and the pool; waiting operations are rejected."""
         self._stopped.set()
+        self._has_waiting.set()
         self._pool.shutdown(wait=False)
         for job in self._jobs.values():
             _reject(job, errors.Code.STORE_UNAVAILABLE)
@@ -169,6 +171,10 @@
     def _step(self, event: store_budget.Event) -> None:
         self._budget, commands = store_budget.step(self._budget, event,
                                                    time.monotonic(), self._rng)
+        if self._budget.waiting:
+            self._has_waiting.set()
+        else:
+            self._has_waiting.clear()
         for command in commands:
             job = self._jobs[command.request_id]
             if isinstance(command, store_budget.Start):
@@ -255,7 +261,9 @@
                     result._replace(conflicts=(row,) if row else ()))
 
     def _tick(self) -> None:
+        """Ticks only while operations wait, as an idle timer costs CPU time."""
         while not self._stopped.wait(_TICK_INTERVAL_S):
+            self._has_waiting.wait()
             try:
                 self.actor_ref.tell(store_budget.Tick())
             except pykka.ActorDeadError:
--- /dev/null
+++ b/testbed/ledger_worker.py
@@ -0,0 +1,171 @@
+"""A process that runs calls at most once, as a daemon does, and nothing else.
+
+It takes `POST /<workspace>` with `Idempotency-Key`, forwards the body to the
+target, and writes its own `member/` row, by which others learn that an earlier
+incarnation is gone. `GET /stats` tells claim latencies and counted reasons.
+"""
+
+import argparse
+import collections
+import contextlib
+import threading
+import time
+import uuid
+
+import msgspec
+from cheroot import server
+
+from persimmonspan import errors
+from persimmonspan.connection import plain_service
+from persimmonspan.connection import table_service
+from persimmonspan.process import ledger_rows
+from persimmonspan.process import metrics
+from persimmonspan.process import store_actor
+from persimmonspan.request import at_most_once
+from persimmonspan.request import ledger_events
+from persimmonspan.version import model
+
+_THREADS = 32
+_PERIOD_S = 1.0
+_DEADLINE_S = 6.0
+_TIMEOUTS = model.Timeouts(connect_s=0.5, first_token_s=1.5)
+
+
+class _TimedRows(ledger_rows.LedgerRows):
+    """Ledger rows that measure how long a claim takes."""
+
+    def __init__(self, client: store_actor.Client) -> None:
+        super().__init__(client)
+        self.claims = metrics.LatencySummary("claims", "Latency of claims")
+
+    def write(self,
+              command: ledger_events.WriteRow) -> ledger_events.WriteEnded:
+        started_s = time.monotonic()
+        ended = super().write(command)
+        if (command.document["state"] == ledger_events.RowState.CLAIMED and
+                ended.is_applied):
+            self.claims.observe(time.monotonic() - started_s)
+        return ended
+
+
+class Worker:
+    """Store client, ledger context and members."""
+
+    def __init__(self, name: str, platform: str, target: str,
+                 daemons: int) -> None:
+        self.holder = ledger_events.Holder(name, uuid.uuid4().hex)
+        self.client = store_actor.start(platform, name, uuid.uuid4().int)
+        self.client.count_daemons(daemons)
+        self.rows = _TimedRows(self.client)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.context = at_most_once.Context(self.rows, self.holder,
+                                            self._is_gone, self._count)
+        self.target = target
+        self._members: dict[str, str] = {}
+
+    def maintain(self) -> None:
+        """Keeps the member row and the kept rows; does not return."""
+        while True:
+            with contextlib.suppress(errors.StoreError):
+                self._register()
+                self.context.record_kept()
+            time.sleep(_PERIOD_S)
+
+    def call(self, workspace: str, key: str,
+             body: bytes) -> ledger_events.Answer:
+        """Runs a call at most once."""
+
+        def dispatch(attempt: str) -> ledger_events.Answer:
+            return ledger_events.Answer(
+                *plain_service.call(self.target, "POST", "/" +
+                                    workspace, body, attempt, _TIMEOUTS))
+
+        request = at_most_once.Request(
+            workspace, key, at_most_once.digest("POST", workspace, body),
+            time.monotonic() + _DEADLINE_S)
+        return at_most_once.run(self.context, request, dispatch)
+
+    def stats(self) -> dict[str, object]:
+        """Returns latencies and counts."""
+        return {
+            "claim_p50_s": self.rows.claims.quantile_s(0.5),
+            "claim_p99_s": self.rows.claims.quantile_s(0.99),
+            "kept_rows": self.context.kept_rows,
+            "counts": dict(self.counts)
+        }
+
+    def _register(self) -> None:
+        rows = self.client.scan("member/").get(timeout=10)
+        self._members = {
+            row.key.removeprefix("member/"): row.value for row in rows
+        }
+        name, incarnation = self.holder
+        if self._members.get(name) != incarnation:
+            key = f"member/{name}"
+            version = next((row.version for row in rows if row.key == key), 0)
+            self.client.transact(
+                [table_service.Check(key, version)],
+                [table_service.Put(key, incarnation)]).get(timeout=10)
+
+    def _is_gone(self, holder: ledger_events.Holder) -> bool:
+        current = self._members.get(holder.daemon, holder.incarnation)
+        return current != holder.incarnation
+
+    def _count(self, reason: str) -> None:
+        self.counts[reason] += 1
+
+
+def make_server(address: tuple[str, int], state: Worker) -> server.HTTPServer:
+    """Returns a server for the worker."""
+
+    class _Gateway(server.Gateway):
+
+        def respond(self) -> None:
+            """Serves one request."""
+            _respond(self.req, state)
+
+    return server.HTTPServer(address, _Gateway, _THREADS, _THREADS)
+
+
+def _respond(request: server.HTTPRequest, state: Worker) -> None:
+    if request.path == b"/stats":
+        _answer(request, 200, msgspec.json.encode(state.stats()))
+        return
+    key = request.inheaders.get(b"Idempotency-Key", b"").decode()
+    try:
+        answer = state.call(request.path.decode().lstrip("/"), key,
+                            request.rfile.read())
+        _answer(request, answer.status, answer.body)
+    except errors.PersimmonspanError as error:
+        _answer(
+            request, error.status,
+            msgspec.json.encode({
+                "code": error.code,
+                "run_state": error.run_state
+            }))
+
+
+def _answer(request: server.HTTPRequest, status: int, data: bytes) -> None:
+    request.status = b"%d -" % status
+    request.outheaders = [(b"Content-Length", b"%d" % len(data))]
+    request.ensure_headers_sent()
+    request.write(data)
+
+
+def main() -> None:
+    """Runs the worker as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--platform", required=True)
+    parser.add_argument("--target", required=True)
+    parser.add_argument("--daemons", type=int, default=1)
+    options = parser.parse_args()
+    worker = Worker(options.name, options.platform, options.target,
+                    options.daemons)
+    threading.Thread(target=worker.maintain, daemon=True).start()
+    make_server(("127.0.0.1", options.port), worker).safe_start()
+
+
+if __name__ == "__main__":
+    main()
