Compose health, retry budget and quarantine in the scheduler

Cause: the scheduler judged stragglers by its own interval average, retried without a budget, retried non-idempotent calls that may have run, and did not isolate suspects. Change: State, placing, draining, retrying and refusing move to request/placement.py; choice divides the predicted use by the weights of health and retry; suspects of the quarantine wait in lanes of their own and run on their planned target; health.step observes instead of the own average.

--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -30,9 +30,6 @@
 _REPORT_FADES_S = 5.0
 _PEER_FORGOTTEN_S = 10.0
 _INTERVAL_GAIN = 0.15
-_INTERVAL_FADES_S = 8.0
-# Progress is reported at most every 0.25 s, here with room for a slow one.
-_SILENT_S = 1.5
 
 # Horizon from which work counts as lasting: short work that peers may have
 # started will have ended before they speak again.
@@ -175,22 +172,6 @@
                       failures=0))
 
 
-def interval_s(item: TargetView, usual_s: float, now_s: float) -> float:
-    """Returns the time between tokens to expect of a target.
-
-    A target whose streams are silent is at least as slow as the silence. What
-    was learned fades towards the usual interval when nothing runs there.
-    """
-    silent_s = now_s - item.progress_s
-    known_s = item.interval_s or usual_s
-    if item.decoding > 0:
-        if silent_s > _SILENT_S:
-            return max(known_s, silent_s / 4)
-        return known_s
-    part = math.exp(-max(0.0, silent_s) / _INTERVAL_FADES_S)
-    return usual_s + part * (known_s - usual_s)
-
-
 def recent_tokens(item: TargetView, now_s: float) -> float:
     """Returns the tokens this daemon sent there since peers last spoke."""
     if not item.recent_tokens:
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -1,7 +1,8 @@
 """Choice of a target.
 
 Of the targets that admit the request, the one is chosen that is predicted to be
-used least, weighted by how slow its streams are compared with the usual ones.
+used least, divided by its weight: of its health, which falls for stragglers,
+and of its recent refusals.
 With few targets all are compared; of many, two at random, and all only if
 neither admits (the power of two choices). Many daemons that see the same load
 would all choose the same target; each therefore adds a small bias of its own,
@@ -21,15 +22,17 @@
 import random
 import typing
 
+from persimmonspan.process import health
 from persimmonspan.process import load_view
 from persimmonspan.request import admission
 from persimmonspan.request import events
+from persimmonspan.request import quarantine
+from persimmonspan.request import retry
 
 SUBSET_TARGETS = 24
 _COMPARE_ALL = 8
-# Targets slower than this many times the usual interval get new work only when
-# no other target admits it.
-_STRAGGLER_RATIO = 2.0
+# Targets with less weight get no long work, which would stay slow for long.
+_HEALTHY_WEIGHT = 0.5
 # Random part of the score, which keeps daemons from agreeing on one target.
 _BIAS = 0.04
 DEFAULT_INTERVAL_S = 0.02
@@ -73,54 +76,66 @@
 
 
 class Wanted(typing.NamedTuple):
-    """What is to be placed."""
+    """What is to be placed; `only`, if not empty, are the targets allowed."""
 
     service: str
     profile: load_view.Profile
     is_long: bool
-    excluded: tuple[str, ...]
+    is_idempotent: bool
+    excluded: tuple[str, ...] = ()
+    only: tuple[str, ...] = ()
 
 
-def choose(view: load_view.View, wanted: Wanted, only: tuple[str, ...],
-           leaving: frozenset[str], usual_s: float, now_s: float,
-           rng: random.Random) -> str | None:
-    """Returns the target for a request, or None when none admits it.
+class Rules(typing.NamedTuple):
+    """What else decides whether and how much a target gets."""
 
-    `only`, if not empty, restricts the choice to some targets.
-    """
+    leaving: frozenset[str] = frozenset()
+    observed: health.State = health.State()
+    budget: retry.State = retry.State()
+    suspects: quarantine.State = quarantine.State()
+
+
+def choose(view: load_view.View, wanted: Wanted, rules: Rules, now_s: float,
+           rng: random.Random) -> str | None:
+    """Returns the target for a request, or None when none admits it."""
     names = view.groups.get(wanted.service, ())
-    if only:
-        names = tuple(name for name in only if name in names)
+    if wanted.only:
+        names = tuple(name for name in wanted.only if name in names)
     if len(names) > _COMPARE_ALL:
         few = (names[int(rng.random() * len(names))],
                names[int(rng.random() * len(names))])
-        best = _best(view, few, wanted, leaving, usual_s, now_s, rng)
+        best = _best(view, few, wanted, rules, now_s, rng)
         if best is not None:
             return best
-    return _best(view, names, wanted, leaving, usual_s, now_s, rng)
+    return _best(view, names, wanted, rules, now_s, rng)
 
 
 def _best(view: load_view.View, names: typing.Iterable[str], wanted: Wanted,
-          leaving: frozenset[str], usual_s: float, now_s: float,
-          rng: random.Random) -> str | None:
+          rules: Rules, now_s: float, rng: random.Random) -> str | None:
     best, best_score = None, 0.0
     peers = len(view.peers)
+    may_be_reserved = (rules.suspects.records or rules.suspects.reserved)
+    may_probe = wanted.is_idempotent and not wanted.is_long
     for name in names:
-        if name in leaving or name in wanted.excluded:
+        if name in rules.leaving or name in wanted.excluded:
             continue
         item = view.targets[name]
-        if now_s < item.avoid_until_s:
+        if now_s < item.avoid_until_s or (may_be_reserved and
+                                          quarantine.is_reserved(
+                                              rules.suspects, name, now_s)):
             continue
+        weight = health.weight(rules.observed, name)
+        if weight < _HEALTHY_WEIGHT:
+            if may_probe and health.is_probe_due(rules.observed, name, now_s):
+                return name
+            if wanted.is_long or weight == 0.0:
+                continue
+        weight *= retry.send_weight(rules.budget, name, now_s)
         used = admission.fits(item, wanted.profile, wanted.is_long, peers,
                               now_s)
         if used is None:
             continue
-        ratio = load_view.interval_s(item, usual_s, now_s) / usual_s
-        if ratio > _STRAGGLER_RATIO:
-            if wanted.is_long:
-                continue
-            used += ratio
-        score = used * max(1.0, ratio) + _BIAS * rng.random()
+        score = (used + _BIAS * rng.random()) / weight
         if best is None or score < best_score:
             best, best_score = name, score
     return best
--- /dev/null
+++ b/persimmonspan/request/placement.py
@@ -0,0 +1,336 @@
+"""Placement of requests: state of the scheduler and its transitions.
+
+A request is placed on a target if one admits it, else it waits; what waits is
+placed when there is room; an attempt that ended without having run is placed
+again. Each transition also tells the parts that learn from it: lengths, health
+of targets, retry budget and quarantine.
+
+See Also:
+    `persimmonspan.request.scheduler`: the events that lead to the transitions.
+"""
+
+import random
+import typing
+
+import immutables
+
+from persimmonspan import errors
+from persimmonspan.process import health
+from persimmonspan.process import load_view
+from persimmonspan.request import admission
+from persimmonspan.request import choice
+from persimmonspan.request import events
+from persimmonspan.request import length
+from persimmonspan.request import quarantine
+from persimmonspan.request import queueing
+from persimmonspan.request import retry
+
+_MAX_ATTEMPTS = 3
+# A request must be able to end within its deadline with this probability.
+_IN_TIME_PROBABILITY = 0.85
+# A short kind that has generated more belongs to the long class.
+_OUTGROWN_TOKENS = 512
+# A profile is built anew when the tokens have grown by this much.
+_REFRESH_TOKENS = 32
+_REFRESH_SHARE = 1 / 8
+# Lanes that may pass one whose head does not fit, while it is not yet urgent.
+_PASSING_LANES = {
+    queueing.Group.SHORT: 2,
+    queueing.Group.LONG: 2,
+    queueing.Group.SUSPECT: 8
+}
+_URGENT_SHARE = 0.5
+_AVOID_S = 1.0
+_MOST_AVOID_S = 8.0
+_PLAIN_WORK = 1.0
+_FIRST_TOKEN_S = 0.5
+_SHORT_PRIORITY = 0
+_LONG_PRIORITY = 1
+_DEFAULT_WORTH = 1.0
+
+NOT_RUN = frozenset({events.Outcome.REFUSED, events.Outcome.CONNECT_FAILED})
+
+
+class Running(typing.NamedTuple):
+    """A request with an attempt on a target."""
+
+    item: queueing.Queued
+    target: str
+    profile: load_view.Profile
+    is_long: bool
+    sent_s: float
+    progress_s: float
+    tokens: int = 0
+    bucket: int = 0
+    refresh_at: int = 0
+
+
+class State(typing.NamedTuple):
+    """State of the scheduler."""
+
+    view: load_view.View = load_view.View()
+    leaving: frozenset[str] = frozenset()
+    running: immutables.Map[str, Running] = immutables.Map()
+    queue: queueing.Queue = queueing.Queue()
+    lengths: length.Lengths = length.Lengths()
+    kinds: immutables.Map[str, events.KindPolicy] = immutables.Map()
+    # Median token interval by service, taken at ticks.
+    usual_s: immutables.Map[str, float] = immutables.Map()
+    observed: health.State = health.State()
+    budget: retry.State = retry.State()
+    suspects: quarantine.State = quarantine.State()
+
+
+Result = tuple[State, list[events.Command]]
+
+
+def queued(state: State, arrived: events.Arrived,
+           now_s: float) -> queueing.Queued:
+    """Returns a request with what is predicted of it."""
+    kind = state.kinds.get(arrived.kind)
+    is_short = kind.is_short if kind else True
+    worth = kind.worth if kind else _DEFAULT_WORTH
+    names = state.view.groups.get(arrived.service, ())
+    if not names or not is_model(state, names[0]):
+        return queueing.Queued(arrived, now_s, arrived.deadline_s, False,
+                               load_view.Profile(), _PLAIN_WORK, worth)
+    curve = length.curve(state.lengths, arrived.workspace, arrived.kind,
+                         is_short)
+    usual_s = state.usual_s.get(arrived.service, choice.DEFAULT_INTERVAL_S)
+    time_s = arrived.deadline_s - now_s
+    tokens = min(arrived.max_output_tokens,
+                 length.quantile(curve, 0, _IN_TIME_PROBABILITY))
+    latest_s = max(arrived.deadline_s - _FIRST_TOKEN_S - usual_s * tokens,
+                   now_s + _LEAST_WAIT_SHARE * time_s)
+    most = min(arrived.max_output_tokens, max(1.0, time_s / usual_s))
+    return queueing.Queued(
+        arrived, now_s, min(latest_s, arrived.deadline_s), not is_short,
+        admission.profile(curve, arrived.prompt_tokens, 0,
+                          arrived.max_output_tokens),
+        length.work(curve, arrived.prompt_tokens, most), worth)
+
+
+# A request waits at least this part of its time, however long its kind runs.
+_LEAST_WAIT_SHARE = 0.25
+
+
+def is_model(state: State, target: str) -> bool:
+    """Returns whether a target is an engine."""
+    item = state.view.targets.get(target)
+    return item is not None and item.target.kv_capacity_tokens > 0
+
+
+def place(state: State, item: queueing.Queued, only: tuple[str, ...],
+          now_s: float, rng: random.Random) -> Result:
+    """Dispatches a request; returns no commands when no target admits it.
+
+    `only`, if not empty, restricts the choice to some targets. A suspect of
+    the quarantine goes to the target planned for it alone, or is refused.
+    """
+    arrived = item.arrived
+    if arrived.fingerprint in state.suspects.records:
+        state, only, is_refused = _isolated(state, item, now_s)
+        if is_refused:
+            return refuse(state, item, errors.Code.QUARANTINED, now_s, rng)
+        if not only:
+            return state, []
+    wanted = choice.Wanted(arrived.service, item.profile, item.is_long,
+                           arrived.is_idempotent, item.tried, only)
+    rules = choice.Rules(
+        state.leaving, state.observed, state.budget,
+        state.suspects if not item.is_suspect else quarantine.State())
+    target = choice.choose(state.view, wanted, rules, now_s, rng)
+    if target is None:
+        return state, []
+    item = item._replace(tried=item.tried + (target,))
+    running = Running(item, target, item.profile, item.is_long, now_s, now_s, 0,
+                      0, _REFRESH_TOKENS)
+    dispatch = events.Dispatch(
+        arrived.request_id, target,
+        _LONG_PRIORITY if item.is_long else _SHORT_PRIORITY, len(item.tried))
+    state = state._replace(
+        view=load_view.started(state.view, target, item.profile, item.is_long,
+                               now_s),
+        queue=queueing.served(state.queue, item, now_s),
+        running=state.running.set(arrived.request_id, running),
+        observed=health.step(state.observed, dispatch, now_s)[0],
+        suspects=quarantine.dispatched(state.suspects, arrived.request_id,
+                                       arrived.fingerprint, target, now_s))
+    return state, [dispatch]
+
+
+def _isolated(state: State, item: queueing.Queued,
+              now_s: float) -> tuple[State, tuple[str, ...], bool]:
+    """Returns the targets a suspect may go to and whether it is refused."""
+    arrived = item.arrived
+    names = tuple(name for name in state.view.groups.get(arrived.service, ())
+                  if name not in state.leaving and name not in item.tried and
+                  now_s >= state.view.targets[name].avoid_until_s)
+    plan = quarantine.plan(state.suspects, arrived.fingerprint, names, now_s)
+    if plan.action is quarantine.Action.REFUSE:
+        return state, (), True
+    if plan.action is quarantine.Action.ANY:
+        return state, names, False
+    if plan.target is None:
+        return state, (), False
+    state = state._replace(suspects=quarantine.reserve(
+        state.suspects, arrived.fingerprint, plan.target, now_s))
+    is_free = plan.action is quarantine.Action.ISOLATE
+    return state, (plan.target,) if is_free else (), False
+
+
+def enqueue(state: State, item: queueing.Queued, now_s: float,
+            is_first: bool) -> State:
+    """Lets a request wait; a suspect waits in a lane of its own."""
+    item = item._replace(
+        is_suspect=item.arrived.fingerprint in state.suspects.records)
+    return state._replace(
+        queue=queueing.push(state.queue, item, now_s, is_first))
+
+
+def drain(state: State, service: str, only: tuple[str, ...], now_s: float,
+          rng: random.Random) -> Result:
+    """Dispatches waiting requests until no target admits the next one."""
+    commands: list[events.Command] = []
+    for group in queueing.Group:
+        passed = 0
+        while passed <= _PASSING_LANES[group]:
+            item = queueing.first(state.queue, (service, group), passed)
+            if item is None:
+                break
+            state, more = place(state, item, only, now_s, rng)
+            if more:
+                state = state._replace(
+                    queue=queueing.take(state.queue, item, now_s))
+                commands += more
+                continue
+            if (not item.is_suspect and
+                    item.arrived.fingerprint in state.suspects.records):
+                state = state._replace(
+                    queue=queueing.take(state.queue, item, now_s))
+                state = enqueue(state, item, now_s, False)
+                continue
+            time_s = item.latest_s - item.arrived_s
+            if (group is not queueing.Group.SUSPECT and
+                    now_s - item.arrived_s > _URGENT_SHARE * time_s):
+                break
+            passed += 1
+    return state, commands
+
+
+def grown(state: State, running: Running) -> tuple[State, Running]:
+    """Builds the profile of a generation anew and learns what it passed."""
+    arrived = running.item.arrived
+    kind = state.kinds.get(arrived.kind)
+    is_short = kind.is_short if kind else True
+    bucket = length.index(running.tokens)
+    lengths = length.observe_passed(state.lengths, arrived.workspace,
+                                    arrived.kind, is_short, running.bucket,
+                                    bucket)
+    curve = length.curve(lengths, arrived.workspace, arrived.kind, is_short)
+    step_tokens = max(_REFRESH_TOKENS, int(running.tokens * _REFRESH_SHARE))
+    profile = admission.profile(curve, arrived.prompt_tokens,
+                                running.tokens + step_tokens // 2,
+                                arrived.max_output_tokens)
+    is_long = running.is_long or running.tokens > _OUTGROWN_TOKENS
+    view = load_view.grew(state.view, running.target, running.profile, profile,
+                          is_long - running.is_long)
+    return state._replace(view=view, lengths=lengths), running._replace(
+        profile=profile,
+        is_long=is_long,
+        bucket=bucket,
+        refresh_at=running.tokens + step_tokens)
+
+
+def learn(state: State, running: Running, tokens: int, now_s: float) -> State:
+    """Learns from an attempt that was completed."""
+    arrived = running.item.arrived
+    state = forget(state, arrived, True, now_s)
+    state = state._replace(
+        budget=retry.succeeded(state.budget, arrived.service))
+    if not is_model(state, running.target):
+        return state
+    kind = state.kinds.get(arrived.kind)
+    is_short = kind.is_short if kind else True
+    lengths = length.observe_passed(state.lengths, arrived.workspace,
+                                    arrived.kind, is_short, running.bucket,
+                                    length.index(tokens))
+    return state._replace(lengths=length.observe_ended(
+        lengths, arrived.workspace, arrived.kind, is_short, tokens))
+
+
+def release(state: State, request_id: str, running: Running) -> State:
+    """Takes an attempt from its target."""
+    return state._replace(view=load_view.ended(state.view, running.target,
+                                               running.profile, running.is_long,
+                                               running.tokens > 0),
+                          running=state.running.delete(request_id))
+
+
+def again(state: State, running: Running, outcome: events.Outcome, now_s: float,
+          rng: random.Random) -> Result:
+    """Retries a request on another target, or refuses it."""
+    item = running.item
+    item = item._replace(is_clean=item.is_clean and outcome in NOT_RUN)
+    arrived = item.arrived
+    if (len(item.tried) >= _MAX_ATTEMPTS or not choice.any_open(
+            state.view, arrived.service, state.leaving, item.tried)):
+        return refuse(state, item, errors.Code.NO_TARGET, now_s, rng)
+    attempt = retry.Attempt(arrived.service, item.tried, arrived.is_idempotent,
+                            not item.is_long, running.tokens > 0,
+                            item.is_repeat)
+    budget, decision = retry.may_retry(state.budget, attempt, outcome)
+    state = state._replace(budget=budget)
+    count: list[events.Command] = [events.Count(decision.reason)]
+    if not decision.is_allowed:
+        code = (errors.Code.RETRY_BUDGET_EXHAUSTED
+                if arrived.is_idempotent else errors.Code.OUTCOME_UNKNOWN)
+        if item.is_clean:
+            code = errors.Code.RETRY_BUDGET_EXHAUSTED
+        state, commands = refuse(state, item, code, now_s, rng)
+        return state, count + commands
+    state, commands = place(state, item, (), now_s, rng)
+    if commands:
+        return state, count + commands
+    if item.latest_s <= now_s:
+        state, commands = refuse(state, item, errors.Code.OVERLOADED, now_s,
+                                 rng)
+        return state, count + commands
+    return enqueue(state, item, now_s, True), count
+
+
+def forget(state: State, arrived: events.Arrived, is_success: bool,
+           now_s: float) -> State:
+    """Notes that a request ended for its caller."""
+    return state._replace(budget=retry.ended(state.budget, budget_key(arrived),
+                                             is_success, now_s))
+
+
+def budget_key(arrived: events.Arrived) -> retry.Request:
+    """Returns the request as the retry budget sees it."""
+    return retry.Request(arrived.service,
+                         f"{arrived.workspace}/{arrived.fingerprint}")
+
+
+def avoid(state: State, target: str, now_s: float) -> State:
+    """Sends nothing new to a target for a while, longer each time."""
+    item = state.view.targets.get(target)
+    failures = item.failures if item else 0
+    until_s = now_s + min(_MOST_AVOID_S, _AVOID_S * 2**min(failures, 8))
+    return state._replace(view=load_view.avoid(state.view, target, until_s))
+
+
+def refuse(state: State, item: queueing.Queued, reason: errors.Code,
+           now_s: float, rng: random.Random) -> Result:
+    """Ends a request; the caller learns whether it may have run."""
+    run_state = (errors.RunState.NOT_RUN
+                 if item.is_clean else errors.RunState.UNKNOWN)
+    retry_after_s = (queueing.retry_after_s(state.queue, item, now_s, rng)
+                     if item.is_clean else None)
+    # A refusal without an attempt is no failure: its repeat costs no budget.
+    state = forget(state, item.arrived, not item.tried, now_s)
+    return state, [
+        events.Refuse(item.arrived.request_id, reason, retry_after_s,
+                      run_state),
+        events.Count(reason)
+    ]
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -20,6 +20,7 @@
 """
 
 import bisect
+import enum
 import math
 import random
 import typing
@@ -30,7 +31,17 @@
 from persimmonspan.request import events
 
 LaneKey = tuple[str, str, str]  # Service, workspace, kind.
-OrderKey = tuple[str, bool]  # Service, whether the class is long.
+
+
+class Group(enum.Enum):
+    """Requests that are ordered among each other."""
+
+    SHORT = 0
+    LONG = 1
+    SUSPECT = 2  # Of the quarantine: each waits for a target of its own.
+
+
+OrderKey = tuple[str, Group]
 
 _CALENDAR_S = 0.1
 _RATE_S = 10.0
@@ -61,11 +72,25 @@
     tried: tuple[str, ...] = ()
     is_clean: bool = True  # No attempt may have run.
     slot: int = 0
+    is_suspect: bool = False
+    is_repeat: bool = False  # The caller's own repeat of a failed request.
 
     @property
     def lane(self) -> LaneKey:
         """Returns the lane of the request."""
-        return self.arrived.service, self.arrived.workspace, self.arrived.kind
+        arrived = self.arrived
+        if self.is_suspect:
+            return (arrived.service, arrived.workspace,
+                    f"suspect/{arrived.fingerprint}")
+        return arrived.service, arrived.workspace, arrived.kind
+
+    @property
+    def order(self) -> OrderKey:
+        """Returns among which requests it is ordered."""
+        if self.is_suspect:
+            return self.arrived.service, Group.SUSPECT
+        return (self.arrived.service,
+                Group.LONG if self.is_long else Group.SHORT)
 
 
 class Lane(typing.NamedTuple):
@@ -184,7 +209,7 @@
 
 
 def _rescore(queue: Queue, key: LaneKey, head: Queued, now_s: float) -> Queue:
-    order = (key[0], head.is_long)
+    order = head.order
     entries = [item for item in queue.order.get(order, ()) if item[1] != key]
     bisect.insort(entries, (-score(queue, head, now_s), key))
     return queue._replace(order=queue.order.set(order, tuple(entries)))
@@ -199,7 +224,7 @@
     entries: dict[OrderKey, list[tuple[float, LaneKey]]] = {}
     for key, lane in queue.lanes.items():
         head = queue.requests[lane.items[lane.head]]
-        entries.setdefault((key[0], head.is_long), []).append(
+        entries.setdefault(head.order, []).append(
             (-score(queue, head, now_s), key))
     return queue._replace(order=immutables.Map({
         key: tuple(sorted(value)) for key, value in entries.items()
