Measure decision costs; leaving keeps one time per name

Cause: is_leaving looked up three sources for two names at 3.6 to 6.5 us, which at 32 candidates takes half of a decision's budget. Change: one time of the last word per name; bench.decision_cost for all modules.

--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,193 @@
+"""Time and memory of the decisions of retry, health, quarantine and the rest.
+
+Each decision is called in a loop at several numbers of targets or requests; the
+slope is a least-squares line over those numbers. Memory is what `tracemalloc`
+sees for a state that is built up.
+
+Run `python -m bench.decision_cost`; the result goes to
+`out/decision_cost.json`. Times depend on the machine.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import time
+import tracemalloc
+import typing
+
+from persimmonspan.process import health
+from persimmonspan.process import leaving
+from persimmonspan.process import prefix_index
+from persimmonspan.request import events
+from persimmonspan.request import quarantine
+from persimmonspan.request import retry
+
+_TARGETS = (6, 32, 128)
+_STREAMS = 16  # Per target.
+_CALLS = 2000
+_ROUNDS = 7
+
+
+def _targets(count: int) -> tuple[events.Target, ...]:
+    return tuple(
+        events.Target(f"e{i}", "drafts", "", "lima-a") for i in range(count))
+
+
+def _health_state(count: int) -> health.State:
+    state, _ = health.step(health.State(),
+                           events.TargetsChanged(1, _targets(count), (), ()),
+                           0.0)
+    for i in range(count * _STREAMS):
+        name, request = f"e{i % count}", f"r{i}"
+        for event in (events.Dispatch(request, name, 0,
+                                      1), events.FirstToken(request, name),
+                      events.Progressed(request, name, 9)):
+            state, _ = health.step(state, event, 0.1 * i / count)
+    return state
+
+
+def _quarantine_state(count: int) -> quarantine.State:
+    state = quarantine.State()
+    for i in range(count * _STREAMS):
+        state = quarantine.dispatched(state, f"r{i}", f"f{i}", f"e{i % count}",
+                                      0.0)
+    return state
+
+
+def _leaving_state(count: int) -> leaving.State:
+    placed = tuple((f"e{i}", f"v{i}") for i in range(count))
+    state, _ = leaving.step(leaving.State(), leaving.Placed(placed), 0.0)
+    for i in range(count):
+        state, _ = leaving.step(state, leaving.IncarnationSeen(f"e{i}", "a"),
+                                0.0)
+        state, _ = leaving.step(state, leaving.Reclaimed(f"v{i}"), 1.0)
+    return state
+
+
+def _index_state(entries: int) -> prefix_index.State:
+    state = prefix_index.State(max_entries=2 * entries)
+    blocks = [hash((i, "block")) for i in range(entries)]
+    for i in range(0, entries, 64):
+        state, _ = prefix_index.step(
+            state, events.CacheEvent("e1", i // 64, tuple(blocks[i:i + 64]),
+                                     ()))
+    return state
+
+
+def _retry_state(count: int) -> retry.State:
+    state = retry.State()
+    for i in range(count * _STREAMS):
+        state, _ = retry.arrived(state, retry.Request("drafts", f"k{i}"), 0.0)
+        state = retry.first_token(state, "drafts", 0.1)
+    return state
+
+
+def _microseconds(call: typing.Callable[[], object]) -> float:
+    times = []
+    for _ in range(_ROUNDS):
+        begin_s = time.perf_counter()
+        for _ in range(_CALLS // _ROUNDS):
+            call()
+        times.append((time.perf_counter() - begin_s) / (_CALLS // _ROUNDS))
+    return statistics.median(times) * 1e6
+
+
+def _bytes(build: typing.Callable[[int], object], count: int) -> int:
+    tracemalloc.start()
+    state = build(count)
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del state
+    return used
+
+
+def _calls(count: int) -> dict[str, typing.Callable[[], object]]:
+    sick, quiet = _health_state(count), _quarantine_state(count)
+    left, spent = _leaving_state(count), _retry_state(count)
+    suspects, _ = quarantine.step(quiet, events.TargetDied("e0"), 1.0)
+    names = [f"e{i}" for i in range(1, count)]
+    attempt = retry.Attempt("drafts", ("e1",), True, True)
+    request = retry.Request("drafts", "new")
+    return {
+        "retry.arrived":
+            lambda: retry.arrived(spent, request, 1.0),
+        "retry.may_retry":
+            lambda: retry.may_retry(spent, attempt, events.Outcome.REFUSED),
+        "retry.may_hedge":
+            lambda: retry.may_hedge(spent, attempt, 1.0),
+        "retry.first_token":
+            lambda: retry.first_token(spent, "drafts", 0.1),
+        "health.step Progressed":
+            lambda: health.step(sick, events.Progressed("r1", "e1", 20), 99.0),
+        "health.step Tick (evaluation)":
+            lambda: health.step(sick, events.Tick(), 99.0),
+        "health.weight":
+            lambda: health.weight(sick, "e1"),
+        "quarantine.plan, no suspect":
+            lambda: quarantine.plan(quiet, "new", names, 1.0),
+        "quarantine.plan, suspect":
+            lambda: quarantine.plan(suspects, "f0", names, 1.0),
+        "quarantine.dispatched":
+            lambda: quarantine.dispatched(quiet, "new", "new", "e1", 1.0),
+        "quarantine.is_reserved, no suspects":
+            lambda: quarantine.is_reserved(quiet, "e1", 1.0),
+        "quarantine.is_reserved, suspects":
+            lambda: quarantine.is_reserved(suspects, "e1", 1.0),
+        "quarantine.step TargetDied":
+            lambda: quarantine.step(quiet, events.TargetDied("e1"), 1.0),
+        "leaving.is_leaving":
+            lambda: leaving.is_leaving(left, "e1"),
+        "leaving.step Reclaimed":
+            lambda: leaving.step(left, leaving.Reclaimed("e1"), 2.0),
+    }
+
+
+def _slope(rows: list[tuple[float, float]]) -> float:
+    return statistics.linear_regression([x for x, _ in rows],
+                                        [y for _, y in rows]).slope
+
+
+def main() -> None:
+    """Measures all decisions and writes them as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output",
+                        type=pathlib.Path,
+                        default=pathlib.Path("out/decision_cost.json"))
+    options = parser.parse_args()
+    result: dict[str, typing.Any] = {"time_us": {}, "memory_bytes": {}}
+    for count in _TARGETS:
+        for name, call in _calls(count).items():
+            result["time_us"].setdefault(name, {})[count] = _microseconds(call)
+    for name, row in result["time_us"].items():
+        row["slope_per_target"] = _slope([(n, row[n]) for n in _TARGETS])
+    prompt = prefix_index.prefix_hashes(b"x" * 256 * 128)
+    state, _ = prefix_index.step(prefix_index.State(),
+                                 events.CacheEvent("e1", 0, prompt, ()))
+    for blocks in (1, 32, 128):
+        result["time_us"][f"prefix_index.match_tokens, {blocks} blocks"] = {
+            "any":
+                _microseconds(lambda hashes=prompt[:blocks]: prefix_index.
+                              match_tokens(state, "e1", hashes))
+        }
+        result["time_us"][f"prefix_index.prefix_hashes, {blocks} blocks"] = {
+            "any":
+                _microseconds(lambda size=256 * blocks: prefix_index.
+                              prefix_hashes(b"x" * size))
+        }
+    for name, build in (("retry, per request",
+                         _retry_state), ("health, per request", _health_state),
+                        ("quarantine, per request", _quarantine_state)):
+        rows = [(n * _STREAMS, _bytes(build, n)) for n in _TARGETS]
+        result["memory_bytes"][name] = _slope(rows)
+    rows = [(n, _bytes(_leaving_state, n)) for n in _TARGETS]
+    result["memory_bytes"]["leaving, per target"] = _slope(rows)
+    rows = [(n, _bytes(_index_state, n)) for n in (1024, 4096, 16384)]
+    result["memory_bytes"]["prefix_index, per entry"] = _slope(rows)
+    options.output.parent.mkdir(exist_ok=True)
+    options.output.write_text(json.dumps(result, indent=1))
+    print(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/persimmonspan/process/leaving.py
+++ b/persimmonspan/process/leaving.py
@@ -54,9 +54,6 @@
     REFUSAL = "refusal"
 
 
-_SAYING = (Source.VM_LIST, Source.RECLAIM, Source.REFUSAL)
-
-
 class Placed(typing.NamedTuple):
     """Which VM each target runs on, as (target, vm); replaces the last one."""
 
@@ -128,14 +125,14 @@
 class State(typing.NamedTuple):
     """What each source said last.
 
-    `said_s` holds per name and source when it was said, in monotonic seconds;
+    `said_s` holds per name when a source last said so, in monotonic seconds;
     `returned_s` holds per name when the last sign of return came.
     `incarnations` holds per target the last few, the present one first.
     """
 
     revision: int = -1
     listed: frozenset[str] = frozenset()
-    said_s: immutables.Map[tuple[str, Source], float] = immutables.Map()
+    said_s: immutables.Map[str, float] = immutables.Map()
     returned_s: immutables.Map[str, float] = immutables.Map()
     incarnations: immutables.Map[str, tuple[str, ...]] = immutables.Map()
     vm_by_target: immutables.Map[str, str] = immutables.Map()
@@ -172,9 +169,9 @@
     placed = immutables.Map(event.vm_by_target)
     kept = {*placed.keys(), *placed.values()}
     said_s = immutables.Map({
-        entry: said_s
-        for entry, said_s in state.said_s.items()
-        if entry[0] in kept or now_s - said_s < _FORGET_AFTER_S
+        name: said_s
+        for name, said_s in state.said_s.items()
+        if name in kept or now_s - said_s < _FORGET_AFTER_S
     })
     returned_s = immutables.Map({
         name: returned_s
@@ -266,12 +263,11 @@
 
 
 def _mark(state: State, name: str, source: Source, said_s: float) -> Result:
-    entry = (name, source)
-    if said_s <= max(state.said_s.get(entry, _NEVER),
+    if said_s <= max(state.said_s.get(name, _NEVER),
                      state.returned_s.get(name, _NEVER)):
         return state, []
     was_leaving = is_leaving(state, name)
-    state = state._replace(said_s=state.said_s.set(entry, said_s))
+    state = state._replace(said_s=state.said_s.set(name, said_s))
     return state, [] if was_leaving else [Left(name, source)]
 
 
@@ -289,8 +285,7 @@
 def _is_marked(state: State, name: str, target: str) -> bool:
     if name in state.listed:
         return True
-    returned_s = max(state.returned_s.get(name, _NEVER),
-                     state.returned_s.get(target, _NEVER))
-    return any(
-        state.said_s.get((name, source), _NEVER) > returned_s
-        for source in _SAYING)
+    said_s = state.said_s.get(name)
+    return said_s is not None and said_s > max(
+        state.returned_s.get(name, _NEVER), state.returned_s.get(
+            target, _NEVER))
--- a/persimmonspan/process/tests/test_leaving_machine.py
+++ b/persimmonspan/process/tests/test_leaving_machine.py
@@ -61,9 +61,9 @@
         self.log += [(self.now_s - age_s + 0.5, name, True) for name in names]
         if self.list_brings_back:
             said_s = self.state.said_s
-            for entry in said_s:
-                if entry[0] in ("v", "w") and entry[0] not in names:
-                    said_s = said_s.delete(entry)
+            for name in said_s:
+                if name in ("v", "w") and name not in names:
+                    said_s = said_s.delete(name)
             self.state = self.state._replace(said_s=said_s)
 
     @stateful.rule(name=_NAMES)
