--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -70,6 +70,7 @@
     fingerprint: str
     prefix_hashes: tuple[int, ...] = ()
     is_idempotent: bool = True
+    idempotency_key: str = ""  # As given by the caller; empty without one.
 
 
 class FirstToken(typing.NamedTuple):
