Decide on control orders, and keep replaced links until new ones are heard

Cause: engines need models and roles changed without cutting streams. Change: orders.py plans one order per engine, drains first, adds before it removes, repeats by id, and gives a failing model up; unwanted links are closed after 10 s. The fuzzer found order ids that an engine took for repeats, and engines left drained by an earlier holder; both are mended.

--- a/persimmonspan/process/gossip_round.py
+++ b/persimmonspan/process/gossip_round.py
@@ -25,6 +25,8 @@
 FRAME_BYTES = 35
 _SUMMARY_HOLD_S = 10.0
 _ACCEPTED_FORGET_S = 60.0
+# A replaced link carries on until the new one has been heard for some rounds.
+_LINGER_S = 10.0
 _MAX_REOPEN_WAIT_S = 20.0
 # Age that stands for "the store was never read".
 _NEVER_S = 1e6
@@ -185,11 +187,13 @@
     links = state.links
     wanted = state.plan.mates | state.plan.dialed
     for peer, link in list(links.items()):
-        if link.is_dialed and peer not in wanted:
+        if peer in wanted:
+            continue
+        if link.is_dialed and now_s - link.wanted_s > _LINGER_S:
             commands.append(types.Close(peer))
             links = links.delete(peer)
-        elif now_s - max(link.opened_s, link.heard_s) > _ACCEPTED_FORGET_S and (
-                not link.is_dialed):
+        elif not link.is_dialed and (now_s - max(link.opened_s, link.heard_s)
+                                     > _ACCEPTED_FORGET_S):
             links = links.delete(peer)
     for peer in wanted:
         link = links.get(peer) or types.Link(False, now_s)
@@ -208,7 +212,7 @@
                                  opened_s=now_s,
                                  silent_wait_s=wait_s,
                                  address=address)
-        links = links.set(peer, link)
+        links = links.set(peer, link._replace(wanted_s=now_s))
     return state._replace(links=links), commands
 
 
--- a/persimmonspan/process/gossip_state.py
+++ b/persimmonspan/process/gossip_state.py
@@ -47,6 +47,7 @@
     silent_wait_s: float = 0.0
     repaired_s: float = -math.inf
     address: str = ""
+    wanted_s: float = -math.inf
 
 
 class HeldSummary(typing.NamedTuple):
--- /dev/null
+++ b/persimmonspan/process/orders.py
@@ -0,0 +1,390 @@
+"""Control orders to engines: from reported to desired state, one at a time.
+
+A roll-out adds before it removes: an engine loads the new model beside the old
+one, warms it up, is drained, changes over, serves again, and unloads the old
+model at the end. A change of model or role is ordered only to an engine that
+was drained for `drain_settle_s` and has nothing in flight, so it cuts no
+stream; an engine that does not drain keeps its old model. At most as many engines are
+drained as the floor of the group allows.
+
+An engine has one outstanding order. Before an order its state is read under the
+present fencing token, afterwards it is read again; for engines that ignore the
+token this finds an order of an earlier holder that landed late. An order
+without an answer is repeated under the same id, which an engine runs once.
+
+A model that fails to load or to warm up `max_failures` times is given up for
+the whole group, and each engine returns to what it served before.
+"""
+
+import functools
+import math
+import random
+import typing
+
+import immutables
+
+SERVING_ROLES = frozenset(("decode", "prefill", "mixed"))
+
+
+class Options(typing.NamedTuple):
+    """Durations and limits."""
+
+    state_fresh_s: float = 2.0
+    read_interval_s: float = 1.0
+    in_flight_fresh_s: float = 1.0
+    # A target that is announced as leaving gets no new work after 3 s.
+    drain_settle_s: float = 4.0
+    order_timeout_s: float = 5.0
+    max_failures: int = 2
+    # Share of the weight store that this group may use at a time.
+    max_loads: int = 1
+
+
+class Wanted(typing.NamedTuple):
+    """Model, with version and adapter in its name, and role of an engine."""
+
+    model: str
+    role: str = "mixed"
+
+
+class Reported(typing.NamedTuple):
+    """State of an engine as read; `models` maps a model to its phase."""
+
+    incarnation: str
+    active: str
+    role: str
+    models: immutables.Map[str, str]  # loading, ready, warm or failed.
+    last_order_id: str = ""
+
+
+class Order(typing.NamedTuple):
+    """An order with its token."""
+
+    order_id: str
+    fence: int
+    kind: str  # load, warm_up, activate, set_role or unload.
+    argument: str
+
+
+class Engine(typing.NamedTuple):
+    """What is known of one engine."""
+
+    wanted: Wanted
+    previous: Wanted | None = None
+    reported: Reported | None = None
+    read_s: float = -math.inf  # When the last read was sent.
+    asked_s: float = -math.inf
+    outstanding: Order | None = None
+    sent_s: float = -math.inf
+    in_flight: int = 0
+    in_flight_s: float = -math.inf
+    drained_s: float = math.inf  # When draining was announced.
+
+
+class State(typing.NamedTuple):
+    """Engines of one group, controlled under one lease."""
+
+    options: Options
+    floor: int
+    engines: immutables.Map[str, Engine] = immutables.Map()
+    fence: int | None = None
+    fence_s: float = -math.inf
+    failures: immutables.Map[str, int] = immutables.Map()
+    sequence: int = 0  # Of the orders under the present token.
+
+
+class WantedChanged(typing.NamedTuple):
+    """The desired state of all engines of the group."""
+
+    engines: immutables.Map[str, Wanted]
+
+
+class FenceChanged(typing.NamedTuple):
+    """The daemon may act under this token, or may not act."""
+
+    fence: int | None
+
+
+class StateRead(typing.NamedTuple):
+    """The state of an engine; `asked_s` is when the read was sent."""
+
+    target: str
+    reported: Reported
+    asked_s: float
+
+
+class OrderEnded(typing.NamedTuple):
+    """An order was accepted, rejected as stale or failed, or is unknown."""
+
+    target: str
+    order_id: str
+    outcome: typing.Literal["accepted", "stale", "failed", "unknown"]
+
+
+class InFlight(typing.NamedTuple):
+    """Requests in flight on an engine, over all daemons."""
+
+    target: str
+    count: int
+
+
+class Tick(typing.NamedTuple):
+    """Time passed."""
+
+
+class SendOrder(typing.NamedTuple):
+    """Send an order, after checking the lease once more."""
+
+    target: str
+    order: Order
+
+
+class ReadState(typing.NamedTuple):
+    """Read the state of an engine."""
+
+    target: str
+
+
+class SetDraining(typing.NamedTuple):
+    """Announce that a target takes no new work, or takes it again."""
+
+    target: str
+    is_draining: bool
+
+
+class Count(typing.NamedTuple):
+    """Raise a counter."""
+
+    reason: str
+
+
+Event = WantedChanged | FenceChanged | StateRead | OrderEnded | InFlight | Tick
+Command = SendOrder | ReadState | SetDraining | Count
+Result = tuple[State, list[Command]]
+
+
+def step(state: State, event: Event, now_s: float,
+         rng: random.Random) -> Result:
+    """Returns the next state and the commands that the event leads to."""
+    del rng
+    return _step(event, state, now_s)
+
+
+@functools.singledispatch
+def _step(event: object, state: State, now_s: float) -> Result:
+    raise TypeError(f"unknown event {event!r} at {now_s} in {state!r}")
+
+
+@_step.register
+def _(event: WantedChanged, state: State, now_s: float) -> Result:
+    del now_s
+    engines = {}
+    for target, wanted in event.engines.items():
+        engine = state.engines.get(target, Engine(wanted))
+        if engine.wanted != wanted:
+            engine = engine._replace(wanted=wanted, previous=engine.wanted)
+        engines[target] = engine
+    return state._replace(engines=immutables.Map(engines)), []
+
+
+@_step.register
+def _(event: FenceChanged, state: State, now_s: float) -> Result:
+    if event.fence == state.fence:
+        return state, []
+    # What was read under another token says nothing of orders since then.
+    engines = immutables.Map({
+        target:
+            engine._replace(read_s=-math.inf,
+                            outstanding=None,
+                            drained_s=math.inf)
+        for target, engine in state.engines.items()
+    })
+    state = state._replace(fence=event.fence, fence_s=now_s, engines=engines)
+    # An earlier holder may have left engines drained.
+    return state, [
+        SetDraining(target, False)
+        for target in sorted(engines)
+        if event.fence is not None
+    ]
+
+
+@_step.register
+def _(event: InFlight, state: State, now_s: float) -> Result:
+    engine = state.engines.get(event.target)
+    if engine is None:
+        return state, []
+    return _put(state, event.target,
+                engine._replace(in_flight=event.count, in_flight_s=now_s)), []
+
+
+@_step.register
+def _(event: OrderEnded, state: State, now_s: float) -> Result:
+    del now_s
+    engine = state.engines.get(event.target)
+    if (engine is None or engine.outstanding is None or
+            engine.outstanding.order_id != event.order_id):
+        return state, []
+    order = engine.outstanding
+    commands: list[Command] = [Count(f"control_order_{event.outcome}")]
+    if event.outcome == "stale":
+        # A newer holder exists; the lease says so soon.
+        return state._replace(fence=None), commands
+    if event.outcome == "failed":
+        if order.kind in ("load", "warm_up"):
+            state = _count_failure(state, order.argument)
+        engine = engine._replace(outstanding=None)
+    # An accepted or unknown order ends when the state is read again.
+    return _put(state, event.target,
+                engine._replace(asked_s=-math.inf,
+                                read_s=-math.inf)), (commands)
+
+
+@_step.register
+def _(event: StateRead, state: State, now_s: float) -> Result:
+    del now_s
+    engine = state.engines.get(event.target)
+    if engine is None or event.asked_s < engine.sent_s:
+        return state, []  # Read before the last order was sent.
+    commands: list[Command] = []
+    old, new = engine.reported, event.reported
+    if old is not None and old.incarnation != new.incarnation:
+        commands.append(Count("control_engine_restarted"))
+    order = engine.outstanding
+    is_ended = order is not None and new.last_order_id == order.order_id
+    for model, phase in new.models.items():
+        is_again = (is_ended and order.kind == "load" and
+                    order.argument == model)
+        is_new = old is None or old.models.get(model) != "failed"
+        if phase == "failed" and (is_new or is_again):
+            state = _count_failure(state, model)
+            commands.append(Count("control_load_failed"))
+    if is_ended:
+        engine = engine._replace(outstanding=None)
+    return _put(state, event.target,
+                engine._replace(reported=new, read_s=event.asked_s)), commands
+
+
+@_step.register
+def _(event: Tick, state: State, now_s: float) -> Result:
+    del event
+    commands: list[Command] = []
+    for target in sorted(state.engines):
+        engine = state.engines[target]
+        if state.fence is not None and (now_s - engine.asked_s
+                                        >= state.options.read_interval_s):
+            state = _put(state, target, engine._replace(asked_s=now_s))
+            commands.append(ReadState(target))
+        state, more = _advance(state, target, now_s)
+        commands += more
+    return state, commands
+
+
+def _advance(state: State, target: str, now_s: float) -> Result:
+    engine, options = state.engines[target], state.options
+    if (state.fence is None or engine.reported is None or
+            engine.read_s < state.fence_s or
+            now_s - engine.read_s > options.state_fresh_s):
+        return state, []
+    if engine.outstanding is not None:
+        if now_s - engine.sent_s < options.order_timeout_s:
+            return state, []
+        order = engine.outstanding  # The same order again; it is idempotent.
+        return _put(state, target,
+                    engine._replace(sent_s=now_s)), [SendOrder(target, order)]
+    wanted = effective(state, engine)
+    step_wanted = _next(state, engine.reported, wanted)
+    if step_wanted is None:
+        return _undrain(state, target, engine)
+    kind, argument = step_wanted
+    if kind in ("activate", "set_role"):
+        state, commands, is_idle = _drain(state, target, now_s)
+        if not is_idle:
+            return state, commands
+    else:
+        state, commands = _undrain(state, target,
+                                   engine) if kind == "unload" else (state, [])
+    engine = state.engines[target]
+    state = state._replace(sequence=state.sequence + 1)
+    order = Order(f"{state.fence}/{state.sequence}/{target}", state.fence, kind,
+                  argument)
+    engine = engine._replace(outstanding=order, sent_s=now_s)
+    return _put(state, target, engine), commands + [SendOrder(target, order)]
+
+
+def effective(state: State, engine: Engine) -> Wanted:
+    """Returns what an engine should run, after a failed model is given up."""
+    failures = state.failures.get(engine.wanted.model, 0)
+    if failures >= state.options.max_failures and engine.previous is not None:
+        return engine.previous
+    return engine.wanted
+
+
+def _next(state: State, reported: Reported,
+          wanted: Wanted) -> tuple[str, str] | None:
+    """Returns kind and argument of the next order, or None."""
+    phase = reported.models.get(wanted.model)
+    if phase in (None, "failed"):
+        if state.failures.get(wanted.model, 0) >= state.options.max_failures:
+            return None
+        return ("load", wanted.model) if _may_load(state) else None
+    if phase == "loading":
+        return None
+    if phase == "ready":
+        return "warm_up", wanted.model
+    if reported.active != wanted.model:
+        return "activate", wanted.model
+    if reported.role != wanted.role:
+        return "set_role", wanted.role
+    others = sorted(model for model, other in reported.models.items()
+                    if model != wanted.model and other != "loading")
+    return ("unload", others[0]) if others else None
+
+
+def _may_load(state: State) -> bool:
+    loads = 0
+    for engine in state.engines.values():
+        is_ordered = (engine.outstanding is not None and
+                      engine.outstanding.kind == "load")
+        is_loading = (engine.reported is not None and
+                      "loading" in engine.reported.models.values())
+        loads += is_ordered or is_loading
+    return loads < state.options.max_loads
+
+
+def serving(state: State) -> int:
+    """Returns how many engines serve: active, known and not drained."""
+    return sum(1 for engine in state.engines.values()
+               if engine.reported is not None and engine.reported.active and
+               math.isinf(engine.drained_s))
+
+
+def _drain(state: State, target: str,
+           now_s: float) -> tuple[State, list[Command], bool]:
+    engine, options = state.engines[target], state.options
+    assert engine.reported is not None
+    if math.isinf(engine.drained_s):
+        if engine.reported.active and serving(state) <= state.floor:
+            return state, [], False
+        state = _put(state, target, engine._replace(drained_s=now_s))
+        return state, [SetDraining(target, True)], False
+    is_idle = (now_s - engine.drained_s >= options.drain_settle_s and
+               engine.in_flight == 0 and
+               now_s - engine.in_flight_s <= options.in_flight_fresh_s)
+    return state, [], is_idle
+
+
+def _undrain(state: State, target: str, engine: Engine) -> Result:
+    if math.isinf(engine.drained_s):
+        return state, []
+    state = _put(state, target, engine._replace(drained_s=math.inf))
+    return state, [SetDraining(target, False)]
+
+
+def _count_failure(state: State, model: str) -> State:
+    return state._replace(
+        failures=state.failures.set(model,
+                                    state.failures.get(model, 0) + 1))
+
+
+def _put(state: State, target: str, engine: Engine) -> State:
+    return state._replace(engines=state.engines.set(target, engine))
