--- a/persimmonspan/process/gossip_round.py
+++ b/persimmonspan/process/gossip_round.py
@@ -25,6 +25,8 @@
 FRAME_BYTES = 35
 _SUMMARY_HOLD_S = 10.0
 _ACCEPTED_FORGET_S = 60.0
+# A replaced link carries on until the new one has been heard for some rounds.
+_LINGER_S = 10.0
 _MAX_REOPEN_WAIT_S = 20.0
 # Age that stands for "the store was never read".
 _NEVER_S = 1e6
@@ -79,7 +81,9 @@
                            sequence=state.sequence + 1)
     state, commands = _keep_links(state, now_s, rng)
     round_s = options.mesh_round_s if state.plan.is_mesh else options.round_s
-    state = state._replace(next_round_s=now_s + round_s,
+    # Ticks are coarse; counting from the due time keeps the mean interval.
+    due_s = max(state.next_round_s, now_s - round_s)
+    state = state._replace(next_round_s=due_s + round_s,
                            identities_hash=_identities_hash(state))
     greeted = tuple(peer for peer, link in state.links.items()
                     if link.is_dialed and link.heard_s < link.opened_s)
@@ -91,7 +95,7 @@
 
 def _digest(state: types.State, now_s: float, round_s: float) -> types.Result:
     mates = tuple(name for name in state.plan.mates if name in state.links)
-    relayed = () if state.plan.is_mesh else _relayed(state, now_s, round_s)
+    state, relayed = _take_relayed(state, now_s)
     limit = (state.options.budget_bytes_per_s * _DIGEST_SHARE * round_s /
              max(1, len(mates)))
     limit -= _DIGEST_BYTES + FRAME_BYTES + _SUMMARY_BYTES * len(relayed)
@@ -121,14 +125,23 @@
     return _NEVER_S if math.isinf(age_s) else round(age_s, 2)
 
 
-def _relayed(state: types.State, now_s: float,
-             round_s: float) -> tuple[peer_messages.Summary, ...]:
-    return tuple(
-        held.summary._replace(age_s=round(
-            held.summary.age_s + now_s - held.received_s, 2),
-                              loads=())
-        for held in state.summaries.values()
-        if held.is_direct and now_s - held.received_s <= round_s)
+def _take_relayed(
+        state: types.State,
+        now_s: float) -> tuple[types.State, tuple[peer_messages.Summary, ...]]:
+    """Returns the summaries to pass on, each exactly once.
+
+    A rule by age would skip a reporter whose rounds end just after the own ones
+    in each round.
+    """
+    relayed = []
+    for key, held in state.summaries.items():
+        if held.is_relay_due:
+            age_s = held.summary.age_s + now_s - held.received_s
+            relayed.append(
+                held.summary._replace(age_s=round(age_s, 2), loads=()))
+            state = state._replace(summaries=state.summaries.set(
+                key, held._replace(is_relay_due=False)))
+    return state, () if state.plan.is_mesh else tuple(relayed)
 
 
 def _summarize(state: types.State, now_s: float) -> list[types.Command]:
@@ -174,11 +187,13 @@
     links = state.links
     wanted = state.plan.mates | state.plan.dialed
     for peer, link in list(links.items()):
-        if link.is_dialed and peer not in wanted:
+        if peer in wanted:
+            continue
+        if link.is_dialed and now_s - link.wanted_s > _LINGER_S:
             commands.append(types.Close(peer))
             links = links.delete(peer)
-        elif now_s - max(link.opened_s, link.heard_s) > _ACCEPTED_FORGET_S and (
-                not link.is_dialed):
+        elif not link.is_dialed and (now_s - max(link.opened_s, link.heard_s)
+                                     > _ACCEPTED_FORGET_S):
             links = links.delete(peer)
     for peer in wanted:
         link = links.get(peer) or types.Link(False, now_s)
@@ -197,7 +212,7 @@
                                  opened_s=now_s,
                                  silent_wait_s=wait_s,
                                  address=address)
-        links = links.set(peer, link)
+        links = links.set(peer, link._replace(wanted_s=now_s))
     return state._replace(links=links), commands
 
 
--- a/persimmonspan/process/gossip_state.py
+++ b/persimmonspan/process/gossip_state.py
@@ -47,6 +47,7 @@
     silent_wait_s: float = 0.0
     repaired_s: float = -math.inf
     address: str = ""
+    wanted_s: float = -math.inf
 
 
 class HeldSummary(typing.NamedTuple):
@@ -54,7 +55,7 @@
 
     summary: peer_messages.Summary
     received_s: float
-    is_direct: bool
+    is_relay_due: bool  # Came from its reporter and is not passed on yet.
 
 
 class Asking(typing.NamedTuple):
