--- a/persimmonspan/connection/peer_messages.py
+++ b/persimmonspan/connection/peer_messages.py
@@ -101,6 +101,8 @@
     crashes: int
     ttl_s: float
     version: int = 0
+    isolated_on: str = ""
+    died_on: str = ""
 
 
 class Leaving(typing.NamedTuple):
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -244,8 +244,7 @@
 
     def _share(self, command: events.ShareQuarantine) -> None:
         if self.peers is not None:
-            self.peers.publish_quarantine(command.fingerprint, command.crashes,
-                                          command.ttl_s)
+            self.peers.publish_quarantine(command)
 
     def _receive(self, event: object) -> None:
         """Takes what peers said, on the thread of the peer actor."""
--- a/persimmonspan/process/daemon_operations.py
+++ b/persimmonspan/process/daemon_operations.py
@@ -151,7 +151,8 @@
         """Lifts a quarantine on all daemons."""
         self._owner.scheduler.tell(events.QuarantineLifted(fingerprint))
         if self._owner.peers is not None:
-            self._owner.peers.publish_quarantine(fingerprint, 0, 0.0)
+            self._owner.peers.publish_quarantine(
+                events.ShareQuarantine(fingerprint, 0, 0.0))
 
     def audit(self, after_revision: int) -> list[operations.AuditDocument]:
         """Returns accepted changes after a revision, oldest first."""
--- a/persimmonspan/process/gossip.py
+++ b/persimmonspan/process/gossip.py
@@ -315,7 +315,8 @@
     if message.crashes == 0:
         return events.QuarantineLifted(message.fingerprint)
     return events.QuarantineShared(message.fingerprint, message.crashes,
-                                   message.ttl_s)
+                                   message.ttl_s, message.isolated_on,
+                                   message.died_on)
 
 
 def _introduce(state: types.State, hellos: tuple[peer_messages.Hello, ...],
--- a/persimmonspan/process/logs.py
+++ b/persimmonspan/process/logs.py
@@ -31,7 +31,8 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     # urllib3 and pykka log each connection and each actor at DEBUG.
-    logging.getLogger("urllib3").setLevel(logging.WARNING)
+    # urllib3 warns whenever more threads than pooled connections are used.
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
     logging.getLogger("pykka").setLevel(logging.WARNING)
 
 
--- a/persimmonspan/process/peer_actor.py
+++ b/persimmonspan/process/peer_actor.py
@@ -10,7 +10,7 @@
 | `read_rows(identities)` | all `member/` rows were read |
 | `store_read()` | the configuration head was read |
 | `publish_loads(loads)` | what this daemon has outstanding, all targets |
-| `publish_quarantine(fingerprint, crashes, ttl_s)` | `crashes` 0 lifts |
+| `publish_quarantine(command)` | `crashes` 0 lifts |
 | `publish_leaving(target)` | a target was seen leaving |
 | `publish_change(change)` | this daemon committed or found a revision |
 | `adopt_whole(whole)` | any revision came into force here |
@@ -188,12 +188,15 @@
         """Tells what this daemon has outstanding on all targets."""
         self._actor.tell(gossip_state.LoadsPublished(loads), is_urgent=False)
 
-    def publish_quarantine(self, fingerprint: str, crashes: int,
-                           ttl_s: float) -> None:
+    def publish_quarantine(self, command: events.ShareQuarantine) -> None:
         """Shares a quarantine; `crashes` 0 lifts it."""
         self._actor.tell(
             gossip_state.FactPublished(
-                peer_messages.Quarantine(fingerprint, crashes, ttl_s)))
+                peer_messages.Quarantine(command.fingerprint,
+                                         command.crashes,
+                                         command.ttl_s,
+                                         isolated_on=command.isolated_on,
+                                         died_on=command.died_on)))
 
     def publish_leaving(self, target: str) -> None:
         """Shares that a target leaves."""
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -112,11 +112,8 @@
         if isinstance(command, events.Count):
             self._metrics.count(command.reason)
         elif isinstance(command, events.ShareQuarantine):
-            _logger.warning("request quarantined",
-                            extra={
-                                "fingerprint": command.fingerprint,
-                                "crashes": command.crashes
-                            })
+            _logger.info("request suspected of crashing a target",
+                         extra=command._asdict())
             self._share(command)
         else:
             self._remember(command)
--- a/persimmonspan/process/scheduler_view.py
+++ b/persimmonspan/process/scheduler_view.py
@@ -8,9 +8,11 @@
 import math
 import typing
 
+from persimmonspan.process import health
 from persimmonspan.process import load_view
 from persimmonspan.process import operations
 from persimmonspan.request import events
+from persimmonspan.request import quarantine
 from persimmonspan.request import scheduler
 
 
@@ -48,7 +50,8 @@
         if age_s is None else math.exp(-age_s / load_view.REPORT_FADES_S),
         kv_used_tokens=round(own + load_view.extra_tokens(item, now_s)),
         kv_capacity_tokens=item.target.kv_capacity_tokens,
-        weight=0.0 if now_s < item.avoid_until_s else 1.0)
+        weight=(0.0 if now_s < item.avoid_until_s else health.weight(
+            state.observed, item.target.name)))
 
 
 def loads(state: scheduler.State,
@@ -61,5 +64,11 @@
 def quarantined(state: scheduler.State,
                 now_s: float) -> list[operations.QuarantineDocument]:
     """Returns quarantined fingerprints."""
-    del state, now_s
-    return []
+    return [
+        operations.QuarantineDocument(fingerprint=fingerprint,
+                                      crashes=record.crashes,
+                                      ttl_s=max(0.0,
+                                                record.refused_until_s - now_s))
+        for fingerprint, record in state.suspects.records.items()
+        if quarantine.is_quarantined(state.suspects, fingerprint, now_s)
+    ]
--- a/persimmonspan/process/stored_configuration.py
+++ b/persimmonspan/process/stored_configuration.py
@@ -61,7 +61,7 @@
             errors.RefusalError: Conflict, not valid, or the store is down.
             errors.StoreError: Whether it was committed is not known.
         """
-        done = self._actor.commit(
+        done = self._actor.submit(
             commit.Change(commit_id=uuid.uuid4().hex,
                           base_revision=proposed.revision,
                           document={
--- a/persimmonspan/process/stored_parts.py
+++ b/persimmonspan/process/stored_parts.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import secrets
 import threading
 import time
@@ -63,6 +64,7 @@
         self._options = options
         self._hooks = hooks
         self._peers: peer_actor.Peers | None = None
+        self._head_s = -math.inf
         self.client = store_actor.start(address, options.name,
                                         secrets.randbits(_SEED_BITS))
         self.actor = configuration_actor.start(
@@ -150,6 +152,10 @@
             # A daemon without links is alone, hence the majority of one.
             self.actor.offer(adoption.MajorityHeard(True, 0))
             return
+        head_s = self.actor.state().head_s
+        if head_s > self._head_s:
+            self._head_s = head_s
+            self._peers.store_read()
         status = self._peers.status()
         highest = max((item.revision
                        for item in status.members
--- a/testbed/ledger_worker.py
+++ b/testbed/ledger_worker.py
@@ -76,9 +76,10 @@
         """Runs a call at most once."""
 
         def dispatch(attempt: str) -> ledger_events.Answer:
-            return ledger_events.Answer(
-                *plain_service.call(self.target, "POST", "/" +
-                                    workspace, body, attempt, _TIMEOUTS))
+            return ledger_events.Answer(*plain_service.dispatch(
+                self.target,
+                plain_service.Order(attempt, "POST", "/" + workspace, body),
+                _TIMEOUTS.connect_s, _TIMEOUTS.first_token_s))
 
         request = at_most_once.Request(
             workspace, key, at_most_once.digest("POST", workspace, body),
