--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import secrets
 import signal
 import sys
@@ -38,6 +39,7 @@
 from persimmonspan.request import gate
 from persimmonspan.request import handler
 from persimmonspan.request import ledger_events
+from persimmonspan.version import adoption
 from persimmonspan.version import check
 from persimmonspan.version import model
 
@@ -73,6 +75,7 @@
         self._gate = gate.Gate(self.metrics)
         self._stored: stored_parts.StoredParts | None = None
         self._is_current = True
+        self._verified_s = -math.inf
         self._ledger: at_most_once.Context
         self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell)
         self._poller = report_poller.ReportPoller(
@@ -113,6 +116,18 @@
         """Tells whether the configuration is known to be current."""
         self._is_current = is_current
 
+    def set_verified(self, at_s: float) -> None:
+        """Tells when the configuration was last known to be current."""
+        self._verified_s = at_s
+
+    def _has_current_configuration(self) -> bool:
+        if self._configuration is None or not self._is_current:
+            return False
+        # A process that was paused for long wakes with old flags, and request
+        # threads may run before the configuration actor does.
+        return (self._stored is None or
+                time.monotonic() - self._verified_s <= adoption.FRESHNESS_S)
+
     def begin_request(self) -> handler.Context:
         """Counts a request in.
 
@@ -123,7 +138,8 @@
             if self.is_draining():
                 raise errors.RefusalError(errors.Code.DRAINING,
                                           "this daemon is stopping", 1.0)
-            if self._configuration is None or not self._is_current:
+            if (self._configuration is None or
+                    not self._has_current_configuration()):
                 raise errors.RefusalError(
                     errors.Code.CONFIG_UNVERIFIED,
                     "this daemon cannot verify that its "
@@ -146,8 +162,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the balancer may send new work."""
-        return (not self.is_draining() and self._is_current and
-                self._configuration is not None)
+        return not self.is_draining() and self._has_current_configuration()
 
     def is_draining(self) -> bool:
         """Returns whether a planned stop began or an operator drains it."""
@@ -215,7 +230,8 @@
         self._is_current = False
         self._stored = stored_parts.StoredParts(
             self._settings,
-            stored_parts.Hooks(self.adopt_documents, self.set_current))
+            stored_parts.Hooks(self.adopt_documents, self.set_current,
+                               self.set_verified))
         self.configurations = self._stored.configurations
         self.outcomes = self._stored.outcomes
         self._ledger = at_most_once.Context(self._stored.rows,
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -21,9 +21,9 @@
 from persimmonspan.request import events
 
 POLLS_PER_S = 10.0
-_MIN_INTERVAL_S = 0.5
+_ROUND_S = 1.0
 _TIMEOUT_S = 1.0
-_WORKERS = 4
+_WORKERS = 3
 
 Send = collections.abc.Callable[[events.Event], None]
 ReadLoad = collections.abc.Callable[[str, float], engine.LoadDocument]
@@ -78,12 +78,12 @@
 
 
 def interval_s(targets: int) -> float:
-    """Returns the time between two polls of the same target.
+    """Returns the mean time between two polls of the same target.
 
     >>> interval_s(2), interval_s(30)
-    (0.5, 3.0)
+    (1.0, 3.0)
     """
-    return max(_MIN_INTERVAL_S, targets / POLLS_PER_S)
+    return max(_ROUND_S, targets / POLLS_PER_S)
 
 
 class ReportPoller:
@@ -104,33 +104,37 @@
         self._observer.forget_all_but({target.name for target in targets})
 
     def run(self) -> None:
-        """Polls until `stop` is called."""
+        """Polls a round of targets every second until `stop` is called."""
         position = 0
-        while True:
+        while not self._stopped.wait(_ROUND_S):
             targets = self._targets
-            wait_s = (interval_s(len(targets)) /
-                      len(targets) if targets else _MIN_INTERVAL_S)
-            if self._stopped.wait(wait_s):
-                return
-            if targets:
-                position = (position + 1) % len(targets)
-                self._submit(targets[position])
+            number = min(len(targets), int(POLLS_PER_S * _ROUND_S))
+            due = [
+                targets[(position + i) % len(targets)] for i in range(number)
+            ]
+            position += number
+            # A worker polls its part in turn, since each wakeup of a thread
+            # costs as much as a poll.
+            for i in range(_WORKERS):
+                self._submit(due[i::_WORKERS])
 
     def stop(self) -> None:
         """Ends `run`."""
         self._stopped.set()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
-    def _submit(self, target: events.Target) -> None:
+    def _submit(self, targets: collections.abc.Sequence[events.Target]) -> None:
         # A silent target holds one worker; skipping it keeps the others fresh.
-        if target.name in self._busy or self._stopped.is_set():
+        idle = [item for item in targets if item.name not in self._busy]
+        if not idle or self._stopped.is_set():
             return
-        self._busy.add(target.name)
-        self._pool.submit(self._poll, target)
-
-    def _poll(self, target: events.Target) -> None:
-        try:
-            for event in self._observer.poll(target):
-                self._send(event)
-        finally:
-            self._busy.discard(target.name)
+        self._busy.update(item.name for item in idle)
+        self._pool.submit(self._poll, idle)
+
+    def _poll(self, targets: collections.abc.Sequence[events.Target]) -> None:
+        for target in targets:
+            try:
+                for event in self._observer.poll(target):
+                    self._send(event)
+            finally:
+                self._busy.discard(target.name)
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -20,6 +20,8 @@
 from persimmonspan.request import scheduler
 
 _TICK_INTERVAL_S = 0.05
+# Each wakeup of a thread costs about 0.1 ms, which adds up on an idle daemon.
+_IDLE_TICK_INTERVAL_S = 1.0
 _REMEMBERED_REQUESTS = 5000
 _REMEMBERED_DECISIONS = 32
 
@@ -81,6 +83,7 @@
         self._state = scheduler.State()
         self._queues: dict[str, CommandQueue] = {}
         self._stopped = threading.Event()
+        self._has_work = threading.Event()
 
     def on_start(self) -> None:
         """Starts the timer."""
@@ -89,6 +92,7 @@
     def on_stop(self) -> None:
         """Stops the timer."""
         self._stopped.set()
+        self._has_work.set()
 
     def on_receive(self, message: typing.Any) -> typing.Any:
         """Applies one message."""
@@ -104,6 +108,10 @@
             message = message.arrived
         self._state, commands = scheduler.step(self._state, message,
                                                time.monotonic(), self._rng)
+        if self._state.running or self._state.queue.requests:
+            self._has_work.set()
+        else:
+            self._has_work.clear()
         for command in commands:
             self._carry_out(command)
         return None
@@ -134,6 +142,7 @@
 
     def _tick(self) -> None:
         while not self._stopped.wait(_TICK_INTERVAL_S):
+            self._has_work.wait(_IDLE_TICK_INTERVAL_S)
             try:
                 self.actor_ref.tell(events.Tick())
             except pykka.ActorDeadError:
--- a/persimmonspan/process/stored_parts.py
+++ b/persimmonspan/process/stored_parts.py
@@ -35,7 +35,7 @@
 from persimmonspan.version import difference
 
 _SEED_BITS = 64
-_MAJORITY_INTERVAL_S = 0.25
+_MAJORITY_INTERVAL_S = 0.5
 _RECORD_INTERVAL_S = 1.0
 _VM_LIST_INTERVAL_S = 1.0
 _BOOTSTRAP_INTERVAL_S = 0.5
@@ -50,10 +50,13 @@
     Attributes:
         adopt: Puts documents in force.
         serve: Told True on rejoining and False on withdrawal.
+        verified: Told the monotonic time at which the configuration was known
+            to be current.
     """
 
     adopt: collections.abc.Callable[[operations.Documents], None]
     serve: collections.abc.Callable[[bool], None]
+    verified: collections.abc.Callable[[float], None]
 
 
 class StoredParts:
@@ -148,9 +151,11 @@
                                      encoded))
 
     def _tell_majority(self) -> None:
+        now_s = time.monotonic()
         if self._peers is None:
             # A daemon without links is alone, hence the majority of one.
             self.actor.offer(adoption.MajorityHeard(True, 0))
+            self._hooks.verified(now_s)
             return
         head_s = self.actor.state().head_s
         if head_s > self._head_s:
@@ -161,8 +166,11 @@
                        for item in status.members
                        if item.heard_age_s <= membership.HEARD_WINDOW_S),
                       default=0)
-        self.actor.offer(
-            adoption.MajorityHeard(status.is_majority_heard, highest))
+        # Counted by age now, since a paused process wakes with an old flag.
+        is_heard = 2 * status.heard > status.registered
+        self.actor.offer(adoption.MajorityHeard(is_heard, highest))
+        if is_heard or now_s - head_s <= adoption.FRESHNESS_S:
+            self._hooks.verified(now_s)
 
     def _vms(self) -> tuple[vm_list.Vm, ...]:
         if self._options.vm_list is None:
