Let claims wait for their turn, and record late rows together

Cause: with the share of one of 330 daemons (0.91 writes/s), a group of ledger rows that missed its turn refused all rows behind it, claims waited 1 s only, and rows kept in memory were recorded with one write each. Change: only rows whose own time is up are refused; claims wait up to 3 s; kept rows go in batches of 64 with one read and one transaction.

--- a/persimmonspan/process/ledger_rows.py
+++ b/persimmonspan/process/ledger_rows.py
@@ -1,9 +1,11 @@
 """Ledger rows over the store client; each method waits for its result.
 
-Interface: `LedgerRows(client)` with `write`, `read` and `scan`, as
-`persimmonspan.request.at_most_once.Rows` asks for.
+Interface: `LedgerRows(client)` with `write`, `write_all`, `read`, `read_all` as
+`persimmonspan.request.at_most_once.Rows` asks for, and `scan` for operators.
 """
 
+import collections.abc
+
 import pykka
 
 from persimmonspan.connection import table_service
@@ -11,6 +13,10 @@
 from persimmonspan.request import ledger_events
 
 _GIVE_UP_S = 30.0
+# With 330 daemons a daemon starts a write every 1.1 s. A claim that does not
+# get its turn refuses the call; a record that does not is written later.
+_CLAIM_WAIT_S = 3.0
+_RECORD_WAIT_S = 1.0
 
 
 class LedgerRows:
@@ -22,22 +28,18 @@
     def write(self,
               command: ledger_events.WriteRow) -> ledger_events.WriteEnded:
         """Writes a row if it has the expected version; never raises."""
-        future = self._client.write_row(command.key, command.expected_version,
-                                        ledger_events.encode(command.document))
-        try:
-            result = future.get(timeout=_GIVE_UP_S)
-        except pykka.Timeout:
-            return ledger_events.WriteEnded(None)
-        conflict = None
-        if result.conflicts:
-            row = result.conflicts[0]
-            conflict = ledger_events.decode(row.version, row.value)
-        is_applied = {
-            table_service.Outcome.APPLIED: True,
-            table_service.Outcome.NOT_APPLIED: False,
-            table_service.Outcome.UNKNOWN: None
-        }[result.outcome]
-        return ledger_events.WriteEnded(is_applied, result.version, conflict)
+        return self.write_all([command])[0]
+
+    def write_all(
+        self, commands: collections.abc.Sequence[ledger_events.WriteRow]
+    ) -> list[ledger_events.WriteEnded]:
+        """Writes rows, each for itself, by group commit; never raises."""
+        futures = [
+            self._client.write_row(item.key, item.expected_version,
+                                   ledger_events.encode(item.document),
+                                   _wait_s(item)) for item in commands
+        ]
+        return [_ended(future) for future in futures]
 
     def read(self, key: str) -> ledger_events.Row:
         """Reads a row.
@@ -45,8 +47,18 @@
         Raises:
             errors.StoreError: The store did not answer.
         """
-        row, = self._client.read([key]).get(timeout=_GIVE_UP_S)
-        return ledger_events.decode(row.version, row.value)
+        return self.read_all([key])[0]
+
+    def read_all(
+            self,
+            keys: collections.abc.Sequence[str]) -> list[ledger_events.Row]:
+        """Reads rows with one operation.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        rows = self._client.read(keys).get(timeout=_GIVE_UP_S)
+        return [ledger_events.decode(row.version, row.value) for row in rows]
 
     def scan(self, prefix: str,
              after: str) -> list[tuple[str, ledger_events.Row]]:
@@ -60,3 +72,26 @@
             priority=store_actor.Priority.BACKGROUND).get(timeout=_GIVE_UP_S)
         return [(row.key, ledger_events.decode(row.version, row.value))
                 for row in rows]
+
+
+def _wait_s(command: ledger_events.WriteRow) -> float:
+    is_claim = command.document["state"] == ledger_events.RowState.CLAIMED
+    return _CLAIM_WAIT_S if is_claim else _RECORD_WAIT_S
+
+
+def _ended(
+        future: pykka.Future[table_service.Result]) -> ledger_events.WriteEnded:
+    try:
+        result = future.get(timeout=_GIVE_UP_S)
+    except pykka.Timeout:
+        return ledger_events.WriteEnded(None)
+    conflict = None
+    if result.conflicts:
+        row = result.conflicts[0]
+        conflict = ledger_events.decode(row.version, row.value)
+    is_applied = {
+        table_service.Outcome.APPLIED: True,
+        table_service.Outcome.NOT_APPLIED: False,
+        table_service.Outcome.UNKNOWN: None
+    }[result.outcome]
+    return ledger_events.WriteEnded(is_applied, result.version, conflict)
--- a/persimmonspan/process/store_actor.py
+++ b/persimmonspan/process/store_actor.py
@@ -146,6 +146,7 @@
             self._end(message)
         else:
             self._step(message)
+            self._request_group()
         return None
 
     def _request(self, job: _Job) -> int:
@@ -165,16 +166,12 @@
             self._groups[request_id] = []
             self._request(
                 _Job(store_budget.Operation.WRITE, Priority.NORMAL,
-                     self._rows[0].deadline_s, lambda: None,
-                     pykka.ThreadingFuture()))
+                     min(write.deadline_s for write in self._rows),
+                     lambda: None, pykka.ThreadingFuture()))
 
     def _step(self, event: store_budget.Event) -> None:
         self._budget, commands = store_budget.step(self._budget, event,
                                                    time.monotonic(), self._rng)
-        if self._budget.waiting:
-            self._has_waiting.set()
-        else:
-            self._has_waiting.clear()
         for command in commands:
             job = self._jobs[command.request_id]
             if isinstance(command, store_budget.Start):
@@ -186,11 +183,21 @@
                 self._reject_rows(command.code)
             else:
                 _reject(job, command.code)
+        if self._budget.waiting or self._rows:
+            self._has_waiting.set()
+        else:
+            self._has_waiting.clear()
 
     def _reject_rows(self, code: errors.Code) -> None:
+        """Rejects rows after their group; those with time left wait on."""
+        now_s = time.monotonic()
         rows, self._rows = self._rows, []
         for write in rows:
-            write.future.set(_rejected(code))
+            if (code == errors.Code.STORE_THROTTLED and
+                    write.deadline_s > now_s):
+                self._rows.append(write)
+            else:
+                write.future.set(_rejected(code))
 
     def _start(self, request_id: int, job: _Job) -> None:
         name = str(job.operation)
--- a/persimmonspan/request/at_most_once.py
+++ b/persimmonspan/request/at_most_once.py
@@ -36,6 +36,7 @@
 
 _MAX_KEY_CHARS = 200
 _MAX_KEPT = 20_000
+_BATCH_ROWS = 64
 
 _logger = logging.getLogger(__name__)
 
@@ -52,6 +53,16 @@
     def read(self, key: str) -> ledger_events.Row:
         """Reads a row; raises `errors.StoreError`."""
 
+    def write_all(
+        self, commands: collections.abc.Sequence[ledger_events.WriteRow]
+    ) -> list[ledger_events.WriteEnded]:
+        """Writes rows, each for itself, as far as possible together."""
+
+    def read_all(
+            self,
+            keys: collections.abc.Sequence[str]) -> list[ledger_events.Row]:
+        """Reads rows together; raises `errors.StoreError`."""
+
 
 class Request(typing.NamedTuple):
     """A non-idempotent request.
@@ -177,19 +188,31 @@
             kept = [(key, item)
                     for key, items in self._kept.items()
                     for item in items]
-        for key, document in kept:
+        for start in range(0, len(kept), _BATCH_ROWS):
             try:
-                write = ledger.next_write(key, document, self.rows.read(key))
+                self._record_batch(kept[start:start + _BATCH_ROWS])
             except errors.StoreError:
                 break
-            if write is not None and not self.rows.write(write).is_applied:
+        return self.kept_rows
+
+    def _record_batch(
+            self, kept: list[tuple[str, ledger_events.RowDocument]]) -> None:
+        """Records kept rows with one read and, by group commit, one write."""
+        rows = self.rows.read_all([key for key, _ in kept])
+        writes = [
+            ledger.next_write(key, document, row)
+            for (key, document), row in zip(kept, rows)
+        ]
+        ended = iter(
+            self.rows.write_all([item for item in writes if item is not None]))
+        for (key, document), write in zip(kept, writes):
+            if write is not None and not next(ended).is_applied:
                 continue
             with self._lock:
                 self._kept[key].remove(document)
                 if not self._kept[key]:
                     del self._kept[key]
             self.count("ledger_recorded_late")
-        return self.kept_rows
 
 
 def run(context: Context, request: Request,
