--- a/persimmonspan/connection/table_service.py
+++ b/persimmonspan/connection/table_service.py
@@ -11,8 +11,10 @@
 the transaction may be under way, so it is sent again; this is safe if each row
 it writes is also checked, since then it can be applied once only. If all
 written rows have moved on, only a witness settles the matter: a row that this
-transaction inserts and that nobody overwrites. Without one the result is
-`UNKNOWN`, as it is for a lost answer to a delete.
+transaction inserts and that nobody overwrites. An inserted row that is absent
+proves nothing if somebody may have deleted it since, unless it is a witness or
+`are_rows_kept`. Without a proof the result is `UNKNOWN`, as it is for a lost
+answer to a delete.
 
 Interface: `Table(address, client).transact(transaction) -> Result`,
 `.read(keys) -> rows`, `.scan(prefix, limit, after) -> rows`. Reads raise
@@ -66,12 +68,14 @@
     """Writes that are applied together if all checks hold.
 
     `witness` names an inserted row that nobody overwrites or deletes.
+    `are_rows_kept` says that nobody deletes the rows that are inserted.
     """
 
     checks: tuple[Check, ...] = ()
     puts: tuple[Put, ...] = ()
     deletes: tuple[str, ...] = ()
     witness: str | None = None
+    are_rows_kept: bool = False
 
 
 class Outcome(enum.StrEnum):
@@ -179,15 +183,12 @@
                  client: str,
                  connect_timeout_s: float = 0.5,
                  answer_timeout_s: float = 1.0) -> None:
-        host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(host,
-                                                int(port),
-                                                maxsize=_POOL_CONNECTIONS,
-                                                retries=False,
-                                                timeout=urllib3.Timeout(
-                                                    connect=connect_timeout_s,
-                                                    read=answer_timeout_s),
-                                                headers={CLIENT_HEADER: client})
+        self._host, port = address.rsplit(":", 1)
+        self._port = int(port)
+        self._headers = {CLIENT_HEADER: client}
+        self._timeout = urllib3.Timeout(connect=connect_timeout_s,
+                                        read=answer_timeout_s)
+        self._pool = self._new_pool()
 
     def transact(self,
                  transaction: Transaction,
@@ -243,7 +244,11 @@
                           ScanDocument(prefix=prefix, limit=limit, after=after))
 
     def _rows(self, path: str, body: ReadDocument | ScanDocument) -> tuple:
-        status, data = self._post(path, body)
+        try:
+            status, data = self._post(path, body)
+        except LostAnswerError:
+            # A read may be repeated; the new pool has no silent connections.
+            status, data = self._post(path, body)
         if status != http.HTTPStatus.OK:
             raise errors.StoreError(_code(status),
                                     f"table service answered status {status}")
@@ -263,20 +268,26 @@
                           write_id=write_id)
         return Result(Outcome.NOT_APPLIED, _code(status), write_id=write_id)
 
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(self._host,
+                                          self._port,
+                                          maxsize=_POOL_CONNECTIONS,
+                                          retries=False,
+                                          timeout=self._timeout,
+                                          headers=self._headers)
+
     def _post(self, path: str, body: object) -> tuple[int, bytes]:
         try:
-            response = self._pool.request(
-                "POST",
-                path,
-                body=msgspec.json.encode(body),
-                headers={
-                    **self._pool.headers, "Content-Type": "application/json"
-                })
-        except urllib3.exceptions.NewConnectionError:
-            return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
-        except urllib3.exceptions.ConnectTimeoutError:
+            response = self._pool.request("POST",
+                                          path,
+                                          body=msgspec.json.encode(body))
+        except (urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError):
             return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            # Established connections may all have gone silent while new ones
+            # work, so none of them is used again.
+            self._pool = self._new_pool()
             raise LostAnswerError(
                 errors.Code.STORE_UNAVAILABLE,
                 f"table service did not answer: {error}") from error
@@ -292,7 +303,7 @@
     it cannot be applied any more; a written row that did not move since then
     proves that it was not applied before either.
 
-    >>> insert = Transaction((Check("a", 0),), (Put("a", "x"),))
+    >>> insert = Transaction((Check("a", 0),), (Put("a", "x"),), witness="a")
     >>> settle(insert, "w1", [Row("a", "x", 7, "w1")]).outcome.value
     'applied'
     >>> settle(insert, "w1", [Row("a", "", 0, "")])[:2]
@@ -308,18 +319,31 @@
                   for check in transaction.checks
                   if by_key[check.key].version != check.version)
     if not moved:
-        return Result(Outcome.UNKNOWN, write_id=write_id)
+        code = None if _proofs(transaction) else errors.Code.STORE_UNAVAILABLE
+        return Result(Outcome.UNKNOWN, code, write_id=write_id)
     moved_keys = {row.key for row in moved}
-    checked = {check.key for check in transaction.checks}
-    written = {put.key for put in transaction.puts} | set(transaction.deletes)
     is_refuted = (transaction.witness in moved_keys or
-                  bool((written & checked) - moved_keys))
+                  bool(_proofs(transaction) - moved_keys))
     return Result(Outcome.NOT_APPLIED if is_refuted else Outcome.UNKNOWN,
                   errors.Code.CONFLICT,
                   conflicts=moved,
                   write_id=write_id)
 
 
+def _proofs(transaction: Transaction) -> set[str]:
+    """Returns written rows that cannot have moved and come back.
+
+    Versions do not repeat, but an inserted row that was deleted is absent again,
+    as before the insert.
+    """
+    written = {put.key for put in transaction.puts} | set(transaction.deletes)
+    return {
+        check.key for check in transaction.checks if check.key in written and
+        (check.version > 0 or transaction.are_rows_kept or
+         check.key == transaction.witness)
+    }
+
+
 def _keys(transaction: Transaction) -> tuple[str, ...]:
     keys = [check.key for check in transaction.checks]
     keys.extend(put.key for put in transaction.puts)
--- a/persimmonspan/process/store_actor.py
+++ b/persimmonspan/process/store_actor.py
@@ -146,6 +146,7 @@
             self._end(message)
         else:
             self._step(message)
+            self._request_group()
         return None
 
     def _request(self, job: _Job) -> int:
@@ -165,16 +166,12 @@
             self._groups[request_id] = []
             self._request(
                 _Job(store_budget.Operation.WRITE, Priority.NORMAL,
-                     self._rows[0].deadline_s, lambda: None,
-                     pykka.ThreadingFuture()))
+                     min(write.deadline_s for write in self._rows),
+                     lambda: None, pykka.ThreadingFuture()))
 
     def _step(self, event: store_budget.Event) -> None:
         self._budget, commands = store_budget.step(self._budget, event,
                                                    time.monotonic(), self._rng)
-        if self._budget.waiting:
-            self._has_waiting.set()
-        else:
-            self._has_waiting.clear()
         for command in commands:
             job = self._jobs[command.request_id]
             if isinstance(command, store_budget.Start):
@@ -186,11 +183,21 @@
                 self._reject_rows(command.code)
             else:
                 _reject(job, command.code)
+        if self._budget.waiting or self._rows:
+            self._has_waiting.set()
+        else:
+            self._has_waiting.clear()
 
     def _reject_rows(self, code: errors.Code) -> None:
+        """Rejects rows after their group; those with time left wait on."""
+        now_s = time.monotonic()
         rows, self._rows = self._rows, []
         for write in rows:
-            write.future.set(_rejected(code))
+            if (code == errors.Code.STORE_THROTTLED and
+                    write.deadline_s > now_s):
+                self._rows.append(write)
+            else:
+                write.future.set(_rejected(code))
 
     def _start(self, request_id: int, job: _Job) -> None:
         name = str(job.operation)
@@ -285,6 +292,7 @@
             deletes: collections.abc.Sequence[str] = (),
             *,
             witness: str | None = None,
+            are_rows_kept: bool = False,
             priority: Priority = Priority.NORMAL,
             wait_s: float = _DEFAULT_WAIT_S
     ) -> pykka.Future[table_service.Result]:
@@ -295,11 +303,14 @@
             puts: Rows to write.
             deletes: Keys to delete.
             witness: Inserted row that settles a lost answer for good.
+            are_rows_kept: Whether nobody deletes rows that are inserted; helps
+                to settle a lost answer.
             priority: Place among waiting operations.
             wait_s: How long it may wait to be started.
         """
         transaction = table_service.Transaction(tuple(checks), tuple(puts),
-                                                tuple(deletes), witness)
+                                                tuple(deletes), witness,
+                                                are_rows_kept)
         return self._submit(store_budget.Operation.WRITE, priority, wait_s,
                             lambda: self._table.transact(transaction))
 
@@ -334,11 +345,15 @@
             value: str,
             wait_s: float = _DEFAULT_WAIT_S
     ) -> pykka.Future[table_service.Result]:
-        """Writes one row by group commit, if it has the expected version."""
+        """Writes one row by group commit, if it has the expected version.
+
+        The row must be one that nobody deletes, as a ledger row.
+        """
         future: pykka.Future[table_service.Result] = pykka.ThreadingFuture()
         transaction = table_service.Transaction(
             (table_service.Check(key, expected_version),),
-            (table_service.Put(key, value),))
+            (table_service.Put(key, value),),
+            are_rows_kept=True)
         self._tell(_RowWrite(transaction,
                              time.monotonic() + wait_s, future), future)
         return future
@@ -385,7 +400,8 @@
     transactions = [write.transaction for write in group]
     return table_service.Transaction(
         tuple(check for item in transactions for check in item.checks),
-        tuple(put for item in transactions for put in item.puts))
+        tuple(put for item in transactions for put in item.puts),
+        are_rows_kept=True)
 
 
 def _health(ended: _Ended) -> store_budget.Health:
