Charge workspaces what their requests took; mend the kind's length curve

Cause: a test showed that a small workspace got 25 of 400 starts instead of 67: it was charged the predicted work, which is high while little is known of it, and ageing outweighed fairness. Another test showed that the curve of a kind was sometimes rebuilt from the prior alone, so that a new workspace got the prior. Change: usage is settled with the work that was done; ageing counts at most twofold; a lane keeps its hazard, on which the lanes of its workspaces build.

--- a/persimmonspan/request/length.py
+++ b/persimmonspan/request/length.py
@@ -33,8 +33,10 @@
 BUCKETS = 17 * _PER_OCTAVE
 _PSEUDO_OBSERVATIONS = 4.0
 _FADE_ABOVE = 256.0
-# A lane's curve is rebuilt after this share of new observations.
+# A lane's curve is rebuilt after this share of new observations, of at most so
+# many.
 _REBUILD_SHARE = 1 / 16
+_MOST_BETWEEN_REBUILDS = 64
 _SHORT_MEDIAN_TOKENS = 64.0
 _LONG_MEDIAN_TOKENS = 1000.0
 _PRIOR_SIGMA = 1.3
@@ -49,6 +51,7 @@
 
     ended: Curve = _ZEROS
     passed: Curve = _ZEROS
+    hazard: Curve = ()
     survival: Curve = ()
     observations: int = 0
     rebuilt_at: int = 0
@@ -117,19 +120,22 @@
     """Counts a generation that ended by itself after `tokens`."""
     lanes = lengths.lanes
     bucket = index(tokens)
-    hazard = _PRIORS[is_short][0]
+    prior = _PRIORS[is_short][0]
     for key in (("", kind), (workspace, kind)):
         lane = lanes.get(key) or Lane()
         ended = (lane.ended[:bucket] + (lane.ended[bucket] + 1,) +
                  lane.ended[bucket + 1:])
         count = lane.observations + 1
-        lane = Lane(ended, lane.passed, lane.survival, count, lane.rebuilt_at)
-        if key[0] or count - lane.rebuilt_at >= _REBUILD_SHARE * count:
-            hazard = _hazard(lane, hazard)
-        if (not lane.survival or
-                count - lane.rebuilt_at >= _REBUILD_SHARE * min(count, 64)):
+        lane = Lane(ended, lane.passed, lane.hazard, lane.survival, count,
+                    lane.rebuilt_at)
+        if (not lane.hazard or count - lane.rebuilt_at
+                >= _REBUILD_SHARE * min(count, _MOST_BETWEEN_REBUILDS)):
+            hazard = _hazard(lane, prior)
             lane = _faded(
-                lane._replace(survival=_product(hazard), rebuilt_at=count))
+                lane._replace(hazard=hazard,
+                              survival=_product(hazard),
+                              rebuilt_at=count))
+        prior = lane.hazard
         lanes = lanes.set(key, lane)
     return Lengths(lanes)
 
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -274,11 +274,18 @@
     return state._replace(lengths=lengths, outlooks=outlooks)
 
 
-def release(state: State, request_id: str, running: Running) -> State:
-    """Takes an attempt from its target."""
+def release(state: State, request_id: str, running: Running, tokens: int,
+            now_s: float) -> State:
+    """Takes an attempt that generated some tokens from its target."""
+    queue = state.queue
+    if is_model(state, running.target):
+        prompt = running.item.arrived.prompt_tokens
+        queue = queueing.settled(queue, running.item,
+                                 prompt + (prompt + tokens / 2) * tokens, now_s)
     return state._replace(view=load_view.ended(state.view, running.target,
                                                running.profile, running.is_long,
                                                running.tokens > 0),
+                          queue=queue,
                           running=state.running.delete(request_id))
 
 
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -54,7 +54,7 @@
 _FAIRNESS = 1.0
 _FAIRNESS_FLOOR = 0.05
 _WORK_EXPONENT = 0.7
-_AGEING = 4.0
+_AGEING = 1.0
 _RETRY_AFTER_S = (1.0, 60.0)
 _RETRY_JITTER = 0.25
 
@@ -197,15 +197,29 @@
 def served(queue: Queue, item: Queued, now_s: float) -> Queue:
     """Counts a request that is dispatched, whether it waited or not."""
     rate = queue.rates.get(item.lane, Decayed())
+    return _charged(
+        queue._replace(rates=queue.rates.set(
+            item.lane, Decayed(rate.at(now_s, _RATE_S) + 1, now_s))), item,
+        item.work, now_s)
+
+
+def settled(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
+    """Replaces the predicted work of a request by what it was.
+
+    Without it, a workspace of which little is known would pay for the
+    uncertainty with its share.
+    """
+    return _charged(queue, item, work - item.work, now_s)
+
+
+def _charged(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
     service, workspace, _ = item.lane
     usage = queue.usage
     for name in (workspace, ""):
-        used = usage.get((service, name), Decayed())
-        usage = usage.set((service, name),
-                          Decayed(used.at(now_s, _USAGE_S) + item.work, now_s))
-    return queue._replace(rates=queue.rates.set(
-        item.lane, Decayed(rate.at(now_s, _RATE_S) + 1, now_s)),
-                          usage=usage)
+        used = usage.get((service, name), Decayed()).at(now_s, _USAGE_S)
+        usage = usage.set((service, name), Decayed(max(0.0, used + work),
+                                                   now_s))
+    return queue._replace(usage=usage)
 
 
 def _rescore(queue: Queue, key: LaneKey, head: Queued, now_s: float) -> Queue:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -144,7 +144,8 @@
     running = state.running.get(event.request_id)
     if running is None or running.target != event.target:
         return state, []
-    state = placement.release(state, event.request_id, running)
+    state = placement.release(state, event.request_id, running, event.tokens,
+                              now_s)
     outcome = event.outcome
     commands: list[events.Command] = []
     if outcome is events.Outcome.COMPLETED:
@@ -177,7 +178,8 @@
         # A call to a plain service goes on; its outcome is recorded.
         return state, []
     cancel = events.CancelAttempt(event.request_id, running.target)
-    state = placement.release(state, event.request_id, running)
+    state = placement.release(state, event.request_id, running, running.tokens,
+                              now_s)
     state = placement.forget(state, running.item.arrived, False, now_s)
     cancelled = events.AttemptEnded(event.request_id, running.target,
                                     events.Outcome.CANCELLED)
