Fuzz the scheduler with repeated and quarantined fingerprints

Cause: all requests of the state machine had the same fingerprint. Change: fingerprints are distinct or one of two; peers share and lift suspects.

--- a/persimmonspan/request/tests/test_scheduler_machine.py
+++ b/persimmonspan/request/tests/test_scheduler_machine.py
@@ -70,14 +70,15 @@
     @stateful.rule(kind=strategies.sampled_from(_KINDS),
                    workspace=strategies.sampled_from(("big", "low", "new")),
                    prompt=strategies.integers(1, 5000),
-                   time_s=strategies.floats(0.0, _LONGEST_DEADLINE_S))
-    def arrive(self, kind, workspace, prompt, time_s):
+                   time_s=strategies.floats(0.0, _LONGEST_DEADLINE_S),
+                   fingerprint=strategies.sampled_from(("", "", "x", "y")))
+    def arrive(self, kind, workspace, prompt, time_s, fingerprint):
         """A request arrives."""
         self.count += 1
         arrived = events.Arrived(f"r{self.count}", workspace, kind.name,
                                  kind.service, prompt, 4000,
-                                 self.now_s + time_s, "", (),
-                                 kind.is_idempotent)
+                                 self.now_s + time_s, fingerprint or
+                                 f"f{self.count}", (), kind.is_idempotent)
         self.waiting[arrived.request_id] = arrived
         self.tried[arrived.request_id] = set()
         self.send(arrived)
@@ -167,6 +168,12 @@
         """A target died."""
         self.send(events.TargetDied(replica.name))
 
+    @stateful.rule(fingerprint=strategies.sampled_from(("x", "y")),
+                   crashes=strategies.integers(0, 3))
+    def quarantine(self, fingerprint, crashes):
+        """A peer shares or lifts a suspect."""
+        self.send(events.QuarantineShared(fingerprint, crashes, 30.0))
+
     @stateful.rule(replicas=strategies.sets(strategies.sampled_from(_TARGETS)))
     def change(self, replicas):
         """Another configuration is adopted."""
