--- a/bench/relay.py
+++ b/bench/relay.py
@@ -62,7 +62,6 @@
                         choices=("direct", "bare", "daemon"),
                         action="append")
     parser.add_argument("--skip-slopes", action="store_true")
-    parser.add_argument("--profile", help="file for a py-spy raw profile")
     parsed = parser.parse_args()
     kinds = parsed.only or ("direct", "bare", "daemon")
     results = []
@@ -75,7 +74,7 @@
             results += _round(load, relays, 0, parsed)
     report = {"results": results, "slopes": _slopes(results)}
     _OUT.parent.mkdir(exist_ok=True)
-    _OUT.write_text(json.dumps(report, indent=1))
+    _OUT.write_text(json.dumps(report, indent=1), encoding="utf-8")
     print(json.dumps(report["slopes"], indent=1))
 
 
@@ -113,8 +112,8 @@
         ports = engines if relay is None else [relay[0]]
         loaders = [
             _start_loader(
-                load.streams // _LOADERS + (i < load.streams % _LOADERS), ports,
-                load, options.duration_s) for i in range(_LOADERS)
+                stack, load.streams // _LOADERS + (i < load.streams % _LOADERS),
+                ports, load, options.duration_s) for i in range(_LOADERS)
         ]
         usage = (_watch(relay[1].pid, options) if relay is not None else {})
         outputs = [json.loads(loader.communicate()[0]) for loader in loaders]
@@ -137,9 +136,11 @@
         for engine in engines:
             arguments += ["--engine", f"127.0.0.1:{engine}"]
     else:
-        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        # pylint: disable-next=consider-using-with
+        temporary = tempfile.TemporaryDirectory()
+        folder = stack.enter_context(temporary)
         path = pathlib.Path(folder, "inventory.json")
-        path.write_text(json.dumps(_inventory(engines)))
+        path.write_text(json.dumps(_inventory(engines)), encoding="utf-8")
         arguments = [
             "persimmonspan", "serve", "--listen-address", f"127.0.0.1:{port}",
             "--inventory",
@@ -148,8 +149,8 @@
     return port, stack.enter_context(processes.running(*arguments, port=port))
 
 
-def _start_loader(streams: int, ports: list[int], load: Load,
-                  duration_s: float) -> subprocess.Popen[bytes]:
+def _start_loader(stack: contextlib.ExitStack, streams: int, ports: list[int],
+                  load: Load, duration_s: float) -> subprocess.Popen[bytes]:
     command = [
         sys.executable, "-m", "bench.relay_load", "--streams",
         str(streams), "--tokens",
@@ -160,7 +161,9 @@
         command += ["--port", str(port)]
     if len(ports) > 1:
         command.append("--direct")
-    return subprocess.Popen(command, stdout=subprocess.PIPE)
+    # pylint: disable-next=consider-using-with
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    return stack.enter_context(process)
 
 
 def _watch(pid: int, options: argparse.Namespace) -> dict[str, float]:
@@ -168,25 +171,21 @@
     time.sleep(options.duration_s * _RAMP_SHARE + _MARGIN_S)
     seconds = options.duration_s * (1 - _RAMP_SHARE) - 2 * _MARGIN_S
     before_s, start_s = _cpu_s(pid), time.monotonic()
-    if options.profile:
-        subprocess.run([
-            "py-spy", "record", "-p",
-            str(pid), "-d",
-            str(int(seconds)), "-f", "raw", "-o", options.profile, "--gil"
-        ],
-                       check=True)
-    else:
-        time.sleep(seconds)
+    time.sleep(seconds)
     core = (_cpu_s(pid) - before_s) / (time.monotonic() - start_s)
-    status = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    status = _read(f"/proc/{pid}/status").splitlines()
     resident_kb = next(
         int(line.split()[1]) for line in status if line.startswith("VmRSS"))
     return {"core": core, "resident_mb": resident_kb / 1024}
 
 
+def _read(path: str) -> str:
+    return pathlib.Path(path).read_text(encoding="utf-8")
+
+
 def _cpu_s(pid: int) -> float:
     # The name of the process, in brackets, may contain blanks.
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")")[1]
+    fields = _read(f"/proc/{pid}/stat").rsplit(")")[1]
     user, system = fields.split()[11:13]
     return (int(user) + int(system)) / _TICKS_PER_S
 
--- a/persimmonspan/request/tests/conftest.py
+++ b/persimmonspan/conftest.py
@@ -11,7 +11,7 @@
 from testbed import processes
 from testbed import tcp_proxy
 
-_SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
+_SAMPLES = pathlib.Path(__file__).parents[1] / "samples"
 KEY = {"Authorization": "Bearer demo-miraflores"}
 _RULES = {
     "timeouts": {
@@ -21,6 +21,7 @@
         "request_ms": 20000
     },
     "default_limits": {
+        "prompt_tokens": 10000,
         "output_tokens": 5000
     }
 }
@@ -64,7 +65,7 @@
 
 
 @contextlib.contextmanager
-def deployed(folder, *arguments, replicas=2, rules=None):
+def deployed(folder, *arguments, replicas=2):
     """Runs a deployment until the block ends."""
     inventory = json.loads(
         (_SAMPLES / "plaza-verde-inventory.json").read_text())
@@ -76,20 +77,13 @@
                                 _ENGINE) if service["kind"] == "model" else
                                ("testbed.plain_service", ()))
             for replica in service["replicas"]:
-                port = processes.free_port()
-                process = stack.enter_context(
-                    processes.running(module,
-                                      "--port",
-                                      str(port),
-                                      *options,
-                                      port=port))
-                proxy = stack.enter_context(tcp_proxy.running(port))
+                target = _start_target(stack, module, options)
+                proxy = stack.enter_context(tcp_proxy.running(target[1]))
                 replica["address"] = f"127.0.0.1:{proxy.port}"
                 proxies[replica["name"]] = proxy
-                targets[replica["name"]] = (process, port)
-        files = {"inventory": inventory, "rules": {**_RULES, **(rules or {})}}
-        for name, document in files.items():
-            (folder / name).write_text(json.dumps(document))
+                targets[replica["name"]] = target
+        (folder / "inventory").write_text(json.dumps(inventory))
+        (folder / "rules").write_text(json.dumps(_RULES))
         port = processes.free_port()
         daemon = stack.enter_context(
             processes.running("persimmonspan",
@@ -108,6 +102,16 @@
         yield Deployment(port, daemon, proxies, targets, pool)
 
 
+def _start_target(stack, module, options):
+    port = processes.free_port()
+    process = processes.running(module,
+                                "--port",
+                                str(port),
+                                *options,
+                                port=port)
+    return stack.enter_context(process), port
+
+
 @pytest.fixture(name="deploy")
 def _deploy(tmp_path):
     """Returns a function that runs a deployment in the test's folder."""
--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -144,10 +144,14 @@
         def parse_request(self) -> None:
             """Reads the head within the time for it."""
             with watchdog.limit(self.conn.socket, options.read_s) as limit:
-                super().parse_request()
+                try:
+                    super().parse_request()
+                except TimeoutError:
+                    application.metrics.count("caller_slow_headers")
+                    raise  # cheroot answers with status 408.
             if limit.is_expired and not self.ready:
+                # cheroot has answered the cut-off head with status 400.
                 application.metrics.count("caller_slow_headers")
-                self.simple_response("408 Request Timeout")
 
     class _Connection(server.HTTPConnection):
         RequestHandlerClass = _Request
@@ -231,6 +235,8 @@
         try:
             if not is_too_large:
                 body = request.rfile.read(options.max_body_bytes + 1)
+        except TimeoutError:
+            limit.is_expired = True
         except (ValueError, cheroot_errors.MaxSizeExceeded, OSError):
             expected = len(body) + 1  # Not whole.
     if is_too_large or len(body) > options.max_body_bytes:
--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -32,12 +32,15 @@
 # The resolution of timeouts; each wake-up costs about 10 us.
 _POLL_S = 0.05
 _WAKE_EVENTS = 1024
+# Waking for each token costs more than relaying it. While few sockets are ready
+# at a time, the thread pauses so that several tokens share one wake-up.
 _BATCH_EVENTS = 64
-_BATCH_S = float(__import__("os").environ.get("BATCH", "0.0005"))
+_BATCH_S = 0.0005
 _GAP_UNITS_PER_S = 10_000  # Gaps between tokens are counted in 0.1 ms.
 # Recording a gap in a histogram costs more than relaying a token, so equal
 # gaps are counted first and recorded together.
 _GAP_FLUSH_S = 5.0
+_REPORT_INTERVAL_S = 0.02
 _WOULD_BLOCK = (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError)
 
 _logger = logging.getLogger(__name__)
@@ -70,11 +73,13 @@
 class Transfer:
     """One caller's connection and the engine connection that feeds it.
 
-    All fields belong to the relay, under its lock.
+    All fields belong to the holder of the lock. A lock for each transfer, and
+    not one for all, keeps a busy relay thread from starving the workers.
     """
 
     def __init__(self, caller: socket.socket, notify: Notify,
                  write_s: float) -> None:
+        self.lock = threading.Lock()
         self.caller = caller
         self.caller_fd = caller.fileno()
         self.notify = notify
@@ -98,27 +103,47 @@
                                                         None]) -> None:
         self._observe_gap = observe_gap
         self._epoll = select.epoll()
-        self._lock = threading.Lock()
+        # Shared between threads without a lock: single operations on a dict and
+        # on epoll are atomic, and each file descriptor has one owner.
         self._transfers: dict[int, Transfer] = {}  # By file descriptor.
         self._timers: list[tuple[float, int, int, Transfer]] = []
+        self._attached: collections.deque[tuple[
+            int, Transfer]] = collections.deque()
         self._timer_count = 0
         self._gaps: collections.Counter[int] = collections.Counter()
+        self._reports: collections.deque[tuple[collections.abc.Callable[
+            ..., None], tuple[typing.Any, ...]]] = collections.deque()
         self._is_stopped = False
+        self._reporter = threading.Thread(target=self._report,
+                                          name="relay-reports",
+                                          daemon=True)
         self._thread = threading.Thread(target=self._run,
                                         name="relay",
                                         daemon=True)
 
     def start(self) -> None:
-        """Starts the thread."""
+        """Starts the threads."""
         self._thread.start()
+        self._reporter.start()
 
     def stop(self) -> None:
-        """Ends the thread."""
+        """Ends the threads."""
         self._is_stopped = True
         if self._thread.is_alive():
             self._thread.join()
+            self._reporter.join()
         self._epoll.close()
 
+    def report(self, function: collections.abc.Callable[..., None], *arguments:
+               typing.Any) -> None:
+        """Calls a function soon, on a thread that may wait for a lock.
+
+        The inbox of an actor and the metrics have locks; the relay thread would
+        stall all streams while the holder of one waits for a processor. Calls
+        are made in the order of the reports.
+        """
+        self._reports.append((function, arguments))
+
     @contextlib.contextmanager
     def watching(self, caller: socket.socket, notify: Notify,
                  write_s: float) -> collections.abc.Iterator[Transfer]:
@@ -135,13 +160,12 @@
         timeout_s = caller.gettimeout()
         caller.setblocking(False)
         transfer = Transfer(caller, notify, write_s)
-        with self._lock:
-            self._transfers[transfer.caller_fd] = transfer
-            self._epoll.register(transfer.caller_fd, select.EPOLLRDHUP)
+        self._transfers[transfer.caller_fd] = transfer
+        self._epoll.register(transfer.caller_fd, select.EPOLLRDHUP)
         try:
             yield transfer
         finally:
-            with self._lock:
+            with transfer.lock:
                 self._drop_engine(transfer)
                 self._drop_caller(transfer)
             caller.settimeout(timeout_s)
@@ -162,26 +186,28 @@
             The serial number that notices about this connection carry.
         """
         engine.setblocking(False)
-        with self._lock:
-            transfer.serial += 1
-            transfer.engine = engine
-            transfer.engine_fd = engine.fileno()
-            transfer.consume = consume
-            transfer.between_s = between_s
-            transfer.due_s = time.monotonic() + first_s
-            self._transfers[transfer.engine_fd] = transfer
-            self._push_timer(transfer, time.monotonic())
-            self._epoll.register(transfer.engine_fd, select.EPOLLIN)
-            return transfer.serial
+        transfer.serial += 1
+        transfer.consume = consume
+        transfer.between_s = between_s
+        transfer.due_s = time.monotonic() + first_s
+        transfer.engine_fd = engine.fileno()
+        transfer.engine = engine
+        self._attached.append((transfer.serial, transfer))
+        self._transfers[transfer.engine_fd] = transfer
+        # Without the lock, as the first token may be there already. If the
+        # caller has left meanwhile, nothing is found under the descriptor and
+        # the worker closes the socket.
+        self._epoll.register(engine.fileno(), select.EPOLLIN)
+        return transfer.serial
 
     def release(self, transfer: Transfer) -> None:
         """Stops to read from the engine; the caller is watched on."""
-        with self._lock:
+        with transfer.lock:
             self._drop_engine(transfer)
 
     def take_pending(self, transfer: Transfer) -> bytes:
         """Returns what the caller has not taken; the relay won't send it."""
-        with self._lock:
+        with transfer.lock:
             pending, transfer.pending = transfer.pending, b""
             return pending
 
@@ -190,29 +216,35 @@
         while not self._is_stopped:
             ready = self._epoll.poll(_POLL_S, _WAKE_EVENTS)
             now_s = time.monotonic()
-            with self._lock:
-                for fd, mask in ready:
-                    transfer = self._transfers.get(fd)
-                    if transfer is not None:
-                        self._serve(transfer, fd, mask, now_s)
-                self._expire(now_s)
-            if len(ready) < _BATCH_EVENTS and ready:
+            for fd, mask in ready:
+                transfer = self._transfers.get(fd)
+                if transfer is not None:
+                    self._serve(transfer, fd, mask, now_s)
+            self._expire(now_s)
+            if 0 < len(ready) < _BATCH_EVENTS:
                 time.sleep(_BATCH_S)
             if now_s >= flush_s:
                 flush_s = now_s + _GAP_FLUSH_S
-                self._flush_gaps()
+                self.report(self._record_gaps, self._gaps)
+                self._gaps = collections.Counter()
 
     def _serve(self, transfer: Transfer, fd: int, mask: int,
                now_s: float) -> None:
+        # A worker that holds the lock may itself wait for a processor. Epoll
+        # reports the socket again, so this thread need not wait with it.
+        if not transfer.lock.acquire(blocking=False):
+            return
         try:
             if fd == transfer.engine_fd:
                 self._read(transfer, now_s)
-            else:
+            elif fd in self._transfers:
                 self._serve_caller(transfer, mask, now_s)
         except Exception:  # pylint: disable=broad-exception-caught
-            # A fault in one stream must not end the thread that serves all.
+            # A fault in one stream must not end the thread of all.
             _logger.exception("relay failed")
             self._end(transfer, Signal.CLOSED)
+        finally:
+            transfer.lock.release()
 
     def _read(self, transfer: Transfer, now_s: float) -> None:
         try:
@@ -286,8 +318,9 @@
 
     def _drop_engine(self, transfer: Transfer) -> None:
         if transfer.engine is not None:
-            self._epoll.unregister(transfer.engine_fd)
-            del self._transfers[transfer.engine_fd]
+            with contextlib.suppress(FileNotFoundError):
+                self._epoll.unregister(transfer.engine_fd)
+            self._transfers.pop(transfer.engine_fd, None)
             transfer.engine = None
             transfer.engine_fd = -1
 
@@ -295,7 +328,8 @@
         if self._transfers.pop(transfer.caller_fd, None) is not None:
             self._epoll.unregister(transfer.caller_fd)
 
-    def _push_timer(self, transfer: Transfer, now_s: float) -> None:
+    def _push_timer(self, transfer: Transfer, serial: int,
+                    now_s: float) -> None:
         # The first token makes the timeout shorter, so a timer never lies
         # further ahead than the shortest timeout that may come into force.
         due_s = now_s + min(transfer.between_s, transfer.write_s)
@@ -305,26 +339,44 @@
             due_s = min(due_s, transfer.due_s)
         self._timer_count += 1
         heapq.heappush(self._timers,
-                       (due_s, self._timer_count, transfer.serial, transfer))
+                       (due_s, self._timer_count, serial, transfer))
 
     def _expire(self, now_s: float) -> None:
+        while self._attached:
+            serial, transfer = self._attached.popleft()
+            self._push_timer(transfer, serial, now_s)
         while self._timers and self._timers[0][0] <= now_s:
             _, _, serial, transfer = heapq.heappop(self._timers)
-            if transfer.engine is None or serial != transfer.serial:
-                continue
-            if transfer.blocked_s is not None:
-                if transfer.blocked_s + transfer.write_s <= now_s:
-                    self._end(transfer, Signal.CALLER_SLOW)
-                    continue
-            elif transfer.due_s <= now_s:
-                self._end(transfer, Signal.SILENT)
-                continue
-            self._push_timer(transfer, now_s)
-
-    def _flush_gaps(self) -> None:
-        for units, count in self._gaps.items():
+            # A lock that a worker holds is not waited for; see `_serve`.
+            if transfer.lock.acquire(blocking=False):
+                self._check_timeouts(transfer, serial, now_s)
+                transfer.lock.release()
+            else:
+                self._attached.append((serial, transfer))
+
+    def _check_timeouts(self, transfer: Transfer, serial: int,
+                        now_s: float) -> None:
+        if transfer.engine is None or serial != transfer.serial:
+            return
+        if transfer.blocked_s is not None:
+            if transfer.blocked_s + transfer.write_s <= now_s:
+                self._end(transfer, Signal.CALLER_SLOW)
+                return
+        elif transfer.due_s <= now_s:
+            self._end(transfer, Signal.SILENT)
+            return
+        self._push_timer(transfer, serial, now_s)
+
+    def _report(self) -> None:
+        while not self._is_stopped or self._reports:
+            time.sleep(_REPORT_INTERVAL_S)
+            while self._reports:
+                function, arguments = self._reports.popleft()
+                function(*arguments)
+
+    def _record_gaps(self, gaps: collections.Counter[int]) -> None:
+        for units, count in gaps.items():
             self._observe_gap(units / _GAP_UNITS_PER_S, count)
-        self._gaps.clear()
 
 
 def _has_left(fd: int) -> bool:
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -297,13 +297,15 @@
         if first == 0:
             self._session.has_run = True
             self._progress_s = now_s
-            context.metrics.first_token.observe(now_s -
-                                                self._session.call.arrived_s)
-            context.scheduler.tell(
+            context.relay.report(context.metrics.first_token.observe,
+                                 now_s - self._session.call.arrived_s)
+            context.relay.report(
+                context.scheduler.tell,
                 events.FirstToken(request_id, self._target.name))
         elif now_s - self._progress_s >= _PROGRESS_INTERVAL_S:
             self._progress_s = now_s
-            context.scheduler.tell(
+            context.relay.report(
+                context.scheduler.tell,
                 events.Progressed(request_id, self._target.name, self.tokens))
 
     def _generate_body(self,
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -122,5 +122,10 @@
                           "outcome": outcome,
                           "tokens": tokens
                       })
-        self.context.scheduler.tell(
-            events.AttemptEnded(self.call.request_id, target, outcome, tokens))
+        ended = events.AttemptEnded(self.call.request_id, target, outcome,
+                                    tokens)
+        if tokens:
+            # After the reports of its tokens; nothing waits for this one.
+            self.context.relay.report(self.context.scheduler.tell, ended)
+        else:
+            self.context.scheduler.tell(ended)
--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -28,6 +28,7 @@
 _DIRECTIVE = re.compile(r"\[([a-z_]+)@(\d+)\]")
 _HANG_S = 3600.0
 _KEPT_GENERATIONS = 256
+_LONG_TEXT_CHARS = 4096
 
 
 class Options(typing.NamedTuple):
@@ -230,6 +231,20 @@
     time.sleep(_HANG_S)
 
 
+def _send_without_end(request: server.HTTPRequest, generation: Generation,
+                      index: int) -> None:
+    """Sends large tokens for as long as somebody reads them."""
+    while not generation.is_cancelled:
+        token = {
+            **generation.token(index), "i": index,
+            "t": "x" * _LONG_TEXT_CHARS,
+            "f": None
+        }
+        request.write(
+            engine.encode_token(typing.cast(engine.TokenDocument, token)))
+        index += 1
+
+
 _FAULTS: dict[str,
               typing.Callable[[server.HTTPRequest, Generation, int], None]] = {
                   # A token of another request, generation or index.
@@ -256,6 +271,8 @@
                       lambda request, generation, index: None,
                   "hang":
                       _hang,
+                  "long":
+                      _send_without_end,
                   "die":
                       _die,
               }
