--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -216,7 +216,8 @@
         if self._status == 200:
             *events, self._body = self._body.split(_EVENT_END)
             for event in events:
-                tokens.append(decode_event(event))
+                if not event.startswith(b":"):  # A comment.
+                    tokens.append(decode_event(event))
             self._is_between_chunks = (self._is_chunked and not raw and
                                        not self._body)
         if self._status is not None and self._has_whole_body():
