--- /dev/null
+++ b/persimmonspan/connection/engine_control.py
@@ -0,0 +1,101 @@
+"""Adapter of the engine's control requests: orders and state.
+
+An order that was rejected because of its fencing token, one that failed, and
+one whose answer is lost are told apart, as each calls for something else.
+
+See Also:
+    `persimmonspan.process.orders`: decides which order is sent.
+    `persimmonspan.connection.engine`: requests for generations.
+"""
+
+import http
+import typing
+
+import immutables
+import msgspec
+import urllib3
+
+from persimmonspan import errors
+from persimmonspan.process import orders
+
+Outcome = typing.Literal["accepted", "stale", "failed", "unknown"]
+
+_OUTCOME_BY_STATUS: dict[int, Outcome] = {
+    http.HTTPStatus.OK: "accepted",
+    http.HTTPStatus.CONFLICT: "stale",
+    http.HTTPStatus.UNPROCESSABLE_ENTITY: "failed",
+}
+
+
+class OrderDocument(typing.TypedDict):
+    """Body of `POST /v1/orders`."""
+
+    order_id: str
+    fence: int
+    kind: str
+    argument: str
+
+
+class StateDocument(typing.TypedDict):
+    """Answer to `GET /v1/state`; `models` maps a model to its phase."""
+
+    incarnation: str
+    active: str
+    role: str
+    models: dict[str, str]
+    last_order_id: str
+    fence: int
+
+
+_state_decoder = msgspec.json.Decoder(StateDocument)
+
+
+def send_order(address: str, order: orders.Order, timeout_s: float) -> Outcome:
+    """Sends an order to the engine at an address and port.
+
+    Returns:
+        `unknown` if the engine may have taken it.
+    """
+    body = OrderDocument(order_id=order.order_id,
+                         fence=order.fence,
+                         kind=order.kind,
+                         argument=order.argument)
+    try:
+        status, _ = _call(address, "POST", "/v1/orders",
+                          msgspec.json.encode(body), timeout_s)
+    except (urllib3.exceptions.HTTPError, OSError):
+        return "unknown"
+    return _OUTCOME_BY_STATUS.get(status, "unknown")
+
+
+def read_state(address: str, timeout_s: float) -> orders.Reported:
+    """Reads the state of the engine at an address and port.
+
+    Raises:
+        errors.TargetError: The engine did not answer with its state.
+    """
+    try:
+        status, data = _call(address, "GET", "/v1/state", None, timeout_s)
+        if status != http.HTTPStatus.OK:
+            raise errors.TargetError(
+                errors.Code.TARGET_FAILED,
+                f"engine {address} answered status {status} for its state")
+        document = _state_decoder.decode(data)
+    except (urllib3.exceptions.HTTPError, OSError,
+            msgspec.DecodeError) as error:
+        raise errors.TargetError(errors.Code.TARGET_FAILED,
+                                 f"no state from {address}") from error
+    return orders.Reported(document["incarnation"], document["active"],
+                           document["role"], immutables.Map(document["models"]),
+                           document["last_order_id"])
+
+
+def _call(address: str, method: str, path: str, body: bytes | None,
+          timeout_s: float) -> tuple[int, bytes]:
+    host, port = address.rsplit(":", 1)
+    with urllib3.HTTPConnectionPool(host,
+                                    int(port),
+                                    timeout=timeout_s,
+                                    retries=False) as pool:
+        response = pool.request(method, path, body=body)
+        return response.status, response.data
--- /dev/null
+++ b/persimmonspan/process/control_actor.py
@@ -0,0 +1,309 @@
+"""Actor that holds leases on groups of engines and carries out orders.
+
+Interface for the rest of the daemon: `start(daemon, incarnation, store, count,
+in_flight, set_draining)` returns an actor reference that takes these messages:
+
+| message | when |
+|---|---|
+| `Groups(groups)` | a configuration came into force |
+| `leases.LiveChanged(daemons)` | heard daemons changed, the own one included |
+| `leases.DrainStarted()` | a planned stop began |
+| `StatusAsked()`, by `ask` | for the administration API; returns `Status` |
+
+`in_flight(target)` returns the requests in flight on a target over all daemons,
+such as `running + waiting` of a fresh load report, or None if unknown.
+`set_draining(target, is_draining)` announces to all daemons that a target takes
+no new work. Both are called on the actor's thread and must not block. The store
+client is that of `process/store_actor.py`.
+
+The lease is checked once more directly before an order is sent. Between this
+check and the engine an order spends at most its timeout, which together with
+`act_window_s` stays below `ttl_s` and the margin of the next holder.
+"""
+
+from concurrent import futures
+import random
+import threading
+import time
+import typing
+
+import immutables
+import pykka
+
+from persimmonspan import errors
+from persimmonspan.connection import engine_control
+from persimmonspan.connection import table_service
+from persimmonspan.process import leases
+from persimmonspan.process import orders
+from persimmonspan.process import store_budget
+
+_TICK_INTERVAL_S = 0.5
+_ORDER_TIMEOUT_S = 2.0
+_STATE_TIMEOUT_S = 1.0
+_POOL_THREADS = 4
+_STORE_THREADS = 2
+_LEASE_PREFIX = "lease/"
+
+
+class EngineTarget(typing.NamedTuple):
+    """An engine and what it should run."""
+
+    name: str
+    address: str
+    wanted: orders.Wanted
+
+
+class Group(typing.NamedTuple):
+    """Engines under one lease; at least `floor` of them stay in service.
+
+    `max_loads` comes from `weight_store.fair_loads`.
+    """
+
+    name: str
+    floor: int
+    engines: tuple[EngineTarget, ...]
+    max_loads: int = 1
+
+
+class Groups(typing.NamedTuple):
+    """All groups of the configuration in force."""
+
+    groups: tuple[Group, ...]
+
+
+class StatusAsked(typing.NamedTuple):
+    """Asks for the status."""
+
+
+class Status(typing.NamedTuple):
+    """Leases held here, and the engines under them."""
+
+    held: immutables.Map[str, int]
+    engines: immutables.Map[str, orders.Engine]
+
+
+class Store(typing.Protocol):
+    """What the actor uses of `store_actor.Client`."""
+
+    def transact(self,
+                 checks: typing.Any,
+                 puts: typing.Any = ...,
+                 *,
+                 priority: typing.Any) -> pykka.Future[table_service.Result]:
+        """Applies a conditional transaction."""
+
+    def scan(
+            self, prefix: str, *, priority: typing.Any
+    ) -> pykka.Future[tuple[table_service.Row, ...]]:
+        """Reads rows under a prefix."""
+
+
+class _Ended(typing.NamedTuple):
+    """An event for the orders of a group."""
+
+    group: str
+    event: orders.Event
+
+
+class _Tick(typing.NamedTuple):
+    """Time passed."""
+
+
+class ControlActor(pykka.ThreadingActor):
+    """Runs `leases.step` and `orders.step` and carries out their commands."""
+
+    use_daemon_thread = True
+
+    def __init__(self, daemon: str, incarnation: int, store: Store,
+                 count: typing.Callable[[str], None],
+                 in_flight: typing.Callable[[str], int | None],
+                 set_draining: typing.Callable[[str, bool],
+                                               None], seed: int) -> None:
+        super().__init__()
+        self._leases = leases.make_state(daemon, incarnation)
+        self._groups: dict[str, orders.State] = {}
+        self._addresses: dict[str, str] = {}
+        self._store = store
+        self._count = count
+        self._in_flight = in_flight
+        self._set_draining = set_draining
+        self._rng = random.Random(seed)
+        self._pool = futures.ThreadPoolExecutor(_POOL_THREADS, "control")
+        # Engines that do not answer must not hold up a renewal.
+        self._store_pool = futures.ThreadPoolExecutor(_STORE_THREADS, "lease")
+        self._stopped = threading.Event()
+
+    def on_start(self) -> None:
+        """Starts the timer."""
+        threading.Thread(target=self._tick, daemon=True).start()
+
+    def on_stop(self) -> None:
+        """Stops the timer and the pool."""
+        self._stopped.set()
+        for pool in (self._pool, self._store_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def on_receive(self, message: typing.Any) -> typing.Any:
+        """Applies one message."""
+        if isinstance(message, StatusAsked):
+            return self._status()
+        if isinstance(message, Groups):
+            self._set_groups(message.groups)
+        elif isinstance(message, _Ended):
+            self._step_orders(message.group, message.event)
+        elif isinstance(message, _Tick):
+            self._step_leases(leases.Tick())
+            self._advance()
+        else:
+            self._step_leases(message)
+        return None
+
+    def _set_groups(self, groups: tuple[Group, ...]) -> None:
+        old, self._groups = self._groups, {}
+        for group in groups:
+            state = old.get(group.name,
+                            orders.State(orders.Options(), group.floor))
+            self._groups[group.name] = state._replace(
+                floor=group.floor,
+                options=state.options._replace(max_loads=group.max_loads))
+            self._step_orders(
+                group.name,
+                orders.WantedChanged(
+                    immutables.Map(
+                        {item.name: item.wanted for item in group.engines})))
+            self._addresses.update(
+                {item.name: item.address for item in group.engines})
+        self._step_leases(leases.NamesChanged(frozenset(self._groups)))
+
+    def _advance(self) -> None:
+        now_s = time.monotonic()
+        for name in tuple(self._groups):
+            self._step_orders(
+                name,
+                orders.FenceChanged(leases.fence(self._leases, name, now_s)))
+            for target in tuple(self._groups[name].engines):
+                count = self._in_flight(target)
+                if count is not None:
+                    self._step_orders(name, orders.InFlight(target, count))
+            self._step_orders(name, orders.Tick())
+
+    def _step_leases(self, event: leases.Event) -> None:
+        self._leases, commands = leases.step(self._leases, event,
+                                             time.monotonic(), self._rng)
+        for command in commands:
+            if isinstance(command, leases.Count):
+                self._count(command.reason)
+            elif isinstance(command, leases.Read):
+                self._read_leases(time.monotonic())
+            else:
+                self._write_lease(command)
+
+    def _step_orders(self, group: str, event: orders.Event) -> None:
+        if group not in self._groups:
+            return
+        self._groups[group], commands = orders.step(self._groups[group], event,
+                                                    time.monotonic(), self._rng)
+        for command in commands:
+            if isinstance(command, orders.Count):
+                self._count(command.reason)
+            elif isinstance(command, orders.SetDraining):
+                self._set_draining(command.target, command.is_draining)
+            elif isinstance(command, orders.ReadState):
+                self._pool.submit(self._read_state, group, command.target,
+                                  time.monotonic())
+            else:
+                self._pool.submit(self._send_order, group, command)
+
+    def _read_leases(self, asked_s: float) -> None:
+        future = self._store.scan(_LEASE_PREFIX,
+                                  priority=store_budget.Priority.URGENT)
+        names = frozenset(self._groups)
+        self._store_pool.submit(self._wait_rows, future, names, asked_s)
+
+    def _wait_rows(self, future: pykka.Future, names: frozenset[str],
+                   asked_s: float) -> None:
+        try:
+            rows = {row.key: row for row in future.get()}
+        except errors.StoreError:
+            self._count("lease_read_failed")
+            return
+        absent = table_service.Row("", "", 0, "")
+        found = {}
+        for name in names:
+            row = rows.get(_LEASE_PREFIX + name, absent)
+            found[name] = leases.decode_row(row.version, row.value)
+        self._tell(leases.RowsRead(immutables.Map(found), asked_s))
+
+    def _write_lease(self, command: leases.Write) -> None:
+        key = _LEASE_PREFIX + command.name
+        future = self._store.transact(
+            (table_service.Check(key, command.expected_version),),
+            (table_service.Put(key, command.value),),
+            priority=store_budget.Priority.URGENT)
+        self._store_pool.submit(self._wait_write, future, command)
+
+    def _wait_write(self, future: pykka.Future, command: leases.Write) -> None:
+        result = future.get()
+        is_applied = {
+            table_service.Outcome.APPLIED: True,
+            table_service.Outcome.NOT_APPLIED: False
+        }.get(result.outcome)
+        self._tell(
+            leases.WriteEnded(command.name, command.write_id, is_applied,
+                              result.version))
+
+    def _read_state(self, group: str, target: str, asked_s: float) -> None:
+        try:
+            reported = engine_control.read_state(self._addresses[target],
+                                                 _STATE_TIMEOUT_S)
+        except errors.TargetError:
+            self._count("control_state_failed")
+            return
+        self._tell(_Ended(group, orders.StateRead(target, reported, asked_s)))
+
+    def _send_order(self, group: str, command: orders.SendOrder) -> None:
+        order = command.order
+        outcome: engine_control.Outcome = "unknown"
+        # The lease state is replaced, never changed, so reading it is safe.
+        if leases.fence(self._leases, group, time.monotonic()) == order.fence:
+            outcome = engine_control.send_order(self._addresses[command.target],
+                                                order, _ORDER_TIMEOUT_S)
+        else:
+            self._count("control_order_without_lease")
+        self._tell(
+            _Ended(group,
+                   orders.OrderEnded(command.target, order.order_id, outcome)))
+
+    def _status(self) -> Status:
+        now_s = time.monotonic()
+        tokens = {
+            name: leases.fence(self._leases, name, now_s)
+            for name in leases.held(self._leases, now_s)
+        }
+        return Status(
+            immutables.Map(tokens),
+            immutables.Map({
+                target: engine for state in self._groups.values()
+                for target, engine in state.engines.items()
+            }))
+
+    def _tell(self, message: typing.Any) -> None:
+        try:
+            self.actor_ref.tell(message)
+        except pykka.ActorDeadError:
+            self._stopped.set()
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(_TICK_INTERVAL_S):
+            self._tell(_Tick())
+
+
+def start(daemon: str, incarnation: int, store: Store,
+          count: typing.Callable[[str],
+                                 None], in_flight: typing.Callable[[str],
+                                                                   int | None],
+          set_draining: typing.Callable[[str, bool], None],
+          seed: int) -> pykka.ActorRef[ControlActor]:
+    """Starts the actor; see the module for the arguments."""
+    return ControlActor.start(daemon, incarnation, store, count, in_flight,
+                              set_draining, seed)
--- a/persimmonspan/process/orders.py
+++ b/persimmonspan/process/orders.py
@@ -4,8 +4,8 @@
 one, warms it up, is drained, changes over, serves again, and unloads the old
 model at the end. A change of model or role is ordered only to an engine that
 was drained for `drain_settle_s` and has nothing in flight, so it cuts no
-stream; an engine that does not drain keeps its old model. At most as many engines are
-drained as the floor of the group allows.
+stream; an engine that does not drain keeps its old model. At most as many
+engines are drained as the floor of the group allows.
 
 An engine has one outstanding order. Before an order its state is read under the
 present fencing token, afterwards it is read again; for engines that ignore the
@@ -23,8 +23,6 @@
 
 import immutables
 
-SERVING_ROLES = frozenset(("decode", "prefill", "mixed"))
-
 
 class Options(typing.NamedTuple):
     """Durations and limits."""
--- /dev/null
+++ b/persimmonspan/process/tests/test_control_actor.py
@@ -0,0 +1,137 @@
+"""Guards the path from leases over orders to engines, over real HTTP."""
+
+import contextlib
+import threading
+import time
+
+import pykka
+import pytest
+
+from persimmonspan import errors
+from persimmonspan.connection import engine_control as engine_adapter
+from persimmonspan.connection import table_service
+from persimmonspan.process import control_actor
+from persimmonspan.process import leases
+from persimmonspan.process import orders
+from testbed import engine_control
+from testbed import processes
+
+_WAIT_S = 60.0
+
+
+class _Store:
+    """The shape of the store client, in memory."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.lock = threading.Lock()
+
+    def scan(self, prefix, **_):
+        with self.lock:
+            return _done(
+                tuple(row for key, row in self.rows.items()
+                      if key.startswith(prefix)))
+
+    def transact(self, checks, puts=(), **_):
+        with self.lock:
+            (check,), (put,) = checks, puts
+            row = self.rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                return _done(
+                    table_service.Result(table_service.Outcome.NOT_APPLIED,
+                                         errors.Code.CONFLICT))
+            self.version += 1
+            self.rows[put.key] = table_service.Row(put.key, put.value,
+                                                   self.version, "")
+            return _done(
+                table_service.Result(table_service.Outcome.APPLIED,
+                                     version=self.version))
+
+
+def _done(value):
+    future = pykka.ThreadingFuture()
+    future.set(value)
+    return future
+
+
+@contextlib.contextmanager
+def _engine(options):
+    control = engine_control.Control("a", options)
+    port = processes.free_port()
+    server = engine_control.make_server(("127.0.0.1", port), control)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield f"127.0.0.1:{port}", control
+    finally:
+        server.stop()
+        thread.join()
+
+
+def _wait(condition):
+    end_s = time.monotonic() + _WAIT_S
+    while not condition():
+        assert time.monotonic() < end_s, "the state was not reached"
+        time.sleep(0.1)
+
+
+def test_roll_out_goes_on_after_the_holder_is_gone():
+    """Guards against two daemons giving orders, or none, and lost answers."""
+    store, draining, counts = _Store(), set(), []
+
+    def set_draining(target, is_draining):
+        (draining.add if is_draining else draining.discard)(target)
+
+    with contextlib.ExitStack() as stack:
+        engines = [
+            stack.enter_context(
+                _engine(
+                    engine_control.Options(checks_fencing=i == 0,
+                                           lost_answer_interval=2)))
+            for i in range(2)
+        ]
+        group = control_actor.Group(
+            "group", 1,
+            tuple(
+                control_actor.EngineTarget(f"t-{i}", address, orders.Wanted(
+                    "b")) for i, (address, _) in enumerate(engines)))
+        actors = {}
+        for name in ("north", "south"):
+            actor = control_actor.start(name, 1, store, counts.append,
+                                        lambda target: 0, set_draining, 1)
+            stack.callback(actor.stop)
+            actor.tell(leases.LiveChanged(frozenset(("north", "south"))))
+            actor.tell(control_actor.Groups((group,)))
+            actors[name] = actor
+        controls = [control for _, control in engines]
+        _wait(lambda: any(control.active == "b" for control in controls))
+        holder = next(name for name, actor in actors.items()
+                      if actor.ask(control_actor.StatusAsked()).held)
+        actors[holder].tell(leases.DrainStarted())
+        _wait(lambda: all(
+            control.state()["models"] == {"b": "warm"} for control in controls))
+    assert not draining
+    assert "control_order_unknown" in counts
+    for control in controls:
+        fences = [order["fence"] for order in control.orders]
+        assert fences == sorted(fences)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_stale_order_is_told_apart(checks_fencing):
+    """Guards against taking a rejected order for one that was run."""
+    with _engine(engine_control.Options(checks_fencing)) as (address, control):
+        new = orders.Order("2/1/t", 2, "load", "b")
+        old = orders.Order("1/1/t", 1, "load", "c")
+        wrong = orders.Order("2/2/t", 2, "activate", "x")
+        assert engine_adapter.send_order(address, new, 5.0) == "accepted"
+        assert engine_adapter.send_order(
+            address, old, 5.0) == ("stale" if checks_fencing else "accepted")
+        assert engine_adapter.send_order(address, wrong, 5.0) == "failed"
+        state = engine_adapter.read_state(address, 5.0)
+        assert ("c" in state.models) != checks_fencing
+        assert control.active == "a"
+    with pytest.raises(errors.TargetError):
+        engine_adapter.read_state(address, 0.2)
