--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -27,12 +27,13 @@
 _NO_PROFILE = (0.0,) * len(HORIZONS_TOKENS)
 # Peers send a digest about every second.
 _RECENT_S = 1.2
-_REPORT_FADES_S = 5.0
+REPORT_FADES_S = 5.0
 _PEER_FORGOTTEN_S = 10.0
 _INTERVAL_GAIN = 0.15
-_INTERVAL_FADES_S = 8.0
-# Progress is reported at most every 0.25 s, here with room for a slow one.
-_SILENT_S = 1.5
+
+# Horizon from which work counts as lasting: short work that peers may have
+# started will have ended before they speak again.
+_LASTING = 2
 
 Vector = tuple[float, ...]
 
@@ -62,8 +63,8 @@
     recent_tokens: float = 0.0
     recent_s: float = 0.0
     interval_s: float = 0.0  # Between tokens of a stream; 0 when unknown.
-    progress_s: float = 0.0
     decoding: int = 0
+    prefill_tokens: float = 0.0  # Of own attempts without a first token.
     avoid_until_s: float = -math.inf
     failures: int = 0
 
@@ -112,10 +113,10 @@
         item._replace(running=item.running + 1,
                       long_running=item.long_running + is_long,
                       own=own,
+                      prefill_tokens=item.prefill_tokens + profile.mean[0],
                       recent_tokens=recent_tokens(item, now_s) +
-                      max(profile.mean),
-                      recent_s=now_s,
-                      progress_s=item.progress_s if item.decoding else now_s))
+                      profile.mean[_LASTING],
+                      recent_s=now_s))
 
 
 def ended(view: View, name: str, profile: Profile, is_long: bool,
@@ -133,6 +134,8 @@
     item = item._replace(running=item.running - 1,
                          long_running=item.long_running - is_long,
                          own=own,
+                         prefill_tokens=item.prefill_tokens -
+                         (0.0 if was_decoding else profile.mean[0]),
                          decoding=item.decoding - was_decoding)
     if not item.running and not _is_listed(view, item):
         return view._replace(targets=view.targets.delete(name))
@@ -154,9 +157,18 @@
         item._replace(own=own, long_running=item.long_running + long_change))
 
 
-def progressed(view: View, name: str, tokens: int, seconds: float, now_s: float,
-               is_first: bool) -> View:
-    """Learns the time between tokens from the progress of one stream."""
+def progressed(view: View, name: str, tokens: int, seconds: float,
+               prefilled_tokens: float | None) -> View:
+    """Learns the time between tokens from the progress of one stream.
+
+    Args:
+        view: The view.
+        name: The target.
+        tokens: Tokens since the last progress.
+        seconds: Time since the last progress.
+        prefilled_tokens: Prompt of the stream at its first progress, else
+            None.
+    """
     item = view.targets[name]
     learned_s = item.interval_s
     if tokens > 0 and seconds > 0:
@@ -166,27 +178,12 @@
     return _set(
         view,
         item._replace(interval_s=learned_s,
-                      progress_s=now_s,
-                      decoding=item.decoding + is_first,
+                      decoding=item.decoding + (prefilled_tokens is not None),
+                      prefill_tokens=item.prefill_tokens -
+                      (prefilled_tokens or 0.0),
                       failures=0))
 
 
-def interval_s(item: TargetView, usual_s: float, now_s: float) -> float:
-    """Returns the time between tokens to expect of a target.
-
-    A target whose streams are silent is at least as slow as the silence. What
-    was learned fades towards the usual interval when nothing runs there.
-    """
-    silent_s = now_s - item.progress_s
-    known_s = item.interval_s or usual_s
-    if item.decoding > 0:
-        if silent_s > _SILENT_S:
-            return max(known_s, silent_s / 4)
-        return known_s
-    part = math.exp(-max(0.0, silent_s) / _INTERVAL_FADES_S)
-    return usual_s + part * (known_s - usual_s)
-
-
 def recent_tokens(item: TargetView, now_s: float) -> float:
     """Returns the tokens this daemon sent there since peers last spoke."""
     if not item.recent_tokens:
@@ -199,7 +196,7 @@
     if not item.extra_tokens:
         return 0.0
     return item.extra_tokens * math.exp(
-        (item.reported_s - now_s) / _REPORT_FADES_S)
+        (item.reported_s - now_s) / REPORT_FADES_S)
 
 
 def caution(item: TargetView, now_s: float) -> float:
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -70,6 +70,7 @@
     fingerprint: str
     prefix_hashes: tuple[int, ...] = ()
     is_idempotent: bool = True
+    idempotency_key: str = ""  # As given by the caller; empty without one.
 
 
 class FirstToken(typing.NamedTuple):
@@ -152,6 +153,12 @@
     target: str
 
 
+class TargetReturned(typing.NamedTuple):
+    """A target that was leaving takes new work again."""
+
+    target: str
+
+
 class TargetDied(typing.NamedTuple):
     """A target's process died (connection refused or a new incarnation)."""
 
@@ -168,11 +175,17 @@
 
 
 class QuarantineShared(typing.NamedTuple):
-    """A peer reports a fingerprint that crashed targets."""
+    """A peer reports a fingerprint that crashed targets.
+
+    `isolated_on` names the target that the peer keeps free to try it alone;
+    `died_on` names the first target that it crashed, once it is condemned.
+    """
 
     fingerprint: str
     crashes: int
     ttl_s: float
+    isolated_on: str = ""
+    died_on: str = ""
 
 
 class QuarantineLifted(typing.NamedTuple):
@@ -215,11 +228,13 @@
 
 
 class ShareQuarantine(typing.NamedTuple):
-    """Tell peers about a fingerprint."""
+    """Tell peers about a fingerprint, as `QuarantineShared` reports it."""
 
     fingerprint: str
     crashes: int
     ttl_s: float
+    isolated_on: str = ""
+    died_on: str = ""
 
 
 class Count(typing.NamedTuple):
@@ -229,6 +244,7 @@
 
 
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | Abandoned |
-         LoadReported | PeerLoad | TargetsChanged | TargetLeaving | TargetDied |
-         CacheEvent | QuarantineShared | QuarantineLifted | Tick)
+         LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
+         TargetReturned | TargetDied | CacheEvent | QuarantineShared |
+         QuarantineLifted | Tick)
 Command = Dispatch | Refuse | CancelAttempt | ShareQuarantine | Count
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -20,6 +20,7 @@
 """
 
 import bisect
+import enum
 import math
 import random
 import typing
@@ -30,13 +31,25 @@
 from persimmonspan.request import events
 
 LaneKey = tuple[str, str, str]  # Service, workspace, kind.
-OrderKey = tuple[str, bool]  # Service, whether the class is long.
+
+
+class Group(enum.Enum):
+    """Requests that are ordered among each other."""
+
+    SHORT = 0
+    LONG = 1
+    SUSPECT = 2  # Of the quarantine: each waits for a target of its own.
+
+
+OrderKey = tuple[str, Group]
 
 _CALENDAR_S = 0.1
 _RATE_S = 10.0
 # Requests that a lane may hold whatever its rate, so that a lane that was idle
 # does not refuse its first requests.
 _LEAST_LANE_LENGTH = 4
+# Rates are measured over a short time and crests end: a longer lane may start.
+_LANE_SLACK = 1.5
 _USAGE_S = 30.0
 _FAIRNESS = 1.0
 _FAIRNESS_FLOOR = 0.05
@@ -59,11 +72,25 @@
     tried: tuple[str, ...] = ()
     is_clean: bool = True  # No attempt may have run.
     slot: int = 0
+    is_suspect: bool = False
+    is_repeat: bool = False  # The caller's own repeat of a failed request.
 
     @property
     def lane(self) -> LaneKey:
         """Returns the lane of the request."""
-        return self.arrived.service, self.arrived.workspace, self.arrived.kind
+        arrived = self.arrived
+        if self.is_suspect:
+            return (arrived.service, arrived.workspace,
+                    f"suspect/{arrived.fingerprint}")
+        return arrived.service, arrived.workspace, arrived.kind
+
+    @property
+    def order(self) -> OrderKey:
+        """Returns among which requests it is ordered."""
+        if self.is_suspect:
+            return self.arrived.service, Group.SUSPECT
+        return (self.arrived.service,
+                Group.LONG if self.is_long else Group.SHORT)
 
 
 class Lane(typing.NamedTuple):
@@ -182,7 +209,7 @@
 
 
 def _rescore(queue: Queue, key: LaneKey, head: Queued, now_s: float) -> Queue:
-    order = (key[0], head.is_long)
+    order = head.order
     entries = [item for item in queue.order.get(order, ()) if item[1] != key]
     bisect.insort(entries, (-score(queue, head, now_s), key))
     return queue._replace(order=queue.order.set(order, tuple(entries)))
@@ -197,7 +224,7 @@
     entries: dict[OrderKey, list[tuple[float, LaneKey]]] = {}
     for key, lane in queue.lanes.items():
         head = queue.requests[lane.items[lane.head]]
-        entries.setdefault((key[0], head.is_long), []).append(
+        entries.setdefault(head.order, []).append(
             (-score(queue, head, now_s), key))
     return queue._replace(order=immutables.Map({
         key: tuple(sorted(value)) for key, value in entries.items()
@@ -231,7 +258,9 @@
     if lane is None or len(lane.items) < _LEAST_LANE_LENGTH:
         return False
     rate = queue.rates.get(item.lane, Decayed()).at(now_s, _RATE_S) / _RATE_S
-    return len(lane.items) > rate * (item.latest_s - now_s)
+    return len(
+        lane.items
+    ) > _LEAST_LANE_LENGTH + _LANE_SLACK * rate * (item.latest_s - now_s)
 
 
 def retry_after_s(queue: Queue, item: Queued, now_s: float,
