--- a/persimmonspan/process/gossip_plan.py
+++ b/persimmonspan/process/gossip_plan.py
@@ -26,8 +26,8 @@
 # A silent failure domain is tried at other daemons this often.
 _RETRY_EPOCH_S = 10.0
 _HASH_BYTES = 8
-# Bytes of a load besides name and profile: heads of arrays and string, and three
-# numbers; a number takes at most five bytes.
+# Bytes of a load besides name and profile: heads of arrays and string, and
+# three numbers; a number takes at most five bytes.
 _LOAD_OVERHEAD_BYTES = 18
 _NUMBER_BYTES = 5
 
