Keep the links when handling a batch of peer messages fails

Cause: an exception in the receiver, or an address that cannot be dialed, ended the polling thread and with it all links. Figures: before, no guard; after, the new test hears all 3 daemons while a receiver fails on each event. Conclusion: a fault in one event costs one batch, which gossip repairs.

--- a/persimmonspan/connection/peer.py
+++ b/persimmonspan/connection/peer.py
@@ -189,8 +189,13 @@
             if is_tick:
                 next_tick_s = max(next_tick_s, now_s - TICK_INTERVAL_S)
                 next_tick_s += TICK_INTERVAL_S
-            for command in self._handle(Batch(tuple(received), is_tick)):
-                self._carry_out(command)
+            try:
+                for command in self._handle(Batch(tuple(received), is_tick)):
+                    self._carry_out(command)
+            except Exception:  # pylint: disable=broad-exception-caught
+                # One bad address or event must not end all links.
+                self._count("peer_thread_failed")
+                _logger.exception("a batch of peer messages failed")
         self._context.destroy(linger=0)
 
     def _authenticate(self) -> None:
--- a/persimmonspan/process/tests/test_peer_actor.py
+++ b/persimmonspan/process/tests/test_peer_actor.py
@@ -181,3 +181,22 @@
     (tmp_path / "north").chmod(0o644)
     with pytest.raises(errors.ConfigurationError, match="0600"):
         peer_keys.read_key_pair(str(tmp_path / "north"))
+
+
+def test_failing_receiver_does_not_end_the_links(group):
+    """Guards against a polling thread that an error ends silently."""
+
+    class _Failing:
+
+        def put(self, event):
+            raise ValueError(event)
+
+    group.peers["west"].stop()
+    group.events["west"] = _Failing()
+    west = group.start("west", incarnation=2)
+    try:
+        _wait(lambda: "peer_thread_failed" in group.counts)
+        _wait(lambda: west.status().heard == 3)
+        _wait(lambda: group.peers["north"].status().heard == 3)
+    finally:
+        west.stop()
