--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -99,7 +99,8 @@
 
 
 def _set(view: View, item: TargetView) -> View:
-    return view._replace(targets=view.targets.set(item.target.name, item))
+    return View(view.targets.set(item.target.name, item), view.groups,
+                view.peers)
 
 
 def started(view: View, name: str, profile: Profile, is_long: bool,
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -89,13 +89,12 @@
 
 def outlook(curve: length.Curve) -> Outlook:
     """Returns the outlook of a lane."""
-    base = length.work(curve, 0, _LONGEST_TOKENS)
+    work, steps = length.work(curve, _LONGEST_TOKENS)
     return Outlook(
         curve,
         tuple(
             length.survival(curve, ahead)
-            for ahead in load_view.HORIZONS_TOKENS),
-        length.work(curve, 1, _LONGEST_TOKENS) - base, base,
+            for ahead in load_view.HORIZONS_TOKENS), steps, work,
         length.quantile(curve, 0, _LIKELY_SHARE))
 
 
--- a/persimmonspan/request/length.py
+++ b/persimmonspan/request/length.py
@@ -77,6 +77,9 @@
     return 2**(bucket / _PER_OCTAVE) - 1
 
 
+_UPPER_TOKENS = tuple(lower_tokens(i + 1) for i in range(BUCKETS))
+
+
 def _prior(median_tokens: float) -> tuple[Curve, Curve]:
 
     def _survival(bucket: int) -> float:
@@ -189,23 +192,24 @@
     return lower_tokens(BUCKETS)
 
 
-def work(values: Curve, prompt_tokens: int, most_tokens: float) -> float:
+def work(values: Curve, most_tokens: float) -> tuple[float, float]:
     """Returns the expected KV memory by time of a whole generation.
 
     Args:
         values: Survival of the lane.
-        prompt_tokens: Tokens of the prompt.
         most_tokens: Tokens after which the generation is cut.
 
     Returns:
-        Tokens held, summed over the decoding steps.
+        Tokens held, summed over the decoding steps: those of the generation,
+        and the number by which each token of the prompt counts.
     """
-    total = low = 0.0
-    for bucket in range(BUCKETS):
-        high = min(most_tokens, lower_tokens(bucket + 1))
-        alive = (values[bucket] + values[bucket + 1]) / 2
-        total += alive * (high - low) * (prompt_tokens + (low + high) / 2)
+    total = steps = low = 0.0
+    for bucket, high in enumerate(_UPPER_TOKENS):
+        high = min(most_tokens, high)
+        part = (values[bucket] + values[bucket + 1]) / 2 * (high - low)
+        steps += part
+        total += part * (low + high) / 2
         if high >= most_tokens:
             break
         low = high
-    return total + prompt_tokens
+    return total, steps
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -76,6 +76,7 @@
     usual_s: immutables.Map[str, float] = immutables.Map()
     outlooks: immutables.Map[tuple[str, str],
                              admission.Outlook] = immutables.Map()
+    swept_s: float = 0.0
     observed: health.State = health.State()
     budget: retry.State = retry.State()
     suspects: quarantine.State = quarantine.State()
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -197,10 +197,10 @@
 def served(queue: Queue, item: Queued, now_s: float) -> Queue:
     """Counts a request that is dispatched, whether it waited or not."""
     rate = queue.rates.get(item.lane, Decayed())
-    return _charged(
-        queue._replace(rates=queue.rates.set(
-            item.lane, Decayed(rate.at(now_s, _RATE_S) + 1, now_s))), item,
-        item.work, now_s)
+    rates = queue.rates.set(item.lane,
+                            Decayed(rate.at(now_s, _RATE_S) + 1, now_s))
+    return queue._replace(rates=rates,
+                          usage=_charged(queue, item, item.work, now_s))
 
 
 def settled(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
@@ -209,17 +209,18 @@
     Without it, a workspace of which little is known would pay for the
     uncertainty with its share.
     """
-    return _charged(queue, item, work - item.work, now_s)
+    return queue._replace(usage=_charged(queue, item, work - item.work, now_s))
 
 
-def _charged(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
+def _charged(queue: Queue, item: Queued, work: float,
+             now_s: float) -> immutables.Map[tuple[str, str], Decayed]:
     service, workspace, _ = item.lane
     usage = queue.usage
     for name in (workspace, ""):
         used = usage.get((service, name), Decayed()).at(now_s, _USAGE_S)
         usage = usage.set((service, name), Decayed(max(0.0, used + work),
                                                    now_s))
-    return queue._replace(usage=usage)
+    return usage
 
 
 def _rescore(queue: Queue, key: LaneKey, head: Queued, now_s: float) -> Queue:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -33,6 +33,9 @@
 State = placement.State
 Result = placement.Result
 
+# Retries and quarantine scan all requests to forget old ones, at a tick but not
+# at each.
+_SWEEP_INTERVAL_S = 1.0
 # Events from which health and quarantine learn.
 _OBSERVED = (events.FirstToken, events.Progressed, events.AttemptEnded,
              events.TargetDied, events.Tick)
@@ -47,7 +50,9 @@
     if isinstance(event, _OBSERVED):
         observed, learned = health.step(state.observed, event, now_s)
         state = state._replace(observed=observed)
-    if isinstance(event, _SUSPECTED):
+    is_idle = (isinstance(event, events.Tick) and
+               now_s - state.swept_s < _SWEEP_INTERVAL_S)
+    if isinstance(event, _SUSPECTED) and not is_idle:
         suspected, shared = quarantine.step(state.suspects, event, now_s)
         state = state._replace(suspects=suspected)
         learned = learned + shared
@@ -260,6 +265,9 @@
         usual_s=immutables.Map({
             name: choice.usual_interval_s(state.view, name) for name in services
         }))
+    if now_s - state.swept_s >= _SWEEP_INTERVAL_S:
+        state = state._replace(budget=retry.tick(state.budget, now_s),
+                               swept_s=now_s)
     commands: list[events.Command] = []
     for item in over:
         state, refusal = placement.refuse(state, item, errors.Code.OVERLOADED,
