Take returned targets and idempotency keys into account

Cause: a target that was leaving and came back stayed without new work, and the retry budget knew a repeat by its content only. The state machine lets targets return.

--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -153,6 +153,12 @@
     target: str
 
 
+class TargetReturned(typing.NamedTuple):
+    """A target that was leaving takes new work again."""
+
+    target: str
+
+
 class TargetDied(typing.NamedTuple):
     """A target's process died (connection refused or a new incarnation)."""
 
@@ -238,6 +244,7 @@
 
 
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | Abandoned |
-         LoadReported | PeerLoad | TargetsChanged | TargetLeaving | TargetDied |
-         CacheEvent | QuarantineShared | QuarantineLifted | Tick)
+         LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
+         TargetReturned | TargetDied | CacheEvent | QuarantineShared |
+         QuarantineLifted | Tick)
 Command = Dispatch | Refuse | CancelAttempt | ShareQuarantine | Count
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -331,8 +331,10 @@
 
 def budget_key(arrived: events.Arrived) -> retry.Request:
     """Returns the request as the retry budget sees it."""
+    key = arrived.idempotency_key
     return retry.Request(arrived.service,
-                         f"{arrived.workspace}/{arrived.fingerprint}")
+                         f"{arrived.workspace}/{key or arrived.fingerprint}",
+                         bool(key))
 
 
 def avoid(state: State, target: str, now_s: float) -> State:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -245,6 +245,13 @@
     return state._replace(leaving=state.leaving | {event.target}), []
 
 
+@_step.register
+def _(event: events.TargetReturned, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del now_s, rng
+    return state._replace(leaving=state.leaving - {event.target}), []
+
+
 @_step.register
 def _(event: events.TargetDied, state: State, now_s: float,
       rng: random.Random) -> Result:
--- a/persimmonspan/request/tests/test_scheduler_machine.py
+++ b/persimmonspan/request/tests/test_scheduler_machine.py
@@ -163,6 +163,12 @@
         self.leaving.add(replica.name)
         self.send(events.TargetLeaving(replica.name))
 
+    @stateful.rule(replica=strategies.sampled_from(_TARGETS))
+    def come_back(self, replica):
+        """A target takes new work again."""
+        self.leaving.discard(replica.name)
+        self.send(events.TargetReturned(replica.name))
+
     @stateful.rule(replica=strategies.sampled_from(_TARGETS))
     def die(self, replica):
         """A target died."""
