--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -76,6 +76,7 @@
     usual_s: immutables.Map[str, float] = immutables.Map()
     outlooks: immutables.Map[tuple[str, str],
                              admission.Outlook] = immutables.Map()
+    swept_s: float = 0.0
     observed: health.State = health.State()
     budget: retry.State = retry.State()
     suspects: quarantine.State = quarantine.State()
@@ -330,8 +331,10 @@
 
 def budget_key(arrived: events.Arrived) -> retry.Request:
     """Returns the request as the retry budget sees it."""
+    key = arrived.idempotency_key
     return retry.Request(arrived.service,
-                         f"{arrived.workspace}/{arrived.fingerprint}")
+                         f"{arrived.workspace}/{key or arrived.fingerprint}",
+                         bool(key))
 
 
 def avoid(state: State, target: str, now_s: float) -> State:
