--- a/persimmonspan/connection/table_service.py
+++ b/persimmonspan/connection/table_service.py
@@ -333,8 +333,8 @@
 def _proofs(transaction: Transaction) -> set[str]:
     """Returns written rows that cannot have moved and come back.
 
-    Versions do not repeat, but an inserted row that was deleted is absent again,
-    as before the insert.
+    Versions do not repeat, but an inserted row that was deleted is absent
+    again, as before the insert.
     """
     written = {put.key for put in transaction.puts} | set(transaction.deletes)
     return {
