Keep reporting after a report failed

Cause: an exception in one report, such as a stopped actor, ended the thread that makes the reports of all streams, and reports piled up.

Change: the failure is logged and the next report is made.

Conclusion: a fault in one stream's report stays with that stream.

--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -372,7 +372,11 @@
             time.sleep(_REPORT_INTERVAL_S)
             while self._reports:
                 function, arguments = self._reports.popleft()
-                function(*arguments)
+                try:
+                    function(*arguments)
+                except Exception:  # pylint: disable=broad-exception-caught
+                    # The reports of other streams must still be made.
+                    _logger.exception("report failed")
 
     def _record_gaps(self, gaps: collections.Counter[int]) -> None:
         for units, count in gaps.items():
