Mark four more assumptions of the capacity page

Cause: the page used them without saying so.

Tests: bench/tests/test_capacity.py passes.

Conclusion: what is not measured on the page is marked.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -48,7 +48,12 @@
     "FirstToken costs as much as Progressed",
     "a peer tells the scheduler loads of 24 targets and is kept for all 192",
     f"a read of the configuration head moves {_HEAD_BYTES} bytes with headers",
+    "a scheduler step costs with 192 targets in 8 services what it costs with "
+    "24 in one",
+    "a daemon gossips about 24 loads, 5 of which fit into a digest",
     "gossip receives as much as it sends",
+    "the answer that a ledger row keeps has 256 bytes",
+    "rows and VMs are as long as in the stand-ins of the testbed",
     "the VM list names daemons and replicas, one VM each",
     f"metrics are read every {_SCRAPE_S:.0f} s with {_REASONS} reasons",
     "one administration request a second in the whole system, 10 operators",
