Send an order only to the incarnation that it was decided for

Cause: the fuzzer found a roll-out in which an unload that was under way reached the engine after a restart, when the unloaded model was the active one again: a stream was cut. Ruled out: leases and tokens, as one holder sent it. Change: an order names the incarnation it was decided on; the adapter reads the state first over the same connection and sends nothing to another incarnation; a restart ends the outstanding order. Conclusion: an engine that closes its connection after each answer gets no orders, which docs/operating/roll-out.md has to say.

--- a/persimmonspan/connection/engine_control.py
+++ b/persimmonspan/connection/engine_control.py
@@ -9,6 +9,7 @@
 """
 
 import http
+import http.client
 import typing
 
 import immutables
@@ -53,6 +54,11 @@
 def send_order(address: str, order: orders.Order, timeout_s: float) -> Outcome:
     """Sends an order to the engine at an address and port.
 
+    The state is read first over the same connection. An engine that restarted
+    since the order was decided on has another incarnation and gets nothing: an
+    order for its predecessor could unload the model that it serves. An engine
+    must therefore keep the connection open after it told its state.
+
     Returns:
         `unknown` if the engine may have taken it.
     """
@@ -60,11 +66,25 @@
                          fence=order.fence,
                          kind=order.kind,
                          argument=order.argument)
+    host, port = address.rsplit(":", 1)
+    connection = urllib3.connection.HTTPConnection(host,
+                                                   int(port),
+                                                   timeout=timeout_s)
     try:
-        status, _ = _call(address, "POST", "/v1/orders",
-                          msgspec.json.encode(body), timeout_s)
-    except (urllib3.exceptions.HTTPError, OSError):
+        connection.request("GET", "/v1/state")
+        state = _state_decoder.decode(connection.getresponse().data)
+        # An engine that closes after each answer cannot be told from its
+        # successor, so the order is not sent over a second connection.
+        if state["incarnation"] != order.incarnation or connection.sock is None:
+            return "unknown"
+        connection.auto_open = 0
+        connection.request("POST", "/v1/orders", body=msgspec.json.encode(body))
+        status = connection.getresponse().status
+    except (urllib3.exceptions.HTTPError, OSError, http.client.HTTPException,
+            msgspec.DecodeError):
         return "unknown"
+    finally:
+        connection.close()
     return _OUTCOME_BY_STATUS.get(status, "unknown")
 
 
--- a/persimmonspan/process/orders.py
+++ b/persimmonspan/process/orders.py
@@ -56,12 +56,13 @@
 
 
 class Order(typing.NamedTuple):
-    """An order with its token."""
+    """An order with its token, for one incarnation of an engine."""
 
     order_id: str
     fence: int
     kind: str  # load, warm_up, activate, set_role or unload.
     argument: str
+    incarnation: str
 
 
 class Engine(typing.NamedTuple):
@@ -247,6 +248,8 @@
     old, new = engine.reported, event.reported
     if old is not None and old.incarnation != new.incarnation:
         commands.append(Count("control_engine_restarted"))
+        # The order was for the earlier incarnation and is not sent again.
+        engine = engine._replace(outstanding=None)
     order = engine.outstanding
     is_ended = order is not None and new.last_order_id == order.order_id
     for model, phase in new.models.items():
@@ -304,7 +307,7 @@
     engine = state.engines[target]
     state = state._replace(sequence=state.sequence + 1)
     order = Order(f"{state.fence}/{state.sequence}/{target}", state.fence, kind,
-                  argument)
+                  argument, engine.reported.incarnation)
     engine = engine._replace(outstanding=order, sent_s=now_s)
     return _put(state, target, engine), commands + [SendOrder(target, order)]
 
--- a/persimmonspan/process/tests/test_control_actor.py
+++ b/persimmonspan/process/tests/test_control_actor.py
@@ -123,9 +123,9 @@
 def test_stale_order_is_told_apart(checks_fencing):
     """Guards against taking a rejected order for one that was run."""
     with _engine(engine_control.Options(checks_fencing)) as (address, control):
-        new = orders.Order("2/1/t", 2, "load", "b")
-        old = orders.Order("1/1/t", 1, "load", "c")
-        wrong = orders.Order("2/2/t", 2, "activate", "x")
+        new = orders.Order("2/1/t", 2, "load", "b", control.incarnation)
+        old = orders.Order("1/1/t", 1, "load", "c", control.incarnation)
+        wrong = orders.Order("2/2/t", 2, "activate", "x", control.incarnation)
         assert engine_adapter.send_order(address, new, 5.0) == "accepted"
         assert engine_adapter.send_order(
             address, old, 5.0) == ("stale" if checks_fencing else "accepted")
@@ -135,3 +135,11 @@
         assert control.active == "a"
     with pytest.raises(errors.TargetError):
         engine_adapter.read_state(address, 0.2)
+
+
+def test_order_for_an_earlier_incarnation_is_not_sent():
+    """Guards against an order that reaches an engine after its restart."""
+    with _engine(engine_control.Options()) as (address, control):
+        order = orders.Order("1/1/t", 1, "unload", "a", "an earlier one")
+        assert engine_adapter.send_order(address, order, 5.0) == "unknown"
+        assert not control.orders
--- a/persimmonspan/process/tests/test_orders.py
+++ b/persimmonspan/process/tests/test_orders.py
@@ -100,6 +100,8 @@
 
     def execute(self, command):
         name, order = command.target, command.order
+        if order.incarnation != str(self.incarnations[name]):
+            return False  # The adapter sends nothing to another incarnation.
         assert order.fence >= self.fences[name], "an older token after a newer"
         self.fences[name] = order.fence
         models = self.models[name]
@@ -252,3 +254,16 @@
     world.run(300)
     assert world.active["t-0"] == "a"
     assert [world.active[name] for name in _TARGETS[1:]] == ["b"] * 3
+
+
+def test_late_unload_does_not_reach_a_restarted_engine():
+    """Replays a sequence that the fuzzer found: a stream was cut."""
+    machine = OrderMachine()
+    machine.restart(name="t-0")
+    machine.roll_out(mode="late", model="b", steps=23)
+    machine.restart(name="t-0")
+    machine.change_holder(steps=0)
+    machine.teardown()
+    assert machine.world.models["t-0"] == {
+        "a": "warm"
+    } or (machine.world.active["t-0"] in machine.world.models["t-0"])
