Find targets of any recent version, and read less from the platform at scale

Change: targets are found in the maps of the last two versions, else the attempt counts as not connected; the daemons of a failure domain share reads of the VM list and tell each other what leaves; rows are read every n/5 s; the ledger asks the membership whether a holder was replaced.

--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -82,6 +82,7 @@
             self.scheduler.tell, engine.read_load,
             self._leaving.incarnation_seen)
         self._configuration: model.Configuration | None = None
+        self._targets: list[dict[str, events.Target]] = []
         self._in_flight = 0
         self._idle = threading.Condition()
         self._is_draining = False
@@ -92,7 +93,6 @@
 
     def adopt(self, configuration: model.Configuration) -> None:
         """Takes a configuration into force for new requests."""
-        self._configuration = configuration
         targets = tuple(target for service in configuration.services
                         for target in service.targets)
         self.scheduler.tell(
@@ -102,6 +102,12 @@
                     events.WorkspaceShare(item.name, item.share)
                     for item in configuration.workspaces), self.name))
         self._leaving.adopted(configuration)
+        with self._idle:
+            # A dispatch to a target that was just removed is still under way.
+            self._targets = (self._targets[-1:] + [{
+                target.name: target for target in targets
+            }])
+            self._configuration = configuration
         self._poller.set_targets(
             tuple(target for service in configuration.services
                   for target in choice.subset(self.name, service.targets)))
@@ -112,6 +118,12 @@
         """Takes checked documents into force for new requests."""
         self.adopt(check.build(*documents))
 
+    def _find_target(self, name: str) -> events.Target | None:
+        for targets in reversed(self._targets):
+            if name in targets:
+                return targets[name]
+        return None
+
     def set_current(self, is_current: bool) -> None:
         """Tells whether the configuration is known to be current."""
         self._is_current = is_current
@@ -149,9 +161,10 @@
                     errors.Code.OVERLOADED,
                     "this daemon serves as many requests as it can", 1.0)
             self._in_flight += 1
-            return handler.Context(self._configuration, self.scheduler,
-                                   self.metrics, self._relay, self._gate,
-                                   self._ledger, self._settings.write_timeout_s)
+            return handler.Context(self._configuration, self._find_target,
+                                   self.scheduler, self.metrics, self._relay,
+                                   self._gate, self._ledger,
+                                   self._settings.write_timeout_s)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request out."""
@@ -236,8 +249,17 @@
         self.outcomes = self._stored.outcomes
         self._ledger = at_most_once.Context(self._stored.rows,
                                             holder,
+                                            self._is_gone,
                                             count=self.metrics.count)
 
+    def _is_gone(self, holder: ledger_events.Holder) -> bool:
+        """Returns whether the daemon that claimed a call was replaced."""
+        if self.peers is None:
+            return False
+        return any(item.identity.daemon == holder.daemon and
+                   item.identity.incarnation > int(holder.incarnation)
+                   for item in self.peers.status().members)
+
     @contextlib.contextmanager
     def listening(self) -> collections.abc.Iterator[None]:
         """Serves callers until the block ends."""
--- a/persimmonspan/process/leaving_tracker.py
+++ b/persimmonspan/process/leaving_tracker.py
@@ -45,11 +45,17 @@
                                       configuration.leaving))
 
     def vms_listed(self, vms: collections.abc.Iterable[vm_list.Vm],
-                   age_s: float) -> None:
-        """Takes the platform's list, measured `age_s` seconds ago."""
+                   age_s: float) -> frozenset[str]:
+        """Takes the platform's list, measured `age_s` seconds ago.
+
+        Returns:
+            The targets that leave by this list and did not before.
+        """
         names = tuple(_host(vm.address) for vm in vms if vm.is_leaving)
         with self._lock:
+            before = self._leaving
             self._apply(leaving.VmsListed(names, age_s))
+            return self._leaving - before
 
     def reclaimed(self, target: str) -> None:
         """Takes a notice that a target will be taken back."""
--- a/persimmonspan/process/registration.py
+++ b/persimmonspan/process/registration.py
@@ -29,6 +29,9 @@
 
 PREFIX = "member/"
 INTERVAL_S = 5.0
+# Keeps the rows that all daemons read together within the store's budget: with
+# n daemons, n * n rows are read in an interval of n times this.
+_INTERVAL_PER_DAEMON_S = 0.2
 GONE_AFTER_S = 60.0
 _WAIT_S = 3.0
 _SCAN_LIMIT = 2000
@@ -70,6 +73,15 @@
     ]
 
 
+def interval_s(daemons: int) -> float:
+    """Returns the time between two reads of all rows.
+
+    >>> interval_s(8), interval_s(330)
+    (5.0, 66.0)
+    """
+    return max(INTERVAL_S, daemons * _INTERVAL_PER_DAEMON_S)
+
+
 class Registration:
     """Keeps the own row, reads all rows and removes those of gone VMs."""
 
@@ -85,13 +97,14 @@
 
     def run(self) -> None:
         """Keeps registered until `stop` is called."""
+        daemons = 1
         while True:
             try:
-                self._refresh()
+                daemons = self._refresh()
             except (errors.PersimmonspanError, pykka.Timeout) as error:
                 _logger.info("registration was not refreshed",
                              extra={"reason": str(error)})
-            if self._stopped.wait(INTERVAL_S):
+            if self._stopped.wait(interval_s(daemons)):
                 return
 
     def stop(self) -> None:
@@ -103,7 +116,8 @@
             if row.version:
                 self._remove(row)
 
-    def _refresh(self) -> None:
+    def _refresh(self) -> int:
+        """Reads and corrects the rows; returns how many there are."""
         rows = self._client.scan(PREFIX, _SCAN_LIMIT).get(timeout=_WAIT_S)
         known = {
             row.key: _decoder.decode(row.value) for row in rows if row.value
@@ -122,6 +136,7 @@
                 _logger.warning("row of a gone VM is removed",
                                 extra={"key": row.key})
                 self._remove(row)
+        return len(known)
 
     def _observe(self, own: membership.Identity) -> Observed:
         heard = {
--- a/persimmonspan/process/stored_parts.py
+++ b/persimmonspan/process/stored_parts.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 import math
+import random
 import secrets
 import threading
 import time
@@ -74,7 +75,7 @@
             self.client,
             object_store.ObjectStore(options.object_store or address),
             configuration_actor.Callbacks(self._adopt, hooks.serve,
-                                          self._send_change, lambda _: None))
+                                          self._send_change, _ask_nothing))
         self.configurations = stored_configuration.StoredConfigurations(
             self.actor, self.client)
         self.outcomes = stored_configuration.StoredOutcomes(self.client)
@@ -108,9 +109,7 @@
             stack.enter_context(
                 threads.repeating(ledger.record_kept, _RECORD_INTERVAL_S))
             if self._options.vm_list is not None:
-                stack.enter_context(
-                    threads.repeating(lambda: self._read_vms(tracker),
-                                      _VM_LIST_INTERVAL_S))
+                stack.enter_context(self._reading_vms(tracker))
             if peers is not None:
                 entry = registration.Registration(self.client, peers, self._vms)
                 stack.enter_context(threads.running(entry.run, entry.stop))
@@ -177,10 +176,41 @@
             return ()
         return vm_list.read(self._options.vm_list)
 
-    def _read_vms(self, tracker: leaving_tracker.LeavingTracker) -> None:
-        sent_s = time.monotonic()
-        try:
-            vms = self._vms()
-        except errors.StoreError:
-            return
-        tracker.vms_listed(vms, time.monotonic() - sent_s)
+    @contextlib.contextmanager
+    def _reading_vms(
+        self, tracker: leaving_tracker.LeavingTracker
+    ) -> collections.abc.Iterator[None]:
+        """Reads the VM list until the block ends.
+
+        The daemons of a failure domain share the reads and tell each other what
+        leaves, as the list names all VMs and is long at scale.
+        """
+        stopped = threading.Event()
+
+        def read() -> None:
+            while not stopped.wait(self._vm_list_interval_s()):
+                with contextlib.suppress(errors.StoreError):
+                    sent_s = time.monotonic()
+                    vms = self._vms()
+                    found = tracker.vms_listed(vms, time.monotonic() - sent_s)
+                    for name in found if self._peers is not None else ():
+                        self._peers.publish_leaving(name)
+
+        with threads.running(read, stopped.set):
+            yield
+
+    def _vm_list_interval_s(self) -> float:
+        if self._peers is None:
+            return _VM_LIST_INTERVAL_S
+        status = self._peers.status()
+        near = sum(
+            item.identity.failure_domain == self._options.failure_domain and
+            item.heard_age_s <= membership.HEARD_WINDOW_S
+            for item in status.members)
+        # A random phase spreads the reads of the daemons over the interval.
+        return _VM_LIST_INTERVAL_S * (1 + near) * random.uniform(0.8, 1.2)
+
+
+def _ask_nothing(revision: int) -> None:
+    """Gossip asks on its own when a digest shows a higher revision."""
+    del revision
--- a/persimmonspan/request/handler.py
+++ b/persimmonspan/request/handler.py
@@ -146,17 +146,18 @@
                                  bool]) -> None:
     """Carries out the scheduler's commands until an attempt has the answer."""
     scheduler = owner.context.scheduler
-    targets = {
-        target.name: target for service in owner.context.configuration.services
-        for target in service.targets
-    }
     scheduler.tell(
         scheduler_actor.Submit(_arrived(owner.call, request), owner.messages))
     try:
         while True:
             message = owner.next_message()
-            if isinstance(message, events.Dispatch) and attempt(
-                    message, targets[message.target]):
+            if not isinstance(message, events.Dispatch):
+                continue
+            # The scheduler may know targets of a newer version.
+            target = owner.context.find_target(message.target)
+            if target is None:
+                owner.end_attempt(message.target, events.Outcome.CONNECT_FAILED)
+            elif attempt(message, target):
                 return
     except (session.CallerLeftError, errors.PersimmonspanError):
         # The scheduler ignores this for a request that it has ended itself.
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -4,6 +4,7 @@
 relay's notices. The wait is bounded by the deadline of the request.
 """
 
+import collections.abc
 import logging
 import queue
 import time
@@ -27,6 +28,7 @@
     """What a request needs of the process and of its version."""
 
     configuration: model.Configuration
+    find_target: collections.abc.Callable[[str], events.Target | None]
     scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
     metrics: metrics.Metrics
     relay: relay.Relay
