--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -331,19 +331,50 @@
               msgspec.json.encode({"request_id": request_id}), timeout_s)
 
 
-def read_load(address: str, timeout_s: float) -> LoadDocument:
-    """Reads the load report of an engine.
+class LoadReader:
+    """Reads load reports over one kept connection per target.
 
-    Raises:
-        errors.TargetError: The engine did not answer with a load report.
+    A connection that went silent costs one report: it is closed on a timeout,
+    and the next report comes over a new one. Unlike a generation, a report may
+    be read again.
     """
-    try:
-        return _load_decoder.decode(
-            _call(address, "GET", "/v1/load", None, timeout_s))
-    except (urllib3.exceptions.HTTPError, OSError,
-            msgspec.DecodeError) as error:
-        raise errors.TargetError(errors.Code.TARGET_FAILED,
-                                 f"no load report from {address}") from error
+
+    def __init__(self) -> None:
+        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def read(self, address: str, timeout_s: float) -> LoadDocument:
+        """Reads a report; at most one thread at a time for an address.
+
+        Raises:
+            NotSentError: The target does not accept connections.
+            errors.TargetError: The target did not answer with a report.
+        """
+        if address not in self._pools:
+            host, port = address.rsplit(":", 1)
+            self._pools[address] = urllib3.HTTPConnectionPool(host,
+                                                              int(port),
+                                                              retries=False,
+                                                              maxsize=1)
+        try:
+            response = self._pools[address].request("GET",
+                                                    "/v1/load",
+                                                    timeout=timeout_s)
+            return _load_decoder.decode(response.data)
+        except urllib3.exceptions.NewConnectionError as error:
+            raise NotSentError(errors.Code.TARGET_FAILED,
+                               f"cannot connect to target {address}",
+                               errors.RunState.NOT_RUN) from error
+        except (urllib3.exceptions.HTTPError, OSError,
+                msgspec.DecodeError) as error:
+            self._pools.pop(address).close()
+            raise errors.TargetError(
+                errors.Code.TARGET_FAILED,
+                f"no load report from {address}") from error
+
+    def keep_only(self, addresses: collections.abc.Set[str]) -> None:
+        """Closes connections to other addresses."""
+        for address in set(self._pools) - addresses:
+            self._pools.pop(address).close()
 
 
 def open_connection(address: str,
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -3,8 +3,9 @@
 Each report costs processor time and bytes, which are bounded for control. The
 poller sends a fixed number of polls a second, whatever the number of targets:
 with more targets each is polled less often, and the scheduler trusts the older
-report less. A target whose incarnation changes, or that refuses connections
-after it had answered, is reported as dead once.
+report less. A target whose incarnation changes, that refuses connections after
+it had answered, or that leaves several polls unanswered, is reported as dead
+once.
 
 See Also:
     `persimmonspan.process.load_view`: corrects reports for their age.
@@ -23,6 +24,8 @@
 POLLS_PER_S = 10.0
 _ROUND_S = 1.0
 _TIMEOUT_S = 1.0
+# A timeout may come from a slow target or a silent connection.
+_SILENT_POLLS = 3
 _WORKERS = 3
 
 Send = collections.abc.Callable[[events.Event], None]
@@ -33,6 +36,7 @@
 class _Seen(typing.NamedTuple):
     incarnation: str
     is_up: bool
+    silent_polls: int = 0
 
 
 class Observer:
@@ -49,11 +53,15 @@
         before = self._seen.get(target.name)
         try:
             report = self._read_load(target.address, _TIMEOUT_S)
-        except errors.TargetError:
+        except errors.TargetError as error:
             if before is None or not before.is_up:
                 return []
-            self._seen[target.name] = before._replace(is_up=False)
-            return [events.TargetDied(target.name)]
+            silent_polls = before.silent_polls + 1
+            is_up = (silent_polls < _SILENT_POLLS and
+                     not isinstance(error, engine.NotSentError))
+            self._seen[target.name] = before._replace(is_up=is_up,
+                                                      silent_polls=silent_polls)
+            return [] if is_up else [events.TargetDied(target.name)]
         self._seen[target.name] = _Seen(report["incarnation"], True)
         self._see_incarnation(target.name, report["incarnation"])
         found: list[events.Event] = []
