--- a/bench/policy_report.py
+++ b/bench/policy_report.py
@@ -7,7 +7,7 @@
 import matplotlib
 
 matplotlib.use("Agg")
-# The backend has to be chosen before this import.
+# The Agg renderer has to be chosen before this import.
 # pylint: disable-next=wrong-import-position
 from matplotlib import pyplot
 
