--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -5,6 +5,7 @@
 
 from bench import capacity_fit
 from bench import capacity_roles
+from persimmonspan.process import registration
 from persimmonspan.process import prefix_index
 
 _PAGE = """# Capacity of one daemon and of the whole system
@@ -225,7 +226,8 @@
         ("store reads/s, all daemons", count * total(found, "reads_per_s"),
          capacity_roles.READS_BUDGET_PER_S, ",.1f"),
         ("store rows read/s, if the store counts rows and not requests",
-         count * (1 + capacity_roles.DAEMONS / 5),
+         count * (1 + capacity_roles.DAEMONS /
+                  registration.interval_s(capacity_roles.DAEMONS)),
          capacity_roles.READS_BUDGET_PER_S, ",.1f"),
     ]
     return [(name, format(value, form), format(limit, form),
