Read the processor time of a process in one place

Cause: bench.control wrote again what bench.relay had, the parsing of /proc/<pid>/stat; the copy in bench.relay split at the first bracket, wrong for a process whose name contains one. Change: testbed.processes.cpu_s serves both benchmarks.

--- a/bench/control.py
+++ b/bench/control.py
@@ -13,7 +13,6 @@
 import contextlib
 import copy
 import json
-import os
 import pathlib
 import signal
 import threading
@@ -27,9 +26,9 @@
 from persimmonspan.process import load
 from persimmonspan.process import operations
 from testbed import deployment
+from testbed import processes
 
 _OUT = pathlib.Path("out/control.json")
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _POLL_S = 0.005
 _TIMEOUT_S = 20.0
 _PAUSE_S = 5.0
@@ -170,10 +169,10 @@
 def _idle(running: deployment.Deployment) -> dict[str, float]:
     """Returns cost per idle daemon over a time without requests."""
     pids = [daemon.process.pid for daemon in running.daemons]
-    before_s = [_cpu_s(pid) for pid in pids]
+    before_s = [processes.cpu_s(pid) for pid in pids]
     reads, writes = _operations(running)
     time.sleep(_IDLE_S)
-    after_s = [_cpu_s(pid) for pid in pids]
+    after_s = [processes.cpu_s(pid) for pid in pids]
     reads_after, writes_after = _operations(running)
     shares = [(b - a) / _IDLE_S for a, b in zip(before_s, after_s)]
     share = 1 / (_IDLE_S * len(pids))
@@ -199,13 +198,6 @@
                     json=fault)
 
 
-def _cpu_s(pid: int) -> float:
-    # The name of the process, in brackets, may contain blanks.
-    stat = pathlib.Path(f"/proc/{pid}/stat").read_text("utf-8")
-    user, system = stat.rsplit(")", 1)[1].split()[11:13]
-    return (int(user) + int(system)) / _TICKS_PER_S
-
-
 def _resident_mb(pid: int) -> float:
     with contextlib.suppress(StopIteration):
         lines = pathlib.Path(f"/proc/{pid}/status").read_text("utf-8")
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,7 +13,6 @@
 import collections
 import contextlib
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -30,7 +29,6 @@
 _RAMP_SHARE = 0.25
 _DURATION_S = 16.0
 _MARGIN_S = 0.5  # Between the window of the load and that of the relay.
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _STEPS_PER_MS = 100.0
 _PERCENTILES = (50, 95, 99)
 _OUT = pathlib.Path("out/relay.json")
@@ -170,9 +168,9 @@
     """Reads the processor time and memory of the relay in the window."""
     time.sleep(options.duration_s * _RAMP_SHARE + _MARGIN_S)
     seconds = options.duration_s * (1 - _RAMP_SHARE) - 2 * _MARGIN_S
-    before_s, start_s = _cpu_s(pid), time.monotonic()
+    before_s, start_s = processes.cpu_s(pid), time.monotonic()
     time.sleep(seconds)
-    core = (_cpu_s(pid) - before_s) / (time.monotonic() - start_s)
+    core = (processes.cpu_s(pid) - before_s) / (time.monotonic() - start_s)
     status = _read(f"/proc/{pid}/status").splitlines()
     resident_kb = next(
         int(line.split()[1]) for line in status if line.startswith("VmRSS"))
@@ -183,13 +181,6 @@
     return pathlib.Path(path).read_text(encoding="utf-8")
 
 
-def _cpu_s(pid: int) -> float:
-    # The name of the process, in brackets, may contain blanks.
-    fields = _read(f"/proc/{pid}/stat").rsplit(")")[1]
-    user, system = fields.split()[11:13]
-    return (int(user) + int(system)) / _TICKS_PER_S
-
-
 def _merged(outputs: list[dict[str, typing.Any]],
             window_s: float) -> dict[str, float]:
     result: dict[str, float] = {
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import os
+import pathlib
 import signal
 import socket
 import subprocess
@@ -12,6 +13,7 @@
 _START_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.02
 _STOP_TIMEOUT_S = 20.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 def free_port() -> int:
@@ -65,3 +67,11 @@
             return
         time.sleep(_POLL_INTERVAL_S)
     raise TimeoutError(f"process {process.pid} does not listen on port {port}")
+
+
+def cpu_s(pid: int) -> float:
+    """Returns the processor time that a process has used, in seconds."""
+    # The name of the process, in brackets, may contain blanks.
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text("utf-8")
+    user, system = stat.rsplit(")", 1)[1].split()[11:13]
+    return (int(user) + int(system)) / _TICKS_PER_S
