Forward requests on the users' platform: adapter, edge daemon, thin path

Cause: the product spoke only its own interface. Change: persimmonspan/platform decodes settings, store rows, configuration and headers; process/edge composes the existing scheduler, relay, metrics and logs with it; streams go on from the copy that X-Kv-Backup keeps at another engine.

--- /dev/null
+++ b/persimmonspan/connection/exchange.py
@@ -0,0 +1,193 @@
+"""One HTTP exchange with a target, over a connection of its own.
+
+Connections are never reused: a late or additional answer of an earlier request
+cannot be taken for the answer of the next one, and a connection that was
+silently dropped on the way cannot swallow a request.
+
+The request is sent with blocking calls; the answer is decoded by `AnswerReader`
+from whatever the socket holds, so that one thread can serve many answers.
+
+See Also:
+    `persimmonspan.connection.relay`: reads the sockets.
+"""
+
+import collections.abc
+import contextlib
+import select
+import socket
+import time
+import typing
+
+import h11
+
+from persimmonspan import errors
+
+# Larger heads are no answer of a target.
+_MAX_HEAD_BYTES = 64 * 1024
+_MS_PER_S = 1000.0
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Order(typing.NamedTuple):
+    """What is sent to a target."""
+
+    method: str
+    path: str  # With the query.
+    headers: Headers
+    body: bytes = b""
+
+
+class Head(typing.NamedTuple):
+    """Status and headers of an answer; header names are in lower case."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the value of a header, by its name in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class NotSentError(errors.TargetError):
+    """No byte of the request was sent."""
+
+
+class BrokenAnswerError(errors.TargetError):
+    """What came is no complete answer."""
+
+
+class AnswerReader:
+    """Decodes an answer as its bytes arrive.
+
+    >>> reader = AnswerReader("GET")
+    >>> reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok")
+    b'ok'
+    >>> reader.head.status, reader.is_complete
+    (200, True)
+    """
+
+    def __init__(self, method: str) -> None:
+        self.head: Head | None = None
+        self.is_complete = False
+        self._decoder = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+        self._decoder.send(
+            h11.Request(method=method, target="/",
+                        headers=[("Host", "target")]))
+        self._decoder.send(h11.EndOfMessage())
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes of the body that the data bring.
+
+        Args:
+            data: What was received; empty at the end of the connection.
+
+        Raises:
+            BrokenAnswerError: The data are no HTTP answer, or end early.
+        """
+        if self.is_complete:
+            return b""
+        parts: list[bytes] = []
+        try:
+            self._decoder.receive_data(data)
+            while not self.is_complete:
+                event = self._decoder.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                self._take(event, parts)
+        except h11.RemoteProtocolError as error:
+            raise BrokenAnswerError(errors.Code.TARGET_FAILED,
+                                    f"no whole answer: {error}") from error
+        return b"".join(parts)
+
+    def _take(self, event: object, parts: list[bytes]) -> None:
+        if isinstance(event, h11.Response):
+            self.head = Head(
+                event.status_code,
+                tuple((name, value) for name, value in event.headers))
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.is_complete = True
+        elif isinstance(event, h11.ConnectionClosed):
+            raise BrokenAnswerError(errors.Code.TARGET_FAILED,
+                                    "the connection closed without an answer")
+
+
+def encode(order: Order) -> bytes:
+    """Returns the bytes of a request.
+
+    >>> encode(Order("GET", "/a", ((b"Host", b"h"),)))
+    b'GET /a HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n'
+
+    Raises:
+        errors.RefusalError: A header cannot be sent.
+    """
+    encoder = h11.Connection(h11.CLIENT)
+    headers = list(order.headers)
+    if order.body or order.method not in ("GET", "HEAD", "DELETE"):
+        headers.append((b"Content-Length", b"%d" % len(order.body)))
+    try:
+        request = h11.Request(method=order.method,
+                              target=order.path,
+                              headers=headers)
+        data = encoder.send(request)
+        if order.body:
+            data += encoder.send(h11.Data(data=order.body))
+    except h11.LocalProtocolError as error:
+        raise errors.RefusalError(errors.Code.BAD_REQUEST,
+                                  str(error)) from error
+    return data
+
+
+@contextlib.contextmanager
+def connected(address: str,
+              timeout_s: float) -> collections.abc.Iterator[socket.socket]:
+    """Connects to a target; the socket is closed at the end of the block.
+
+    Raises:
+        NotSentError: The target does not accept the connection in time.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        sock = socket.create_connection((host, int(port)), timeout_s)
+    except OSError as error:
+        raise NotSentError(errors.Code.TARGET_FAILED,
+                           f"cannot connect to {address}: {error}",
+                           errors.RunState.NOT_RUN) from error
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        yield sock
+    finally:
+        sock.close()
+
+
+def send(sock: socket.socket, data: bytes, timeout_s: float) -> None:
+    """Sends a request, unless an answer comes before all of it is sent.
+
+    Raises:
+        BrokenAnswerError: The target may have got a part of the request.
+    """
+    end_s = time.monotonic() + timeout_s
+    sock.setblocking(False)
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT | select.POLLIN)
+    rest = memoryview(data)
+    try:
+        while rest:
+            with contextlib.suppress(BlockingIOError):
+                rest = rest[sock.send(rest):]
+                continue
+            wait_ms = (end_s - time.monotonic()) * _MS_PER_S
+            ready = poll.poll(wait_ms) if wait_ms > 0 else []
+            if not ready:
+                raise TimeoutError("the target does not read the request")
+            if ready[0][1] & select.POLLIN:
+                return  # An early answer, or the end of the connection.
+    except OSError as error:
+        raise BrokenAnswerError(errors.Code.TARGET_FAILED,
+                                f"cannot send: {error}") from error
--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -53,6 +53,7 @@
 
     DONE = "done"  # The consumer wants no more bytes.
     CLOSED = "closed"  # The engine's end of the connection closed.
+    RESET = "reset"  # The connection broke; what came may not be all.
     SILENT = "silent"  # No progress within the timeout.
     CALLER_LEFT = "caller_left"
     CALLER_SLOW = "caller_slow"
@@ -258,7 +259,8 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self._end(transfer, Signal.RESET)
+            return
         if not data:
             self._end(transfer, Signal.CLOSED)
             return
--- /dev/null
+++ b/persimmonspan/platform/program.py
@@ -0,0 +1,19 @@
+"""Composes the edge daemon with the formats of the platform."""
+
+from persimmonspan.platform import configuration
+from persimmonspan.platform import registrations
+from persimmonspan.platform import settings
+from persimmonspan.platform import store
+from persimmonspan.platform import wire
+from persimmonspan.process import edge
+from persimmonspan.process import followers
+
+
+def main() -> int:
+    """Runs an edge daemon; returns the exit code."""
+    formats = followers.Formats(configuration.TABLE, configuration.KEY,
+                                configuration.decode, registrations.TABLE,
+                                registrations.decode)
+    return edge.run(
+        edge.Platform(wire, store.Store, formats,
+                      lambda: settings.read(settings.path())))
--- /dev/null
+++ b/persimmonspan/platform/settings.py
@@ -0,0 +1,91 @@
+"""Settings file of the platform."""
+
+import os
+import typing
+
+import msgspec
+
+from persimmonspan.process import edge_settings
+
+_PATH_VARIABLE = "PERSIMMONSPAN_CONFIG"
+_MS_PER_S = 1000.0
+
+
+class _Listeners(msgspec.Struct):
+    frontend: str
+    readiness: str
+
+
+class _Bounds(msgspec.Struct):
+    # Each stands in the contract of the platform; a deployment may lack some.
+    graceS: float = 8.0
+    stabilityMs: float = 3000.0
+    retryBudgetRatio: float = 0.2
+    retryWindowS: float = 10.0
+    retryBurst: float = 50.0
+    drainMs: float = 2000.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+    readsPerS: float = 2000.0
+    writesPerS: float = 400.0
+
+
+class _Limits(msgspec.Struct):
+    memoryMb: float = 150.0
+
+
+class _File(msgspec.Struct):
+    nodeName: str
+    ip: str
+    zone: str
+    listenersMap: _Listeners
+    platform: _Store
+    portRange: tuple[int, int]
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def path() -> str:
+    """Returns where the platform puts the settings file.
+
+    Raises:
+        KeyError: The environment does not say.
+    """
+    return os.environ[_PATH_VARIABLE]
+
+
+def read(file: str) -> edge_settings.EdgeSettings:
+    """Reads a settings file.
+
+    Raises:
+        OSError: The file cannot be read.
+        msgspec.ValidationError: A setting is missing or of another type.
+    """
+    with open(file, "rb") as stream:
+        return decode(stream.read())
+
+
+def decode(data: bytes) -> edge_settings.EdgeSettings:
+    """Decodes the content of a settings file."""
+    document = msgspec.json.decode(data, type=_File)
+    bounds = document.bounds
+    return edge_settings.EdgeSettings(
+        name=document.nodeName,
+        failure_domain=document.zone,
+        listen_address=document.listenersMap.frontend,
+        readiness_address=document.listenersMap.readiness,
+        peer_address=f"{document.ip}:{document.portRange[0]}",
+        store_address=document.platform.address,
+        grace_s=bounds.graceS,
+        stability_s=bounds.stabilityMs / _MS_PER_S,
+        retry=edge_settings.RetryBudget(ratio=bounds.retryBudgetRatio,
+                                        window_s=bounds.retryWindowS,
+                                        burst=bounds.retryBurst),
+        memory_mb=document.limits.memoryMb)
+
+
+def describe(settings: edge_settings.EdgeSettings) -> dict[str, typing.Any]:
+    """Returns the settings as fields of a log line."""
+    return settings._asdict() | {"retry": settings.retry._asdict()}
--- /dev/null
+++ b/persimmonspan/platform/store.py
@@ -0,0 +1,131 @@
+"""Client of the platform's store.
+
+A call that gets no answer closes its connection, as connections may go silent
+for good while new ones work.
+"""
+
+import base64
+import collections.abc
+import http
+import urllib.parse
+
+import msgspec
+import urllib3
+
+from persimmonspan import errors
+from persimmonspan.process import row_store
+
+_MS_PER_S = 1000.0
+_CONNECT_S = 0.5
+# An answer comes in some ms; a store slowed 60 times still answers within it.
+_ANSWER_S = 1.0
+
+
+class _Row(msgspec.Struct):
+    key: str
+    # Misleading: the version of the row, not of a schema.
+    schemaVersion: int
+    data: str = ""
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row]
+    # Misleading: the version of the whole store.
+    schemaVersion: int
+    hasMore: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_Rows)
+
+
+class Store:
+    """Rows of the platform's store; each thread should use one of its own."""
+
+    def __init__(self, address: str) -> None:
+        host, port = address.rsplit(":", 1)
+        self._pool = urllib3.HTTPConnectionPool(host,
+                                                int(port),
+                                                maxsize=1,
+                                                retries=False)
+
+    def read(self, table: str) -> row_store.Rows:
+        """Returns all rows of a table, as of one version if they fit a page."""
+        rows: list[row_store.Row] = []
+        start = ""
+        while True:
+            query = {"tableName": table, "part": ""}
+            if start:
+                query["startKey"] = start
+            page = self._rows("/rows-get", query, _ANSWER_S)
+            rows += map(_decode_row, page.rows)
+            if not page.hasMore or not page.rows:
+                return row_store.Rows(tuple(rows), page.schemaVersion)
+            # The range begins with its first key.
+            start = page.rows[-1].key + "\0"
+
+    def changes(self, table: str, since: int, wait_s: float) -> row_store.Rows:
+        """Waits for rows that changed after a version."""
+        page = self._rows(
+            "/rows-feed", {
+                "tableName": table,
+                "sinceRevision": since,
+                "waitMs": int(wait_s * _MS_PER_S)
+            }, wait_s + _ANSWER_S)
+        return row_store.Rows(tuple(map(_decode_row, page.rows)),
+                              page.schemaVersion)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row, whatever it holds."""
+        body = msgspec.json.encode({
+            "expectedRevision": [],
+            "write": [{
+                "tableName": table,
+                "part": "",
+                "key": key,
+                "data": base64.b64encode(value).decode()
+            }],
+            "remove": []
+        })
+        self._call("POST", "/rows-tx", _ANSWER_S, body)
+
+    def _rows(self, path: str, query: collections.abc.Mapping[str, object],
+              answer_s: float) -> _Rows:
+        data = self._call("GET", f"{path}?{urllib.parse.urlencode(query)}",
+                          answer_s)
+        try:
+            return _rows_decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE,
+                                    f"malformed answer: {error}") from error
+
+    def _call(self,
+              method: str,
+              target: str,
+              answer_s: float,
+              body: bytes | None = None) -> bytes:
+        try:
+            response = self._pool.request(
+                method,
+                target,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=_CONNECT_S, read=answer_s))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise errors.StoreError(
+                errors.Code.STORE_UNAVAILABLE,
+                f"no answer: {type(error).__name__}") from error
+        if response.status == http.HTTPStatus.OK:
+            return response.data
+        if response.status == http.HTTPStatus.GONE:
+            raise row_store.HistoryLostError(errors.Code.STORE_UNAVAILABLE,
+                                             "the history is gone")
+        code = (errors.Code.STORE_THROTTLED
+                if response.status == http.HTTPStatus.TOO_MANY_REQUESTS else
+                errors.Code.STORE_UNAVAILABLE)
+        raise errors.StoreError(code, f"status {response.status}")
+
+
+def _decode_row(row: _Row) -> row_store.Row:
+    value = None if row.deleted else base64.b64decode(row.data)
+    return row_store.Row(row.key, value, row.schemaVersion)
--- /dev/null
+++ b/persimmonspan/process/directory.py
@@ -0,0 +1,112 @@
+"""Which targets exist and which of them may get new work.
+
+Targets register themselves in the store. A target that reports that it leaves,
+or whose entry is gone, gets no new work; work that runs there goes on. Entries
+lapse while the store is unavailable, because targets cannot renew them; such an
+entry still counts until some time after the store is back.
+
+`step` is pure: it takes what was read and when, and returns the next state with
+what changed.
+"""
+
+import math
+import typing
+
+# Targets that are alive register again within this time of the store's return.
+# Source: contract of the platform.
+_REGISTER_AGAIN_S = 2.0
+
+
+class Registration(typing.NamedTuple):
+    """An entry of a target, as read from the store."""
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    max_running: int
+    is_leaving: bool = False
+    incarnation: int = 0
+    slow_start_s: float = 0.0
+
+
+class State(typing.NamedTuple):
+    """Targets as last read.
+
+    `lost_s` is when the store was lost; `regained_s` is when it was back. The
+    names in `lapsed` are entries that were missing at the first reads after it.
+    """
+
+    present: typing.Mapping[str, Registration] = {}
+    lapsed: typing.Mapping[str, Registration] = {}
+    is_lost: bool = False
+    regained_s: float = -math.inf
+    read_s: float = -math.inf
+
+
+class Change(typing.NamedTuple):
+    """What a read changed: targets that joined, leave and are gone."""
+
+    joined: tuple[Registration, ...] = ()
+    leaving: tuple[Registration, ...] = ()
+    gone: tuple[Registration, ...] = ()
+    restarted: tuple[Registration, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing changed."""
+        return not any(self)
+
+
+def failed(state: State) -> State:
+    """Notes that the store could not be read."""
+    return state._replace(is_lost=True)
+
+
+def read(state: State, rows: typing.Iterable[Registration],
+         now_s: float) -> tuple[State, Change]:
+    """Takes all entries as read at a time.
+
+    >>> one = Registration("a", "s", "10.0.0.1:80", "d", 1)
+    >>> state, change = read(State(), [one], 0.0)
+    >>> change.joined == (one,)
+    True
+    >>> state, change = read(failed(state), [], 10.0)  # Lapsed.
+    >>> change.is_empty
+    True
+    >>> read(state, [], 12.5)[1].gone == (one,)
+    True
+    """
+    present = {row.name: row for row in rows}
+    regained_s = now_s if state.is_lost else state.regained_s
+    before = {**state.lapsed, **state.present}
+    missing = {
+        name: entry for name, entry in before.items() if name not in present
+    }
+    lapsed = {}
+    if now_s < regained_s + _REGISTER_AGAIN_S:
+        lapsed = {
+            name: entry
+            for name, entry in missing.items()
+            if not entry.is_leaving
+        }
+    joined, leaving, restarted = [], [], []
+    for name, entry in present.items():
+        old = before.get(name)
+        if old is None:
+            joined.append(entry)
+        elif (entry.incarnation, entry.address) != (old.incarnation,
+                                                    old.address):
+            restarted.append(entry)
+        if entry.is_leaving and not (old is not None and old.is_leaving):
+            leaving.append(entry)
+    gone = tuple(entry for name, entry in missing.items() if name not in lapsed)
+    return (State(present, lapsed, False, regained_s, now_s),
+            Change(tuple(joined), tuple(leaving), gone, tuple(restarted)))
+
+
+def usable(state: State) -> tuple[Registration, ...]:
+    """Returns the targets that may get new work."""
+    return tuple(entry for entry in (*state.present.values(),
+                                     *state.lapsed.values())
+                 if not entry.is_leaving)
--- /dev/null
+++ b/persimmonspan/process/edge_settings.py
@@ -0,0 +1,30 @@
+"""Settings of an edge daemon, as its platform gives them."""
+
+import typing
+
+
+class RetryBudget(typing.NamedTuple):
+    """Repeats that all daemons together may send to a service.
+
+    In each window of `window_s` they are at most `ratio` of the requests in it
+    and `burst` more.
+    """
+
+    ratio: float = 0.2
+    window_s: float = 10.0
+    burst: float = 50.0
+
+
+class EdgeSettings(typing.NamedTuple):
+    """Addresses and bounds of one daemon."""
+
+    name: str
+    failure_domain: str
+    listen_address: str
+    readiness_address: str
+    peer_address: str
+    store_address: str
+    grace_s: float = 8.0
+    stability_s: float = 3.0
+    retry: RetryBudget = RetryBudget()
+    memory_mb: float = 150.0
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -32,6 +32,8 @@
 # Part of memory and slots that long work leaves to short work.
 _SHORT_RESERVE_SHARE = 0.08
 _LONG_SLOTS_SHARE = 0.75
+# Part of the memory up to which copies of requests may fill it.
+_COPY_SHARE = 0.7
 # Below this part of its first memory a request counts as ended.
 _GONE_SHARE = 0.05
 # A request must be able to end within its deadline with this probability.
@@ -156,6 +158,13 @@
     return peak_tokens(item, new, peers, now_s) <= limit
 
 
+def fits_copy(item: load_view.TargetView, new: load_view.Profile, peers: int,
+              now_s: float) -> bool:
+    """Returns whether a target has memory to keep a copy of a request."""
+    limit = _COPY_SHARE * item.target.kv_capacity_tokens
+    return peak_tokens(item, new, peers, now_s) <= limit
+
+
 def _long_slot_free(item: load_view.TargetView, target: events.Target,
                     now_s: float) -> bool:
     if item.long_running >= _LONG_SLOTS_SHARE * target.max_running:
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -148,6 +148,28 @@
     return None
 
 
+def backup(view: load_view.View, wanted: Wanted, rules: Rules, target: str,
+           now_s: float, rng: random.Random) -> str | None:
+    """Returns where to keep a copy of a request, or None without room.
+
+    Copies only take memory that is left: the target that keeps one must stay
+    able to admit as much again.
+    """
+    peers = len(view.peers)
+    best: tuple[float, str] | None = None
+    for name in view.groups.get(wanted.service, ()):
+        if name in rules.leaving or name == target or name in wanted.excluded:
+            continue
+        item = view.targets[name]
+        if now_s < item.avoid_until_s or not admission.fits_copy(
+                item, wanted.profile, peers, now_s):
+            continue
+        use = admission.use(item, True, peers, now_s) + _BIAS * rng.random()
+        if best is None or use < best[0]:
+            best = (use, name)
+    return best[1] if best is not None else None
+
+
 def any_open(view: load_view.View, service: str, leaving: frozenset[str],
              excluded: tuple[str, ...]) -> bool:
     """Returns whether a service has a target that may get work at all."""
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -12,6 +12,7 @@
 """
 
 import enum
+import math
 import typing
 
 from persimmonspan import errors
@@ -26,6 +27,9 @@
     FAILED_BEFORE_FIRST_TOKEN = "failed_before_first_token"
     FAILED_AFTER_FIRST_TOKEN = "failed_after_first_token"
     CANCELLED = "cancelled"
+    ANSWERED_ERROR = "answered_error"  # The target answered that it failed.
+    # The answer broke off or did not come; says nothing of the request itself.
+    INTERRUPTED = "interrupted"
 
 
 class Target(typing.NamedTuple):
@@ -71,6 +75,11 @@
     prefix_hashes: tuple[int, ...] = ()
     is_idempotent: bool = True
     idempotency_key: str = ""  # As given by the caller; empty without one.
+    max_attempts: int = 3
+    is_resumable: bool = False  # A stream may go on at another target.
+    wants_backup: bool = False  # A copy of its memory is kept elsewhere.
+    priority: int | None = None  # For the target; by its class if None.
+    latest_start_s: float = math.inf  # It is refused rather than start later.
 
 
 class FirstToken(typing.NamedTuple):
@@ -97,6 +106,13 @@
     tokens: int = 0
 
 
+class Moved(typing.NamedTuple):
+    """A running request goes on at another target, where its copy lies."""
+
+    request_id: str
+    target: str  # The new one.
+
+
 class Abandoned(typing.NamedTuple):
     """The caller left."""
 
@@ -209,6 +225,7 @@
     priority: int
     attempt: int
     is_hedge: bool = False
+    backup: str | None = None  # Target that keeps a copy of its memory.
 
 
 class Refuse(typing.NamedTuple):
@@ -243,7 +260,7 @@
     reason: str
 
 
-Event = (Arrived | FirstToken | Progressed | AttemptEnded | Abandoned |
+Event = (Arrived | FirstToken | Progressed | AttemptEnded | Moved | Abandoned |
          LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
          TargetReturned | TargetDied | CacheEvent | QuarantineShared |
          QuarantineLifted | Tick)
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -217,7 +217,7 @@
         if signal is relay.Signal.SILENT:
             return stream.Broken(stream.Break.SILENT)
         failure = self._reader.failure
-        if signal is relay.Signal.CLOSED:
+        if signal in (relay.Signal.CLOSED, relay.Signal.RESET):
             failure = self._reader.end()
         if isinstance(failure, engine.NotRunError):
             raise failure
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -73,7 +73,7 @@
     events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
     events.Outcome.FAILED_AFTER_FIRST_TOKEN
 })
-_MAY_STILL_RUN = _BROKE | {events.Outcome.CANCELLED}
+_MAY_STILL_RUN = _BROKE | {events.Outcome.CANCELLED, events.Outcome.INTERRUPTED}
 
 
 class Action(enum.StrEnum):
--- /dev/null
+++ b/persimmonspan/version/routes.py
@@ -0,0 +1,180 @@
+"""Routes: which service a caller's request goes to, and on which terms.
+
+A configuration holds routes by host and path prefix. Of the routes of a host,
+the one with the longest prefix of the path is selected; a route may split its
+requests over several services by weight. Workspaces hold the keys of callers.
+
+All values are immutable: a request keeps the configuration that it started
+with, whatever is adopted meanwhile.
+
+See Also:
+    `persimmonspan.platform.configuration`: decodes what operators write.
+"""
+
+import enum
+import random
+import typing
+
+from persimmonspan import errors
+
+
+class Kind(enum.StrEnum):
+    """What may be repeated of a request."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class Engine(typing.NamedTuple):
+    """What the model engines of a service are like."""
+
+    kv_capacity_tokens: int
+    max_running: int
+    can_back_up: bool = False
+    can_move: bool = False
+
+
+class Service(typing.NamedTuple):
+    """A service that routes lead to; plain without an `engine`."""
+
+    name: str
+    engine: Engine | None = None
+
+
+class Split(typing.NamedTuple):
+    """A part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(typing.NamedTuple):
+    """Where the requests of a host and path prefix go, and on which terms."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: Kind
+    splits: tuple[Split, ...]
+    timeout_s: float
+    objective_s: float  # To the answer; of streams to the first event.
+    max_attempts: int = 1
+    priority: int = 0  # 0 is the most urgent.
+    is_anonymous: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is Kind.IDEMPOTENT or self.is_resumable
+
+
+class Workspace(typing.NamedTuple):
+    """A team of callers; its priority goes before that of the route."""
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+
+
+class Limits(typing.NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 64 * 1024
+    max_body_bytes: int = 16 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+class Configuration(typing.NamedTuple):
+    """A version of routes, services, workspaces and limits.
+
+    `by_host` holds the routes of each host, longest prefix first.
+    `has_workspaces` is false where callers need no key at all.
+    """
+
+    version: int
+    by_host: typing.Mapping[str, tuple[Route, ...]]
+    services: typing.Mapping[str, Service]
+    by_key: typing.Mapping[str, Workspace]
+    has_workspaces: bool
+    limits: Limits = Limits()
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """All routes."""
+        return tuple(
+            route for routes in self.by_host.values() for route in routes)
+
+
+def build(
+    version: int,
+    routes: typing.Iterable[Route],
+    services: typing.Iterable[Service],
+    workspaces: typing.Iterable[Workspace] | None,
+    limits: Limits = Limits()
+) -> Configuration:
+    """Returns a configuration with its indices.
+
+    >>> routes = [Route("a", "h", "/x/", Kind.IDEMPOTENT, (), 1.0, 1.0),
+    ...           Route("b", "h", "/x/y/", Kind.IDEMPOTENT, (), 1.0, 1.0)]
+    >>> configuration = build(1, routes, (), None)
+    >>> find(configuration, "h", "/x/y/z").name
+    'b'
+    """
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    for members in by_host.values():
+        members.sort(key=lambda route: -len(route.path_prefix))
+    return Configuration(version, {
+        host: tuple(members) for host, members in by_host.items()
+    }, {service.name: service for service in services}, {
+        key: workspace for workspace in workspaces or ()
+        for key in workspace.keys
+    }, workspaces is not None, limits)
+
+
+def find(configuration: Configuration, host: str, path: str) -> Route:
+    """Returns the route of a request.
+
+    Raises:
+        errors.RefusalError: No route has this host and a prefix of the path.
+    """
+    for route in configuration.by_host.get(host, ()):
+        if path.startswith(route.path_prefix):
+            return route
+    raise errors.RefusalError(errors.Code.NOT_FOUND,
+                              f'no route for host "{host}" and path "{path}"')
+
+
+def authorize(configuration: Configuration, route: Route,
+              key: str | None) -> Workspace | None:
+    """Returns the workspace that holds a caller's key; None without any.
+
+    Raises:
+        errors.RefusalError: The route needs a key that a workspace holds.
+    """
+    workspace = configuration.by_key.get(key) if key is not None else None
+    if (workspace is None and configuration.has_workspaces and
+            not route.is_anonymous):
+        raise errors.RefusalError(errors.Code.UNAUTHORIZED,
+                                  "the workspace key is missing or not known")
+    return workspace
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Returns a service of a route, drawn by weight.
+
+    >>> route = Route("a", "h", "/", Kind.IDEMPOTENT,
+    ...               (Split("s", 0.0), Split("t", 5.0)), 1.0, 1.0)
+    >>> pick_service(route, random.Random(1))
+    't'
+    """
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    weights = [split.weight for split in route.splits]
+    if sum(weights) <= 0:
+        weights = [1.0] * len(weights)
+    return rng.choices([split.service for split in route.splits], weights)[0]
