Evacuate streams of leaving targets, and renew their copies

Change: the scheduler answers a leaving target with Evacuate for each long run there: from its copy if that is old enough, else moved while it runs; Moved plans the next copy. Targets are found in the newest list, not in that of the request's start. A copy that brought no event ends the stream.

--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -24,6 +24,8 @@
 
 # Larger heads are no answer of a target.
 _MAX_HEAD_BYTES = 64 * 1024
+_READ_BYTES = 16 * 1024
+_LEAST_WAIT_S = 0.001  # A socket timeout of zero would not wait at all.
 _MS_PER_S = 1000.0
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -166,6 +168,29 @@
         sock.close()
 
 
+def call(address: str, order: Order, timeout_s: float) -> tuple[Head, bytes]:
+    """Sends a request and returns the head and body of its answer.
+
+    Raises:
+        NotSentError: The target does not accept the connection in time.
+        BrokenAnswerError: No whole answer came in time.
+    """
+    end_s = time.monotonic() + timeout_s
+    reader = AnswerReader(order.method)
+    parts: list[bytes] = []
+    with connected(address, timeout_s) as sock:
+        send(sock, encode(order), timeout_s)
+        sock.setblocking(True)
+        try:
+            while not reader.is_complete:
+                sock.settimeout(max(_LEAST_WAIT_S, end_s - time.monotonic()))
+                parts.append(reader.feed(sock.recv(_READ_BYTES)))
+        except OSError as error:
+            raise BrokenAnswerError(errors.Code.TARGET_FAILED,
+                                    f"no whole answer: {error}") from error
+    return reader.head, b"".join(parts)
+
+
 def send(sock: socket.socket, data: bytes, timeout_s: float) -> None:
     """Sends a request, unless an answer comes before all of it is sent.
 
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from persimmonspan.connection import exchange
 from persimmonspan.request import forwarding
 
@@ -86,6 +88,49 @@
         load=_load(head.get(b"x-instance-load")))
 
 
+class _Moved(msgspec.Struct):
+    # Misleading: names the memory that was moved.
+    session: str | None = None
+    # Misleading: the events that the run has made so far.
+    created: int | None = None
+
+
+_moved_decoder = msgspec.json.Decoder(_Moved)
+
+
+def encode_move(request_id: str, to_address: str,
+                is_last: bool) -> exchange.Order:
+    """Encodes a call that copies a run to another replica.
+
+    Args:
+        request_id: Id of the request as its caller sent it.
+        to_address: Address of the other replica.
+        is_last: Whether the run stops first.
+    """
+    document = {"id": request_id, "to": to_address}
+    if is_last:
+        document["latest"] = True
+    return exchange.Order("POST", "/kv-move",
+                          ((b"Host", b"replica"),
+                           (b"Content-Type", b"application/json")),
+                          msgspec.json.encode(document))
+
+
+def decode_move(head: exchange.Head, body: bytes) -> forwarding.Move:
+    """Decodes the answer to a call that copies a run."""
+    try:
+        moved = _moved_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        moved = _Moved()
+    return forwarding.Move(head.status == 200, moved.session)
+
+
+def encode_drop(handle: str) -> exchange.Order:
+    """Encodes a call that frees the memory behind a handle."""
+    return exchange.Order("DELETE", f"/kv-handle/{handle}",
+                          ((b"Host", b"replica"),))
+
+
 def copy_name(address: str, request_id: str) -> str:
     """Returns the name of a copy of a run, kept at a replica."""
     return f"{address}/{request_id}"
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -120,7 +120,7 @@
                                    forwarding.end_s(call, route, arrived_s))
         self._refuse_while_stopping(placed)
         with self._counted():
-            context = forwarding.Context(configuration, self._targets.get,
+            context = forwarding.Context(configuration, self._find_target,
                                          self._is_leaving, self._report_moved,
                                          self.scheduler, self.metrics,
                                          self._relay, self.wire)
@@ -162,6 +162,10 @@
             with self._lock:
                 self._in_flight -= 1
 
+    def _find_target(self, name: str) -> events.Target | None:
+        # A long request asks for targets that joined after it began.
+        return self._targets.get(name)
+
     def _is_leaving(self, target: str) -> bool:
         return target in self._leaving
 
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -123,6 +123,9 @@
     def _carry_out(self, command: events.Command) -> None:
         if isinstance(command, events.Count):
             self._metrics.count(command.reason)
+        elif isinstance(command, events.Rearmed):
+            if command.request_id in self._queues:
+                self._queues[command.request_id].put(command)
         elif isinstance(command, events.ShareQuarantine):
             _logger.info("request suspected of crashing a target",
                          extra=command._asdict())
@@ -133,7 +136,8 @@
                 self._queues[command.request_id].put(command)
 
     def _remember(
-        self, command: events.Dispatch | events.Refuse | events.CancelAttempt
+        self, command: events.Dispatch | events.Evacuate | events.Refuse |
+        events.CancelAttempt
     ) -> None:
         caller_id = command.request_id.rpartition(".")[0]
         if caller_id not in self._decisions:
@@ -154,7 +158,9 @@
 
 
 def describe(
-        command: events.Dispatch | events.Refuse | events.CancelAttempt) -> str:
+    command: events.Dispatch | events.Evacuate | events.Refuse |
+    events.CancelAttempt
+) -> str:
     """Returns a command as text for operators.
 
     >>> describe(events.Dispatch("r.1", "engine-1", 0, 2))
@@ -162,6 +168,7 @@
     """
     name = {
         events.Dispatch: "dispatch",
+        events.Evacuate: "evacuate",
         events.Refuse: "refuse",
         events.CancelAttempt: "cancel"
     }[type(command)]
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -170,6 +170,21 @@
     return best[1] if best is not None else None
 
 
+def refuge(view: load_view.View, wanted: Wanted, rules: Rules,
+           now_s: float) -> str | None:
+    """Returns where a running request goes on when its target leaves.
+
+    The least used target is taken even without room: the request is lost for
+    certain where it runs, and only may be preempted there.
+    """
+    peers = len(view.peers)
+    uses = [(admission.use(view.targets[name], True, peers, now_s), name)
+            for name in view.groups.get(wanted.service, ())
+            if name not in rules.leaving and name not in wanted.excluded and
+            now_s >= view.targets[name].avoid_until_s]
+    return min(uses)[1] if uses else None
+
+
 def any_open(view: load_view.View, service: str, leaving: frozenset[str],
              excluded: tuple[str, ...]) -> bool:
     """Returns whether a service has a target that may get work at all."""
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -228,6 +228,24 @@
     backup: str | None = None  # Target that keeps a copy of its memory.
 
 
+class Evacuate(typing.NamedTuple):
+    """Let a running request go on at another target before its own leaves.
+
+    With `has_copy`, a copy of its memory lies there already.
+    """
+
+    request_id: str
+    target: str  # The new one.
+    has_copy: bool
+
+
+class Rearmed(typing.NamedTuple):
+    """Answers `Moved`: where the next copy of the request is kept, if any."""
+
+    request_id: str
+    backup: str | None
+
+
 class Refuse(typing.NamedTuple):
     """End the request with an error."""
 
@@ -264,4 +282,4 @@
          LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
          TargetReturned | TargetDied | CacheEvent | QuarantineShared |
          QuarantineLifted | Tick)
-Command = Dispatch | Refuse | CancelAttempt | ShareQuarantine | Count
+Command = Dispatch | Evacuate | Rearmed | Refuse | CancelAttempt | ShareQuarantine | Count
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -44,6 +44,8 @@
 _PROGRESS_INTERVAL_S = 0.25
 _TOKENS_PER_EVENT = 4
 _LEAST_TIME_LEFT_S = 0.02
+# Memory of a long request over a link that others use too.
+_MOVE_S = 2.5
 _MAX_REPORTED_PRIORITY = 9
 _OK = 200
 _FIRST_ERROR = 500
@@ -111,6 +113,13 @@
     load: Load | None
 
 
+class Move(typing.NamedTuple):
+    """Answer to a call that copies a run to another target."""
+
+    is_done: bool
+    handle: str | None
+
+
 class Answer(typing.NamedTuple):
     """A complete answer."""
 
@@ -132,6 +141,16 @@
     def decode_answer(self, head: exchange.Head) -> AnswerHead:
         """Decodes the head of a target's answer."""
 
+    def encode_move(self, request_id: str, to_address: str,
+                    is_last: bool) -> exchange.Order:
+        """Encodes a call that copies a run to another target."""
+
+    def decode_move(self, head: exchange.Head, body: bytes) -> Move:
+        """Decodes the answer to it."""
+
+    def encode_drop(self, handle: str) -> exchange.Order:
+        """Encodes a call that frees what was copied."""
+
     def copy_name(self, address: str, request_id: str) -> str:
         """Returns the name of a copy of a run."""
 
@@ -271,6 +290,13 @@
             f"{route.objective_s:g}")
 
 
+class _Handover(typing.NamedTuple):
+    """Where a stream goes on, and the memory that it goes on from."""
+
+    target: events.Target
+    resume_from: str
+
+
 class _Forwarding:
     """A request over one target after the other."""
 
@@ -292,6 +318,7 @@
         self._target: events.Target | None = None
         self._progress_s = 0.0
         self._ran_before = False
+        self._handover: _Handover | None = None
         self.has_begun = False
 
     @property
@@ -313,7 +340,9 @@
                              "resumed": resume_from is not None,
                              "events": self.event_count
                          })
+            before = self.event_count
             outcome = self._try(target, dispatch.priority, backup, resume_from)
+            has_progressed = self.event_count > before
             if outcome is events.Outcome.COMPLETED:
                 self._end(outcome)
                 return True
@@ -324,19 +353,102 @@
                              "reason": str(self._problem),
                              "events": self.event_count
                          })
-            following = self._copy(backup) if self._may_go_on(outcome) else None
-            if following is None:
+            handover = self._handover
+            if handover is None and has_progressed:
+                handover = self._from_copy(outcome, backup)
+            if handover is None:
                 break
-            resume_from = self._context.wire.copy_name(
-                following.address, self._placed.call.request_id)
+            target, resume_from = handover
             self._context.scheduler.tell(
-                events.Moved(self._placed.request_id, following.name))
-            self._context.metrics.count("stream_moved_to_copy")
-            target, backup = following, None
+                events.Moved(self._placed.request_id, target.name))
+            backup = self._next_backup()
         return self._finish(outcome)
 
-    def _may_go_on(self, outcome: events.Outcome) -> bool:
-        return outcome is events.Outcome.INTERRUPTED
+    def _from_copy(self, outcome: events.Outcome,
+                   backup: str | None) -> _Handover | None:
+        copy = self._copy(backup)
+        if outcome is not events.Outcome.INTERRUPTED or copy is None:
+            return None
+        self._context.metrics.count("stream_moved_after_break")
+        return _Handover(
+            copy,
+            self._context.wire.copy_name(copy.address,
+                                         self._placed.call.request_id))
+
+    def _next_backup(self) -> str | None:
+        """Waits for the scheduler to say where the next copy is kept."""
+        while True:
+            message = self._owner.next_message()
+            if isinstance(message, events.Rearmed):
+                return message.backup
+
+    def _evacuate(self, command: events.Evacuate) -> bool:
+        """Prepares that the stream goes on elsewhere; returns if it does now.
+
+        The stream goes on here until all but the last tokens are copied.
+        """
+        refuge = self._context.find_target(command.target)
+        if refuge is None or not self._is_streaming():
+            return False
+        wire = self._context.wire
+        request_id = self._placed.call.request_id
+        if command.has_copy:
+            self._handover = _Handover(
+                refuge, wire.copy_name(refuge.address, request_id))
+            self._context.metrics.count("stream_evacuated_to_copy")
+            return True
+        handle = None
+        for is_last in (False, True):
+            move = self._move(refuge, is_last)
+            if move is None or not (move.is_done or (is_last and move.handle)):
+                break
+            handle = move.handle
+            if is_last and move.is_done:
+                self._handover = _Handover(refuge,
+                                           f"{self._target.address}/{handle}")
+                self._context.metrics.count("stream_evacuated_by_move")
+                return True
+            if is_last:
+                # The run has stopped and its memory stays here.
+                self._handover = _Handover(self._target,
+                                           f"{self._target.address}/{handle}")
+                self._context.metrics.count("stream_evacuation_returned")
+                return True
+        self._context.metrics.count("stream_evacuation_failed")
+        if handle is not None:
+            self._drop(handle)
+        return False
+
+    def _move(self, refuge: events.Target, is_last: bool) -> Move | None:
+        order = self._context.wire.encode_move(self._placed.call.request_id,
+                                               refuge.address, is_last)
+        try:
+            move = self._context.wire.decode_move(
+                *exchange.call(self._target.address, order, _MOVE_S))
+        except errors.TargetError as error:
+            _logger.warning("move failed",
+                            extra={
+                                "target": self._target.name,
+                                "refuge": refuge.name,
+                                "reason": str(error)
+                            })
+            return None
+        _logger.info("move",
+                     extra={
+                         "target": self._target.name,
+                         "refuge": refuge.name,
+                         "is_last": is_last,
+                         "is_done": move.is_done,
+                         "events": self.event_count
+                     })
+        return move
+
+    def _drop(self, handle: str) -> None:
+        try:
+            exchange.call(self._target.address,
+                          self._context.wire.encode_drop(handle), _CONNECT_S)
+        except errors.TargetError as error:
+            _logger.info("copy not freed", extra={"reason": str(error)})
 
     def _copy(self, backup: str | None) -> events.Target | None:
         return self._context.find_target(backup) if backup else None
@@ -366,6 +478,7 @@
         self._reader = exchange.AnswerReader(self._placed.call.method)
         self._head = None
         self._problem = None
+        self._handover = None
         self._body = []
         self._stream = event_stream.resumed(self._stream)
         time_left_s = self._owner.remaining_s()
@@ -410,6 +523,9 @@
                     if message.serial == serial:
                         self._closed(message.signal)
                         return
+                elif isinstance(message, events.Evacuate):
+                    if self._evacuate(message):
+                        return
                 elif isinstance(message, events.Dispatch):
                     self._owner.end_attempt(message.target,
                                             events.Outcome.CANCELLED)
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -113,13 +113,15 @@
         return state, []
     view = load_view.progressed(state.view, event.target, 0, 0.0,
                                 running.profile.mean[0])
-    running = running._replace(tokens=1, progress_s=now_s)
-    return state._replace(view=view,
-                          budget=retry.first_token(state.budget,
-                                                   running.item.arrived.service,
-                                                   now_s - running.sent_s),
-                          running=state.running.set(event.request_id,
-                                                    running)), []
+    running = running._replace(tokens=1, progress_s=now_s, first_token_s=now_s)
+    state = state._replace(view=view,
+                           budget=retry.first_token(
+                               state.budget, running.item.arrived.service,
+                               now_s - running.sent_s),
+                           running=state.running.set(event.request_id, running))
+    if running.target in state.leaving:
+        return placement.evacuate(state, running, now_s)
+    return state, []
 
 
 @_step.register
@@ -174,10 +176,11 @@
       rng: random.Random) -> Result:
     running = state.running.get(event.request_id)
     if running is None or running.target == event.target:
-        return state, []
-    state = placement.moved(state, event, running, now_s)
-    return placement.drain(state, running.item.arrived.service,
-                           (running.target,), now_s, rng)
+        return state, [events.Rearmed(event.request_id, None)]
+    state, commands = placement.moved(state, event, running, now_s, rng)
+    state, more = placement.drain(state, running.item.arrived.service,
+                                  (running.target,), now_s, rng)
+    return state, commands + more
 
 
 @_step.register
@@ -251,8 +254,16 @@
 @_step.register
 def _(event: events.TargetLeaving, state: State, now_s: float,
       rng: random.Random) -> Result:
-    del now_s, rng
-    return state._replace(leaving=state.leaving | {event.target}), []
+    del rng
+    if event.target in state.leaving:
+        return state, []
+    state = state._replace(leaving=state.leaving | {event.target})
+    commands: list[events.Command] = []
+    for running in state.running.values():
+        if running.target == event.target:
+            state, more = placement.evacuate(state, running, now_s)
+            commands += more
+    return state, commands
 
 
 @_step.register
