Share loads and reads of the store between edge daemons

Change: digests over ZeroMQ carry loads and what the reader read of the store; copies no longer count as load, prompts that peers have yet to read do; an attempt that ends with its request's time is told to the scheduler.

--- /dev/null
+++ b/persimmonspan/connection/digest_links.py
@@ -0,0 +1,118 @@
+"""One-way links over which daemons send each other small digests.
+
+Each daemon has one PULL socket, and a PUSH socket for each peer. A link that is
+not established, or whose peer does not read, takes no messages: a digest that
+cannot be sent now is out of date when it could be. Heartbeats of ZeroMQ close
+connections that went silent, and new ones are made.
+
+One thread owns all sockets. It hands over what it received and, at an interval,
+asks for what to send.
+"""
+
+import collections.abc
+import contextlib
+import logging
+import threading
+import time
+
+import zmq
+
+_QUEUED_MESSAGES = 8
+_MAX_MESSAGE_BYTES = 256 * 1024
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 2000
+_HEARTBEAT_MS = 1000
+_HEARTBEAT_TIMEOUT_MS = 2000
+_MS_PER_S = 1000.0
+
+_logger = logging.getLogger(__name__)
+
+Receive = collections.abc.Callable[[bytes], None]
+Compose = collections.abc.Callable[[], bytes | None]
+
+
+class Links:
+    """The sockets and the thread that owns them.
+
+    Args:
+        address: Address and port on which digests are received.
+        receive: Called with each digest.
+        compose: Called at the interval; returns the digest to send, if any.
+        interval_s: Returns the time between two digests.
+    """
+
+    def __init__(self, address: str, receive: Receive, compose: Compose,
+                 interval_s: collections.abc.Callable[[], float]) -> None:
+        self._receive = receive
+        self._compose = compose
+        self._interval_s = interval_s
+        self._context = zmq.Context()
+        self._pull = self._context.socket(zmq.PULL)
+        self._pull.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+        self._configure(self._pull)
+        self._pull.bind(f"tcp://{address}")
+        self._pushes: dict[str, zmq.Socket] = {}
+        self._wanted: frozenset[str] = frozenset()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run,
+                                        name="digest-links",
+                                        daemon=True)
+
+    @contextlib.contextmanager
+    def running(self) -> collections.abc.Iterator[None]:
+        """Exchanges digests until the block ends."""
+        self._thread.start()
+        try:
+            yield
+        finally:
+            self._stopped.set()
+            self._thread.join()
+
+    def set_peers(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Sets the daemons to send to, from any thread."""
+        self._wanted = frozenset(addresses)
+
+    def _configure(self, sock: zmq.Socket) -> None:
+        sock.linger = 0
+        sock.set_hwm(_QUEUED_MESSAGES)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+
+    def _run(self) -> None:
+        due_s = time.monotonic()
+        while not self._stopped.is_set():
+            wait_s = max(0.0, due_s - time.monotonic())
+            try:
+                if self._pull.poll(wait_s * _MS_PER_S):
+                    self._receive(self._pull.recv(zmq.NOBLOCK))
+                if time.monotonic() >= due_s:
+                    due_s = time.monotonic() + self._interval_s()
+                    self._connect()
+                    self._send(self._compose())
+            except Exception:  # pylint: disable=broad-exception-caught
+                # One bad digest must not end the exchange of all.
+                _logger.exception("digest failed")
+        for sock in (self._pull, *self._pushes.values()):
+            sock.close()
+        self._context.term()
+
+    def _connect(self) -> None:
+        wanted = self._wanted
+        for address in set(self._pushes) - wanted:
+            self._pushes.pop(address).close()
+        for address in wanted - set(self._pushes):
+            sock = self._context.socket(zmq.PUSH)
+            self._configure(sock)
+            sock.setsockopt(zmq.IMMEDIATE, 1)
+            sock.connect(f"tcp://{address}")
+            self._pushes[address] = sock
+
+    def _send(self, data: bytes | None) -> None:
+        if data is None:
+            return
+        for sock in self._pushes.values():
+            with contextlib.suppress(zmq.Again):
+                sock.send(data, zmq.NOBLOCK)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -26,10 +26,12 @@
 from persimmonspan.connection import forwarding_listener
 from persimmonspan.connection import relay
 from persimmonspan.process import directory
+from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
+from persimmonspan.process import peering
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
@@ -245,7 +247,7 @@
                 tuple(
                     events.WorkspaceShare(name, 1.0) for name in sorted(
                         {item.name for item in configuration.by_key.values()})),
-                self._options.name))
+                self._options.name, edge_peers.interval_s(0)))
 
     # Life of the process.
 
@@ -261,12 +263,16 @@
         follower = followers.Followers(self._platform.open_store,
                                        self._options.store_address,
                                        self._platform.formats, self)
+        follower.peers = peering.Peering(self._options.name,
+                                         self._options.peer_address,
+                                         self.scheduler, follower.take_news)
         self._relay.start()
         self._server.prepare()
         readiness.prepare()
         with contextlib.ExitStack() as stack:
             stack.callback(self.scheduler.stop)
             stack.callback(self._relay.stop)
+            stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
--- /dev/null
+++ b/persimmonspan/process/peering.py
@@ -0,0 +1,187 @@
+"""Exchanges digests with the other edge daemons.
+
+See Also:
+    `persimmonspan.process.edge_peers`: the digests and what they mean.
+    `persimmonspan.connection.digest_links`: the sockets.
+"""
+
+import collections.abc
+import contextlib
+import logging
+import math
+import threading
+import time
+import typing
+
+import msgspec
+import pykka
+
+from persimmonspan.connection import digest_links
+from persimmonspan.process import directory
+from persimmonspan.process import edge_peers
+from persimmonspan.process import row_store
+from persimmonspan.process import scheduler_actor
+from persimmonspan.request import events
+from persimmonspan.request import scheduler
+
+# The store's table in which each daemon has a row with its address.
+TABLE = "edge_daemons"
+# News older than this are no reason not to read the store. A target that
+# leaves must get no new work 2 s later, and a configuration be in force.
+_TARGETS_FRESH_S = 0.7
+_CONFIGURATION_FRESH_S = 1.3
+_MAX_ADDRESS_BYTES = 64
+
+_logger = logging.getLogger(__name__)
+
+
+class Read(typing.NamedTuple):
+    """What this daemon read of the store itself, and when."""
+
+    entries: list[edge_peers.Entry] = []
+    entries_s: float = -math.inf
+    version: int = 0
+    version_s: float = -math.inf
+
+
+class Peering:
+    """Digests of this daemon and of the others.
+
+    Args:
+        name: Name of this daemon.
+        address: Where it receives digests.
+        scheduler_ref: Gets the loads of peers, and tells the own ones.
+        take_news: Called with the targets that the reader read, and with the
+            version of the configuration.
+    """
+
+    def __init__(
+        self, name: str, address: str,
+        scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+        take_news: collections.abc.Callable[[list[directory.Registration], int],
+                                            None]
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._scheduler = scheduler_ref
+        self._take_news = take_news
+        self._state = edge_peers.State()
+        self._lock = threading.Lock()
+        self._can_read = False
+        self._read = Read()
+        self._sent: tuple[typing.Any, ...] = ()
+        self._sent_s = 0.0
+        self._links = digest_links.Links(address, self._receive, self._compose,
+                                         self.interval_s)
+
+    def running(self) -> contextlib.AbstractContextManager[None]:
+        """Exchanges digests until the block ends."""
+        return self._links.running()
+
+    def interval_s(self) -> float:
+        """Returns the time between two digests."""
+        return edge_peers.interval_s(len(self._state.peers))
+
+    def must_read_targets(self) -> bool:
+        """Returns whether this daemon should read the registered targets."""
+        now_s = time.monotonic()
+        return (now_s - self._state.news_s > _TARGETS_FRESH_S or
+                edge_peers.is_reader(self._state, self._name, now_s))
+
+    def must_read_configuration(self) -> bool:
+        """Returns whether this daemon should wait for configurations."""
+        now_s = time.monotonic()
+        return (now_s - self._state.configuration_s > _CONFIGURATION_FRESH_S or
+                edge_peers.is_reader(self._state, self._name, now_s))
+
+    def targets_read(self, state: directory.State, began_s: float) -> None:
+        """Notes what was read, for the next digest."""
+        self._can_read = True
+        self._read = self._read._replace(entries=edge_peers.to_entries(state),
+                                         entries_s=began_s)
+
+    def configuration_read(self, version: int, at_s: float) -> None:
+        """Notes the version that was in force in the store at a time."""
+        self._read = self._read._replace(version=version, version_s=at_s)
+
+    def read_failed(self) -> None:
+        """Notes that the store does not answer this daemon."""
+        self._can_read = False
+
+    def exchange_addresses(self, store: row_store.RowStore,
+                           is_first: bool) -> None:
+        """Reads the addresses of all daemons, and writes the own one first.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        if is_first:
+            store.put(TABLE, self._name, self._address.encode())
+        now_s = time.monotonic()
+        for row in store.read(TABLE).rows:
+            if (row.value and row.key != self._name and
+                    len(row.value) <= _MAX_ADDRESS_BYTES):
+                with self._lock:
+                    self._state = edge_peers.introduced(self._state, row.key,
+                                                        row.value.decode(),
+                                                        now_s)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            digest = edge_peers.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            _logger.warning("digest not understood",
+                            extra={"reason": str(error)})
+            return
+        now_s = time.monotonic()
+        with self._lock:
+            if digest.name not in self._state.peers:
+                _logger.info("peer found",
+                             extra={
+                                 "peer": digest.name,
+                                 "address": digest.address
+                             })
+            self._state, is_newer = edge_peers.heard(self._state, digest, now_s,
+                                                     self._read.entries_s)
+        self._scheduler.tell(edge_peers.to_peer_load(digest))
+        if is_newer:
+            self._take_news(edge_peers.to_registrations(digest.news.entries),
+                            digest.news.configuration_version)
+
+    def _compose(self) -> bytes | None:
+        now_s = time.monotonic()
+        with self._lock:
+            state = edge_peers.forget(self._state, now_s)
+            for name in set(self._state.peers) - set(state.peers):
+                _logger.info("peer lost", extra={"peer": name})
+            self._state = state
+        self._links.set_peers(peer.address for peer in state.peers.values())
+        if not state.peers:
+            return None
+        loads = self._scheduler.ask(scheduler_actor.Ask(_loads))
+        news = self._news(state, now_s)
+        read = self._read
+        content = (loads, self._can_read, read.version, news and read.entries_s)
+        is_changed = content != self._sent
+        if not edge_peers.is_due(is_changed, self._sent_s, now_s):
+            return None
+        self._sent, self._sent_s = content, now_s
+        return edge_peers.encode(
+            edge_peers.Digest(self._name, self._address, self._can_read,
+                              edge_peers.to_loads(loads), news))
+
+    def _news(self, state: edge_peers.State,
+              now_s: float) -> edge_peers.News | None:
+        read = self._read
+        # A daemon that begins to read for all may have read last long ago.
+        if (not self._can_read or now_s - read.entries_s > _TARGETS_FRESH_S or
+                not edge_peers.is_reader(state, self._name, now_s)):
+            return None
+        return edge_peers.News(now_s - read.entries_s, read.entries,
+                               read.version, now_s - read.version_s)
+
+
+def _loads(state: scheduler.State,
+           now_s: float) -> tuple[events.TargetLoad, ...]:
+    del now_s
+    return scheduler.peer_loads(state)
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -123,8 +123,9 @@
     horizon = _RANK_HORIZONS[is_long]
     tokens = (item.own.mean[horizon] + item.peers.mean[horizon] +
               peers * load_view.recent_tokens(item, now_s))
-    if not is_long:
-        tokens += _PREFILL_WEIGHT * item.prefill_tokens
+    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    if not is_long or prefill:
+        tokens += _PREFILL_WEIGHT * prefill
     return tokens / target.kv_capacity_tokens
 
 
@@ -197,5 +198,6 @@
         if spread > 0:
             value += deviations * spread**0.5
         peak = max(peak, value)
-    return (peak + load_view.extra_tokens(item, now_s) +
+    return (peak + item.copy_tokens + item.peers_copy_tokens +
+            load_view.extra_tokens(item, now_s) +
             peers * load_view.recent_tokens(item, now_s))
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -144,6 +144,8 @@
     predicted_tokens: int
     profile_tokens: tuple[int, ...] = ()
     deviation_tokens: int = 0
+    copy_tokens: int = 0  # Of requests that run elsewhere.
+    prefill_tokens: int = 0  # Of prompts that are still to be read.
 
 
 class PeerLoad(typing.NamedTuple):
@@ -161,6 +163,7 @@
     kinds: tuple[KindPolicy, ...]
     workspaces: tuple[WorkspaceShare, ...]
     daemon: str = ""  # Name of this daemon, for its subset of targets.
+    digest_interval_s: float = 1.0  # Time between two messages of a peer.
 
 
 class TargetLeaving(typing.NamedTuple):
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -328,6 +328,17 @@
 
     def attempt(self, dispatch: events.Dispatch, target: events.Target) -> bool:
         """Runs one attempt; returns whether the request is at its end."""
+        self._target = target
+        try:
+            return self._attempt(dispatch, target)
+        except (session.CallerLeftError, errors.PersimmonspanError):
+            # The connection is closed, by which the target stops its work. The
+            # scheduler ignores this for an attempt that was ended before.
+            self._end(events.Outcome.CANCELLED)
+            raise
+
+    def _attempt(self, dispatch: events.Dispatch,
+                 target: events.Target) -> bool:
         backup = dispatch.backup
         resume_from = None
         while True:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -236,7 +236,7 @@
         service: choice.subset(event.daemon, members)
         for service, members in groups.items()
     }
-    view = load_view.listed(state.view, subsets)
+    view = load_view.listed(state.view, subsets, event.digest_interval_s)
     members = tuple(item for group in subsets.values() for item in group)
     observed, commands = health.step(state.observed,
                                      event._replace(targets=members), now_s)
