--- a/persimmonspan/platform/program.py
+++ b/persimmonspan/platform/program.py
@@ -8,12 +8,14 @@
 from persimmonspan.process import edge
 from persimmonspan.process import followers
 
+PLATFORM = edge.Platform(
+    wire, store.Store,
+    followers.Formats(configuration.TABLE, configuration.KEY,
+                      configuration.decode, registrations.TABLE,
+                      registrations.decode),
+    lambda: settings.read(settings.path()))
+
 
 def main() -> int:
     """Runs an edge daemon; returns the exit code."""
-    formats = followers.Formats(configuration.TABLE, configuration.KEY,
-                                configuration.decode, registrations.TABLE,
-                                registrations.decode)
-    return edge.run(
-        edge.Platform(wire, store.Store, formats,
-                      lambda: settings.read(settings.path())))
+    return edge.run(PLATFORM)
--- /dev/null
+++ b/persimmonspan/platform/tests/test_store.py
@@ -0,0 +1,145 @@
+"""The store's client, against a stand-in that speaks the platform's calls."""
+
+import base64
+import contextlib
+import http.server
+import json
+import threading
+import urllib.parse
+
+import pytest
+
+from persimmonspan import errors
+from persimmonspan.platform import store
+from persimmonspan.process import row_store
+
+
+def _row(key, value, version):
+    return {
+        "tableName": "t",
+        "part": "",
+        "key": key,
+        "data": base64.b64encode(value).decode(),
+        "schemaVersion": version
+    }
+
+
+@contextlib.contextmanager
+def _serving(respond):
+    """Serves `respond(method, path, query, body) -> (status, document)`."""
+
+    class _Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self):  # pylint: disable=invalid-name
+            """Answers a read."""
+            self._answer(b"")
+
+        def do_POST(self):  # pylint: disable=invalid-name
+            """Answers a write."""
+            self._answer(self.rfile.read(int(self.headers["Content-Length"])))
+
+        def _answer(self, body):
+            parts = urllib.parse.urlsplit(self.path)
+            status, document = respond(
+                self.command, parts.path,
+                dict(urllib.parse.parse_qsl(parts.query)), body)
+            if document is None:
+                self.close_connection = True
+                return
+            data = json.dumps(document).encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, format, *args):  # pylint: disable=redefined-builtin
+            """Keeps the test's output clean."""
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    try:
+        yield store.Store(f"127.0.0.1:{server.server_port}")
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+
+def test_all_pages_are_read():
+
+    def respond(method, path, query, body):
+        del method, path, body
+        if "startKey" not in query:
+            return 200, {
+                "rows": [_row("a", b"1", 3)],
+                "hasMore": True,
+                "schemaVersion": 9
+            }
+        assert query["startKey"] > "a"
+        return 200, {
+            "rows": [_row("b", b"2", 4)],
+            "hasMore": False,
+            "schemaVersion": 9
+        }
+
+    with _serving(respond) as client:
+        rows = client.read("t")
+    assert [(row.key, row.value) for row in rows.rows] == [("a", b"1"),
+                                                           ("b", b"2")]
+
+
+def test_removed_rows_have_no_value():
+
+    def respond(method, path, query, body):
+        del method, body
+        assert path == "/rows-feed" and query["sinceRevision"] == "5"
+        return 200, {
+            "rows": [{
+                "key": "a",
+                "schemaVersion": 6,
+                "deleted": True
+            }],
+            "schemaVersion": 6
+        }
+
+    with _serving(respond) as client:
+        changed = client.changes("t", 5, 0.1)
+    assert changed == row_store.Rows((row_store.Row("a", None, 6),), 6)
+
+
+@pytest.mark.parametrize("status, document, error, code", [
+    (410, {}, row_store.HistoryLostError, errors.Code.STORE_UNAVAILABLE),
+    (429, {}, errors.StoreError, errors.Code.STORE_THROTTLED),
+    (503, {}, errors.StoreError, errors.Code.STORE_UNAVAILABLE),
+    (200, None, errors.StoreError, errors.Code.STORE_UNAVAILABLE),
+    (200, {
+        "rows": 7
+    }, errors.StoreError, errors.Code.STORE_UNAVAILABLE),
+])
+def test_failures_are_told_apart(status, document, error, code):
+    with _serving(lambda *_: (status, document)) as client:
+        with pytest.raises(error) as caught:
+            client.changes("t", 5, 0.1)
+    assert caught.value.code is code
+
+
+def test_a_row_is_written():
+    bodies = []
+
+    def respond(method, path, query, body):
+        del query
+        bodies.append((method, path, json.loads(body)))
+        return 200, {"schemaVersion": 2}
+
+    with _serving(respond) as client:
+        client.put("t", "k", b"v")
+    method, path, document = bodies[0]
+    assert (method, path) == ("POST", "/rows-tx")
+    assert document["write"] == [{
+        "tableName": "t",
+        "part": "",
+        "key": "k",
+        "data": "dg=="
+    }]
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -12,6 +12,8 @@
 import math
 import typing
 
+import immutables
+
 # Targets that are alive register again within this time of the store's return.
 # Source: contract of the platform.
 _REGISTER_AGAIN_S = 2.0
@@ -37,8 +39,8 @@
     names in `lapsed` are entries that were missing at the first reads after it.
     """
 
-    present: typing.Mapping[str, Registration] = {}
-    lapsed: typing.Mapping[str, Registration] = {}
+    present: immutables.Map[str, Registration] = immutables.Map()
+    lapsed: immutables.Map[str, Registration] = immutables.Map()
     is_lost: bool = False
     regained_s: float = -math.inf
     read_s: float = -math.inf
@@ -101,7 +103,8 @@
         if entry.is_leaving and not (old is not None and old.is_leaving):
             leaving.append(entry)
     gone = tuple(entry for name, entry in missing.items() if name not in lapsed)
-    return (State(present, lapsed, False, regained_s, now_s),
+    return (State(immutables.Map(present), immutables.Map(lapsed), False,
+                  regained_s, now_s),
             Change(tuple(joined), tuple(leaving), gone, tuple(restarted)))
 
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -204,7 +204,8 @@
         self._registrations = directory.usable(state)
         for name, entries in change._asdict().items():
             for entry in entries:
-                _logger.info(f"target {name}",
+                _logger.info("target %s",
+                             name,
                              extra={
                                  "target": entry.name,
                                  "service": entry.service,
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -67,7 +67,7 @@
     """
 
     age_s: float
-    entries: list[Entry]
+    entries: tuple[Entry, ...]
     configuration_version: int
     configuration_age_s: float
 
@@ -188,12 +188,11 @@
     return is_changed or now_s - sent_s >= _UNCHANGED_INTERVAL_S
 
 
-def to_entries(state: directory.State) -> list[Entry]:
+def to_entries(state: directory.State) -> tuple[Entry, ...]:
     """Returns the registered targets in the form of a digest."""
-    return [
+    return tuple(
         Entry(*registration)
-        for registration in (*state.present.values(), *state.lapsed.values())
-    ]
+        for registration in (*state.present.values(), *state.lapsed.values()))
 
 
 def to_registrations(
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -12,6 +12,8 @@
 import time
 import typing
 
+import immutables
+
 from persimmonspan import errors
 from persimmonspan.process import directory
 from persimmonspan.process import peering
@@ -93,7 +95,8 @@
         self._newest = max(self._newest, configuration_version)
         with self._directory_lock:
             # The peer's view holds entries that may lapse; it keeps the time.
-            state = self._directory._replace(is_lost=False, lapsed={})
+            state = self._directory._replace(is_lost=False,
+                                             lapsed=immutables.Map())
             self._directory, change = directory.read(state, registrations,
                                                      time.monotonic())
             self._receiver.take_directory(self._directory, change)
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -38,7 +38,7 @@
 class Read(typing.NamedTuple):
     """What this daemon read of the store itself, and when."""
 
-    entries: list[edge_peers.Entry] = []
+    entries: tuple[edge_peers.Entry, ...] = ()
     entries_s: float = -math.inf
     version: int = 0
     version_s: float = -math.inf
--- /dev/null
+++ b/persimmonspan/process/tests/test_edge.py
@@ -0,0 +1,428 @@
+"""The edge daemon over real sockets, before stand-ins of replicas.
+
+The store is an object in this process; callers, replicas and the daemon speak
+over loopback.
+"""
+
+import base64
+import contextlib
+import http.client
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from persimmonspan.platform import program
+from persimmonspan.process import edge
+from persimmonspan.process import edge_settings
+from persimmonspan.process import row_store
+from testbed import replica
+
+_HOST = "a.example"
+_TIMEOUT_S = 5.0
+
+
+class _Rows:
+    """Rows in memory, with the interface of the store's client."""
+
+    def __init__(self):
+        self.tables = {"op": {}, "servers": {}}
+        self.version = 1
+        self.changed = threading.Condition()
+
+    def write(self, table, key, document):
+        """Writes a row; removes it if the document is None."""
+        with self.changed:
+            self.version += 1
+            self.tables.setdefault(table,
+                                   {})[key] = (None if document is None else
+                                               json.dumps(document).encode(),
+                                               self.version)
+            self.changed.notify_all()
+
+    def read(self, table):
+        """Returns all rows of a table."""
+        return self.changes(table, 0, 0.0)
+
+    def changes(self, table, since, wait_s):
+        """Waits for rows that changed after a version."""
+
+        def rows():
+            return tuple(
+                row_store.Row(key, value, version)
+                for key, (value, version) in self.tables.get(table, {}).items()
+                if version > since and (value is not None or since))
+
+        with self.changed:
+            self.changed.wait_for(rows, wait_s)
+            return row_store.Rows(rows(), self.version)
+
+    def put(self, table, key, value):
+        """Writes a row, whatever it holds."""
+        self.write(table, key, base64.b64encode(value).decode())
+
+
+def _free_address():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return "127.0.0.1:%d" % listener.getsockname()[1]
+
+
+def _configuration(version=1, **route_changes):
+    engine = {"slots": 8, "kvCapacity": 30000, "snapshots": True}
+    return {
+        "version": version,
+        "routes": [{
+            "name": kind,
+            "host": _HOST,
+            "pathPrefix": f"/{kind}/",
+            "kind": "streaming" if kind == "draft" else kind,
+            "timeoutMs": 30000 if kind == "draft" else 2000,
+            "targetLatencyMs": 500,
+            "service": "engines" if kind == "draft" else "desk",
+            "maxAttempts": 2 if kind == "idempotent" else 1
+        } | route_changes
+                   for kind in ("idempotent", "non_idempotent", "draft")],
+        "services": [{
+            "name": "desk"
+        }, {
+            "name": "engines",
+            "runtime": engine
+        }],
+        "tenants": [{
+            "name": "t",
+            "apiKeys": ["k"]
+        }]
+    }
+
+
+class _World:
+    """A daemon, its store, and replicas by name."""
+
+    def __init__(self):
+        self.rows = _Rows()
+        self.options = edge_settings.EdgeSettings("edge-1",
+                                                  "a",
+                                                  _free_address(),
+                                                  _free_address(),
+                                                  _free_address(),
+                                                  "store",
+                                                  grace_s=2.0)
+        self.edge = edge.Edge(
+            self.options,
+            program.PLATFORM._replace(open_store=lambda address: self.rows))
+        self._replicas = contextlib.ExitStack()
+
+    def add(self, name, service, script):
+        """Starts a replica and registers it."""
+        one = self._replicas.enter_context(replica.Replica(script).running())
+        self.register(name, service, one.address)
+        return one
+
+    def register(self, name, service, address, state="ready"):
+        """Writes the entry of a replica."""
+        self.rows.write(
+            "servers", name, {
+                "service": service,
+                "address": address,
+                "zone": "a",
+                "slots": 6,
+                "state": state
+            })
+
+    @contextlib.contextmanager
+    def running(self):
+        """Runs the daemon until the block ends."""
+        with self._replicas, self.edge.running():
+            _wait(self.edge.is_ready)
+            yield self
+
+    def ask(self, path, method="POST", body=b"x", **headers):
+        """Sends a request; returns status, headers and body."""
+        connection = http.client.HTTPConnection(*_split(
+            self.options.listen_address),
+                                                timeout=_TIMEOUT_S)
+        values = {
+            "Host": _HOST,
+            "X-Attempt-Id": "r1",
+            "X-Api-Key": "k",
+            "X-Deadline-Ms": "4000"
+        } | {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        with contextlib.closing(connection):
+            connection.request(method, path, body, values)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+
+
+def _split(address):
+    host, port = address.split(":")
+    return host, int(port)
+
+
+def _wait(condition):
+    end_s = time.monotonic() + _TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+
+
+@pytest.fixture(name="world")
+def _world():
+    world = _World()
+    world.rows.write("op", "config", _configuration())
+    return world
+
+
+def test_without_a_configuration_the_answer_is_503():
+    world = _World()
+    world.rows.tables["op"] = {}
+    with world.edge.running():
+        status, headers, _ = world.ask("/idempotent/1")
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert not world.edge.is_ready()
+
+
+def test_an_answer_is_passed_on_unchanged(world):
+    one = world.add("i-1", "desk",
+                    lambda request: [replica.whole(request, b"body", 201)])
+    with world.running():
+        status, headers, body = world.ask("/idempotent/1?q=%20", X_Tenant="f")
+    assert (status, body) == (201, b"body")
+    assert headers["X-Response-Signature"] == "signed"
+    request = one.requests[0]
+    assert request.path == "/idempotent/1?q=%20"
+    assert request.headers["x-tenant"] == "t"
+    assert "x-api-key" not in request.headers
+    assert int(request.headers["x-deadline-ms"]) <= 2000
+
+
+@pytest.mark.parametrize("path, headers, status", [
+    ("/other/1", {}, 404),
+    ("/idempotent/1", {
+        "X_Api_Key": "unknown"
+    }, 401),
+])
+def test_what_no_configuration_allows_is_refused(world, path, headers, status):
+    world.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    with world.running():
+        assert world.ask(path, **headers)[0] == status
+
+
+def _broken(request):
+    yield replica.head(request, 200, "Content-Length: 10") + b"half"
+
+
+def _unframed_reset(request):
+    yield replica.head(request) + b"half"
+    time.sleep(0.1)
+    yield replica.Reset()
+
+
+def _other_id(request):
+    yield replica.whole(request._replace(headers={"x-attempt-id": "another"}),
+                        b"late")
+
+
+def _garbage(request):
+    del request
+    yield b"\x00\x01 no answer\r\n\r\n"
+
+
+def _unsigned(request):
+    del request
+    yield b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+_BREAKS = [_broken, _unframed_reset, _other_id, _garbage, _unsigned]
+
+
+@pytest.mark.parametrize("script", _BREAKS)
+def test_a_non_idempotent_request_is_sent_once(world, script):
+    replicas = [world.add(f"i-{i}", "desk", script) for i in range(3)]
+    with world.running():
+        status, _, _ = world.ask("/non_idempotent/1")
+    assert status == 502
+    assert sum(len(one.requests) for one in replicas) == 1
+
+
+@pytest.mark.parametrize(
+    "script", _BREAKS + [
+        lambda request: [replica.whole(request, b"", 500)],
+        lambda request: [replica.not_run(request)]
+    ])
+def test_an_idempotent_request_is_sent_again(world, script):
+    replicas = [world.add(f"i-{i}", "desk", script) for i in range(2)]
+    answered = []
+
+    def once(request):
+        if not answered:
+            answered.append(request)
+            return script(request)
+        return [replica.whole(request, b"fine")]
+
+    for one in replicas:
+        one.script = once
+    with world.running():
+        status, _, body = world.ask("/idempotent/1")
+    assert (status, body) == (200, b"fine")
+    assert sum(len(one.requests) for one in replicas) == 2
+
+
+def test_an_answer_without_length_ends_with_its_connection(world):
+    world.add("i-1", "desk",
+              lambda request: [replica.head(request) + b"all of it"])
+    with world.running():
+        assert world.ask("/non_idempotent/1")[::2] == (200, b"all of it")
+
+
+def test_a_rejected_non_idempotent_request_may_go_elsewhere_or_is_503(world):
+    world.add("i-1", "desk", lambda request: [replica.not_run(request)])
+    with world.running():
+        assert world.ask("/non_idempotent/1")[0] == 503
+
+
+def test_another_replica_at_the_address_gets_nothing_more(world):
+    one = world.add(
+        "i-1", "desk",
+        lambda request: [replica.whole(request, b"", 421, "X-Instance-Id: o")])
+    with world.running():
+        assert world.ask("/non_idempotent/1")[0] == 503
+        assert world.ask("/non_idempotent/2")[0] == 503
+    assert len(one.requests) == 1
+
+
+def test_a_request_ends_at_its_routes_timeout(world):
+
+    def silent(request):
+        del request
+        time.sleep(3.0)
+        yield b""
+
+    world.add("i-1", "desk", silent)
+    with world.running():
+        began_s = time.monotonic()
+        status, _, _ = world.ask("/non_idempotent/1", X_Deadline_Ms="60000")
+        assert status == 504
+        assert 1.5 < time.monotonic() - began_s < 2.4
+
+
+def test_two_lengths_are_refused(world):
+    one = world.add("i-1", "desk",
+                    lambda request: [replica.whole(request, b"")])
+    with world.running(), socket.create_connection(
+            _split(world.options.listen_address)) as caller:
+        caller.sendall(b"POST /idempotent/1 HTTP/1.1\r\nHost: a.example\r\n"
+                       b"X-Attempt-Id: r1\r\nX-Api-Key: k\r\n"
+                       b"Content-Length: 40\r\n"
+                       b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                       b"POST /idempotent/2 HTTP/1.1\r\n\r\n")
+        caller.settimeout(_TIMEOUT_S)
+        assert caller.recv(100).startswith(b"HTTP/1.1 400")
+    assert not one.requests
+
+
+def _draft(request, stop_after=None):
+    """Streams events 1 to 6, or those after the last one that was given."""
+    first = int(request.headers.get("last-event-id", 0)) + 1
+    yield replica.stream_head(request)
+    for number in range(first, 7):
+        if number == stop_after:
+            yield replica.event(number)[:9]
+            return
+        yield replica.event(number)
+        time.sleep(0.02)
+    yield replica.STREAM_END
+
+
+def test_a_stream_goes_on_from_its_copy(world):
+    replicas = [
+        world.add(f"i-{i}", "engines", lambda request: _draft(request, 4))
+        for i in range(2)
+    ]
+
+    def script(request):
+        if "kv-from" in request.headers:
+            return _draft(request)
+        return _draft(request, 4)
+
+    for one in replicas:
+        one.script = script
+    with world.running():
+        status, _, body = world.ask("/draft/1", X_Token_Usage="100,50")
+    assert status == 200
+    numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    assert numbers == [b"id: %d" % number for number in range(1, 7)]
+    first, second = sorted(
+        (request for one in replicas for request in one.requests),
+        key=lambda request: "kv-from" in request.headers)
+    backup = first.headers["x-kv-backup"]
+    assert second.headers["kv-from"] == f"{backup}/r1"
+    assert second.headers["last-event-id"] == "3"
+
+
+def test_a_stream_that_cannot_go_on_does_not_look_complete(world):
+    world.add("i-1", "engines", lambda request: _draft(request, 4))
+    with world.running(), pytest.raises(http.client.IncompleteRead):
+        world.ask("/draft/1", X_Token_Usage="100,50")
+
+
+def test_a_copy_that_brings_nothing_ends_the_stream(world):
+
+    def script(request):
+        if "kv-from" in request.headers:
+            return [replica.not_run(request)]
+        return _draft(request, 4)
+
+    replicas = [world.add(f"i-{i}", "engines", script) for i in range(3)]
+    with world.running(), pytest.raises(http.client.IncompleteRead):
+        world.ask("/draft/1", X_Token_Usage="100,50")
+    assert sum(len(one.requests) for one in replicas) == 2
+
+
+def test_a_leaving_replica_gets_no_new_work(world):
+    leaving = world.add("i-1", "desk",
+                        lambda request: [replica.whole(request, b"old")])
+    world.add("i-2", "desk", lambda request: [replica.whole(request, b"new")])
+    with world.running():
+        world.register("i-1", "desk", leaving.address, "draining")
+        time.sleep(0.5)
+        for number in range(8):
+            assert world.ask(f"/non_idempotent/{number}")[2] == b"new"
+
+
+def test_configurations_never_go_back(world):
+    world.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    with world.running():
+        world.rows.write("op", "config", _configuration(5, pathPrefix="/new/"))
+        _wait(lambda: world.ask("/new/1")[0] == 200)
+        world.rows.write("op", "config", _configuration(4))
+        time.sleep(0.3)
+        assert world.ask("/idempotent/1")[0] == 404
+
+
+def test_a_stop_answers_what_is_in_flight_and_what_comes(world):
+
+    def slow(request):
+        time.sleep(0.6)
+        yield replica.whole(request, b"done")
+
+    world.add("i-1", "desk", slow)
+    with world.running():
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(world.ask("/non_idempotent/1")))
+        asking.start()
+        time.sleep(0.2)
+        stopping = threading.Thread(target=world.edge.stop)
+        stopping.start()
+        _wait(world.edge.is_stopping)
+        assert not world.edge.is_ready()
+        status, headers, _ = world.ask("/non_idempotent/2")
+        assert (status, headers["Connection"]) == (200, "close")
+        assert world.ask("/draft/1")[0] == 503  # Would not end in time.
+        asking.join()
+        stopping.join()
+    assert answers[0][::2] == (200, b"done")
--- /dev/null
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -0,0 +1,58 @@
+"""What daemons tell each other, and whom they believe."""
+
+from persimmonspan.process import directory
+from persimmonspan.process import edge_peers
+
+_ONE = directory.Registration("i-1", "s", "10.0.0.1:80", "a", 4)
+
+
+def _digest(name="a", can_read=True, news=None):
+    return edge_peers.Digest(name, "10.0.0.2:1", can_read, [], news)
+
+
+def _news(age_s):
+    entries = edge_peers.to_entries(
+        directory.read(directory.State(), [_ONE], 0.0)[0])
+    return edge_peers.News(age_s, entries, 7, age_s)
+
+
+def test_a_digest_survives_its_encoding():
+    digest = edge_peers.decode(edge_peers.encode(_digest(news=_news(0.1))))
+    assert edge_peers.to_registrations(digest.news.entries) == [_ONE]
+
+
+def test_targets_read_before_those_that_are_known_are_not_taken():
+    # A daemon that began to read for all told what it had read at its start,
+    # and all others took the targets of today for gone.
+    state, is_newer = edge_peers.heard(edge_peers.State(),
+                                       _digest(news=_news(0.1)), 100.0, 0.0)
+    assert is_newer
+    state, is_newer = edge_peers.heard(state, _digest("b", news=_news(60.0)),
+                                       100.1, 0.0)
+    assert not is_newer
+    assert state.news_s == 99.9
+
+
+def test_targets_read_before_the_own_read_are_not_taken():
+    _, is_newer = edge_peers.heard(edge_peers.State(), _digest(news=_news(0.5)),
+                                   100.0, 99.8)
+    assert not is_newer
+
+
+def test_the_first_that_can_read_reads_for_all():
+    state, _ = edge_peers.heard(edge_peers.State(), _digest("a"), 0.0, 0.0)
+    assert not edge_peers.is_reader(state, "b", 0.5)
+    state, _ = edge_peers.heard(state, _digest("a", can_read=False), 0.6, 0.0)
+    assert edge_peers.is_reader(state, "b", 0.7)
+
+
+def test_a_silent_daemon_is_no_reader_and_is_forgotten():
+    state, _ = edge_peers.heard(edge_peers.State(), _digest("a"), 0.0, 0.0)
+    assert edge_peers.is_reader(state, "b", 2.0)
+    assert not edge_peers.forget(state, 7.0).peers
+
+
+def test_a_daemon_known_from_its_row_is_sent_to_but_not_relied_on():
+    state = edge_peers.introduced(edge_peers.State(), "a", "10.0.0.2:1", 0.0)
+    assert state.peers["a"].address == "10.0.0.2:1"
+    assert edge_peers.is_reader(state, "b", 0.0)
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -285,4 +285,5 @@
          LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
          TargetReturned | TargetDied | CacheEvent | QuarantineShared |
          QuarantineLifted | Tick)
-Command = Dispatch | Evacuate | Rearmed | Refuse | CancelAttempt | ShareQuarantine | Count
+Command = (Dispatch | Evacuate | Rearmed | Refuse | CancelAttempt |
+           ShareQuarantine | Count)
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -225,8 +225,6 @@
         try:
             session.run(owner, _arrived(placed, context.configuration),
                         work.attempt)
-        except session.CallerLeftError:
-            raise
         except errors.PersimmonspanError as error:
             if work.has_begun:
                 context.metrics.count(f"stream_cut_{error.code}")
--- /dev/null
+++ b/testbed/replica.py
@@ -0,0 +1,142 @@
+"""Stand-in of a replica that speaks the platform's protocol.
+
+Each request is answered by a script: a function of the parsed request that
+yields what is written to the connection. Tests use it to break off, to reset,
+to answer twice and so on.
+"""
+
+import collections.abc
+import contextlib
+import socket
+import struct
+import threading
+import typing
+
+_READ_BYTES = 65536
+_RESET = struct.pack("ii", 1, 0)
+
+
+class Request(typing.NamedTuple):
+    """A request as it was received; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """Id of the caller's attempt."""
+        return self.headers.get("x-attempt-id", "")
+
+
+class Reset:
+    """Tells the replica to reset the connection."""
+
+
+Script = collections.abc.Callable[[Request],
+                                  collections.abc.Iterable[bytes | Reset]]
+
+
+def head(request: Request, status: int = 200, *lines: str) -> bytes:
+    """Returns the head of a signed answer without its empty line's length."""
+    fields = [
+        f"HTTP/1.1 {status} Status", f"X-Attempt-Id: {request.id}",
+        "X-Response-Signature: signed", *lines
+    ]
+    return "\r\n".join(fields).encode() + b"\r\n\r\n"
+
+
+def whole(request: Request,
+          body: bytes,
+          status: int = 200,
+          *lines: str) -> bytes:
+    """Returns a complete signed answer."""
+    return head(request, status, f"Content-Length: {len(body)}", *lines) + body
+
+
+def not_run(request: Request) -> bytes:
+    """Returns the answer of a replica that is full."""
+    return whole(request, b"", 503, "X-Not-Executed: 1")
+
+
+def event(number: int) -> bytes:
+    """Returns an event as a chunk of a streamed body."""
+    data = f"id: {number}\ndata: t{number}\n\n".encode()
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream_head(request: Request) -> bytes:
+    """Returns the head of a streamed answer."""
+    return head(request, 200, "Transfer-Encoding: chunked",
+                "Content-Type: text/event-stream")
+
+
+STREAM_END = b"0\r\n\r\n"
+
+
+class Replica:
+    """A listening replica and the requests that it got."""
+
+    def __init__(self, script: Script) -> None:
+        self.requests: list[Request] = []
+        self.script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+
+    @contextlib.contextmanager
+    def running(self) -> collections.abc.Iterator["Replica"]:
+        """Serves until the block ends."""
+        thread = threading.Thread(target=self._accept, daemon=True)
+        thread.start()
+        try:
+            yield self
+        finally:
+            self.stop()
+            thread.join()
+
+    def stop(self) -> None:
+        """Accepts no more connections."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve,
+                             args=(connection,),
+                             daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            request = _read(connection)
+            self.requests.append(request)
+            for part in self.script(request):
+                if isinstance(part, Reset):
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                          _RESET)
+                    return
+                connection.sendall(part)
+
+
+def _read(connection: socket.socket) -> Request:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(_READ_BYTES)
+        if not part:
+            raise ConnectionError("no request")
+        data += part
+    head_lines, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head_lines.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    while len(body) < int(headers.get("content-length", 0)):
+        body += connection.recv(_READ_BYTES)
+    method, path, _ = first.split(" ")
+    return Request(method, path, headers, body)
