--- a/persimmonspan/process/tests/test_edge.py
+++ b/persimmonspan/process/tests/test_edge.py
@@ -66,7 +66,7 @@
 
 def _free_address():
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        return "127.0.0.1:%d" % listener.getsockname()[1]
+        return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
 def _configuration(version=1, **route_changes):
@@ -216,7 +216,7 @@
 
 
 def _unframed_reset(request):
-    yield replica.head(request) + b"half"
+    yield replica.head(request, 200) + b"half"
     time.sleep(0.1)
     yield replica.Reset()
 
@@ -273,7 +273,7 @@
 
 def test_an_answer_without_length_ends_with_its_connection(world):
     world.add("i-1", "desk",
-              lambda request: [replica.head(request) + b"all of it"])
+              lambda request: [replica.head(request, 200) + b"all of it"])
     with world.running():
         assert world.ask("/non_idempotent/1")[::2] == (200, b"all of it")
 
@@ -286,8 +286,8 @@
 
 def test_another_replica_at_the_address_gets_nothing_more(world):
     one = world.add(
-        "i-1", "desk",
-        lambda request: [replica.whole(request, b"", 421, "X-Instance-Id: o")])
+        "i-1", "desk", lambda request:
+        [replica.whole(request, b"", 421, ("X-Instance-Id: o",))])
     with world.running():
         assert world.ask("/non_idempotent/1")[0] == 503
         assert world.ask("/non_idempotent/2")[0] == 503
--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -38,7 +38,7 @@
                                   collections.abc.Iterable[bytes | Reset]]
 
 
-def head(request: Request, status: int = 200, *lines: str) -> bytes:
+def head(request: Request, status: int, *lines: str) -> bytes:
     """Returns the head of a signed answer without its empty line's length."""
     fields = [
         f"HTTP/1.1 {status} Status", f"X-Attempt-Id: {request.id}",
@@ -50,14 +50,14 @@
 def whole(request: Request,
           body: bytes,
           status: int = 200,
-          *lines: str) -> bytes:
+          lines: tuple[str, ...] = ()) -> bytes:
     """Returns a complete signed answer."""
     return head(request, status, f"Content-Length: {len(body)}", *lines) + body
 
 
 def not_run(request: Request) -> bytes:
     """Returns the answer of a replica that is full."""
-    return whole(request, b"", 503, "X-Not-Executed: 1")
+    return whole(request, b"", 503, ("X-Not-Executed: 1",))
 
 
 def event(number: int) -> bytes:
@@ -82,7 +82,7 @@
         self.requests: list[Request] = []
         self.script = script
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
 
     @contextlib.contextmanager
     def running(self) -> collections.abc.Iterator["Replica"]:
