--- a/persimmonspan/connection/digest_links.py
+++ b/persimmonspan/connection/digest_links.py
@@ -12,6 +12,7 @@
 import collections.abc
 import contextlib
 import logging
+import os
 import threading
 import time
 
@@ -54,6 +55,10 @@
         self._pushes: dict[str, zmq.Socket] = {}
         self._wanted: frozenset[str] = frozenset()
         self._stopped = threading.Event()
+        self._woken = os.eventfd(0, os.EFD_NONBLOCK)
+        self._poller = zmq.Poller()
+        self._poller.register(self._pull, zmq.POLLIN)
+        self._poller.register(self._woken, zmq.POLLIN)
         self._thread = threading.Thread(target=self._run,
                                         name="digest-links",
                                         daemon=True)
@@ -72,6 +77,10 @@
         """Sets the daemons to send to, from any thread."""
         self._wanted = frozenset(addresses)
 
+    def wake(self) -> None:
+        """Has a digest composed and sent soon, from any thread."""
+        os.eventfd_write(self._woken, 1)
+
     def _configure(self, sock: zmq.Socket) -> None:
         sock.linger = 0
         sock.set_hwm(_QUEUED_MESSAGES)
@@ -86,8 +95,12 @@
         while not self._stopped.is_set():
             wait_s = max(0.0, due_s - time.monotonic())
             try:
-                if self._pull.poll(wait_s * _MS_PER_S):
+                ready = dict(self._poller.poll(wait_s * _MS_PER_S))
+                if self._pull in ready:
                     self._receive(self._pull.recv(zmq.NOBLOCK))
+                if self._woken in ready:
+                    os.eventfd_read(self._woken)
+                    due_s = time.monotonic()
                 if time.monotonic() >= due_s:
                     due_s = time.monotonic() + self._interval_s()
                     self._connect()
@@ -98,6 +111,7 @@
         for sock in (self._pull, *self._pushes.values()):
             sock.close()
         self._context.term()
+        os.close(self._woken)
 
     def _connect(self) -> None:
         wanted = self._wanted
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -81,7 +81,9 @@
         self.scheduler = scheduler_actor.SchedulerActor.start(
             self.metrics,
             secrets.randbits(_SEED_BITS),
-            limits=retry_limits(options.retry))
+            limits=retry_limits(options.retry),
+            tell_peers=self._tell_peers)
+        self._peers: peering.Peering | None = None
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
@@ -168,6 +170,10 @@
         # A long request asks for targets that joined after it began.
         return self._targets.get(name)
 
+    def _tell_peers(self) -> None:
+        if self._peers is not None:
+            self._peers.wake()
+
     def _is_leaving(self, target: str) -> bool:
         return target in self._leaving
 
@@ -264,9 +270,10 @@
         follower = followers.Followers(self._platform.open_store,
                                        self._options.store_address,
                                        self._platform.formats, self)
-        follower.peers = peering.Peering(self._options.name,
-                                         self._options.peer_address,
-                                         self.scheduler, follower.take_news)
+        self._peers = peering.Peering(self._options.name,
+                                      self._options.peer_address,
+                                      self.scheduler, follower.take_news)
+        follower.peers = self._peers
         self._relay.start()
         self._server.prepare()
         readiness.prepare()
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -78,6 +78,10 @@
         """Exchanges digests until the block ends."""
         return self._links.running()
 
+    def wake(self) -> None:
+        """Has a digest sent at once, from any thread."""
+        self._links.wake()
+
     def interval_s(self) -> float:
         """Returns the time between two digests."""
         return edge_peers.interval_s(len(self._state.peers))
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -72,15 +72,17 @@
     use_daemon_thread = True
 
     def __init__(
-        self,
-        counters: metrics.Metrics,
-        seed: int,
-        share: ShareQuarantine = lambda command: None,
-        limits: retry.Limits = retry.Limits()
-    ) -> None:
+            self,
+            counters: metrics.Metrics,
+            seed: int,
+            share: ShareQuarantine = lambda command: None,
+            limits: retry.Limits = retry.Limits(),
+            tell_peers: collections.abc.Callable[[],
+                                                 None] = lambda: None) -> None:
         super().__init__()
         self._metrics = counters
         self._share = share
+        self._tell_peers = tell_peers
         self._decisions: collections.OrderedDict[
             str, collections.deque[Decision]] = collections.OrderedDict()
         self._rng = random.Random(seed)
@@ -118,6 +120,10 @@
             self._has_work.clear()
         for command in commands:
             self._carry_out(command)
+        if isinstance(message, events.FirstToken) or any(
+                isinstance(command, events.Dispatch) for command in commands):
+            # Peers must not choose the same target for what comes next.
+            self._tell_peers()
         return None
 
     def _carry_out(self, command: events.Command) -> None:
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -240,6 +240,7 @@
                 raise
             # The target's own error is the best answer that there is.
             return work.failure
+        work.log_end()
         pending = context.relay.take_pending(transfer)
     if pending:
         responder.caller.settimeout(CALLER_WRITE_S)
@@ -288,6 +289,24 @@
             f"{route.objective_s:g}")
 
 
+class _Pauses(typing.NamedTuple):
+    """When events of a stream came, for the log of its end."""
+
+    first_s: float = 0.0
+    last_s: float = 0.0
+    longest_s: float = 0.0
+    longest_at_s: float = 0.0  # When the longest pause ended.
+
+    def after(self, now_s: float) -> "_Pauses":
+        """Returns the pauses after an event came."""
+        if not self.first_s:
+            return _Pauses(now_s, now_s)
+        pause_s = now_s - self.last_s
+        if pause_s <= self.longest_s:
+            return self._replace(last_s=now_s)
+        return _Pauses(self.first_s, now_s, pause_s, now_s)
+
+
 class _Handover(typing.NamedTuple):
     """Where a stream goes on, and the memory that it goes on from."""
 
@@ -317,6 +336,8 @@
         self._progress_s = 0.0
         self._ran_before = False
         self._handover: _Handover | None = None
+        self._pauses = _Pauses()
+        self._handovers: list[float] = []
         self.has_begun = False
 
     @property
@@ -324,6 +345,27 @@
         """Events given to the caller so far."""
         return self._stream.events
 
+    def log_end(self) -> None:
+        """Logs how the request ended for its caller."""
+        arrived_s = self._placed.arrived_s
+        fields: dict[str, typing.Any] = {
+            "status": (self.answer or self._head).status,
+            "target": self._target.name,
+            "took_s": round(time.monotonic() - arrived_s, 3)
+        }
+        if self._pauses.first_s:
+            pauses = self._pauses
+            fields |= {
+                "first_event_s": round(pauses.first_s - arrived_s, 3),
+                "longest_pause_s": round(pauses.longest_s, 3),
+                "longest_pause_at_s": round(pauses.longest_at_s - arrived_s, 3),
+                "moved_at_s": [
+                    round(at_s - arrived_s, 3) for at_s in self._handovers
+                ],
+                "events": self.event_count
+            }
+        _logger.info("answered", extra=fields)
+
     def attempt(self, dispatch: events.Dispatch, target: events.Target) -> bool:
         """Runs one attempt; returns whether the request is at its end."""
         self._target = target
@@ -368,6 +410,7 @@
             if handover is None:
                 break
             target, resume_from = handover
+            self._handovers.append(time.monotonic())
             self._context.scheduler.tell(
                 events.Moved(self._placed.request_id, target.name))
             backup = self._next_backup()
@@ -597,6 +640,7 @@
             self.has_begun = True
             output = self._responder.stream_head(self._head.status,
                                                  self._head.headers) + output
+        self._pauses = self._pauses.after(now_s)
         self._report(first, now_s)
         return output, count
 
