Write logs from a bounded buffer to standard output; reload settings

Cause: log calls wrote to standard error and waited for their reader; a changed settings file was not read. Change: a buffer of bounded length and a thread that writes it, with a line that says how many were left out; SIGHUP or a changed file reloads the retry budget and the time for a stop, addresses hold until a restart. Ruled out: a queue listener of the standard library, which neither bounds nor counts. Tests: a stuck reader blocks nobody; changed settings are taken. Conclusion: logs cannot hold up requests.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -53,6 +53,10 @@
 # Part of the time for a stop that is kept for its end.
 _STOP_MARGIN_S = 0.4
 _STOP_CHECK_S = 0.05
+# A settings file that changes without a signal is noticed within this time.
+_SETTINGS_CHECK_S = 2.0
+_FIXED_SETTINGS = ("name", "failure_domain", "listen_address",
+                   "readiness_address", "peer_address", "store_address")
 # Daemons that share the retry budget. The platform does not tell their number.
 _RETRY_DAEMONS = 8
 _RETRY_SHARE = 0.6  # Of the budget, so that unequal shares stay within it.
@@ -256,6 +260,25 @@
                         {item.name for item in configuration.by_key.values()})),
                 self._options.name, edge_peers.interval_s(0)))
 
+    def reload(self, options: edge_settings.EdgeSettings) -> None:
+        """Takes changed settings; addresses hold until the next start."""
+        if options == self._options:
+            return
+        kept = {
+            name: getattr(self._options, name)
+            for name in _FIXED_SETTINGS
+            if getattr(self._options, name) != getattr(options, name)
+        }
+        limits = retry_limits(options.retry)
+        self.scheduler.tell(
+            events.RetryLimitsChanged(limits.deposit, limits.cap))
+        self._options = options._replace(**kept)
+        _logger.info("settings reloaded",
+                     extra={
+                         "settings": self._options._asdict(),
+                         "kept_until_restart": sorted(kept)
+                     })
+
     # Life of the process.
 
     @contextlib.contextmanager
@@ -337,16 +360,33 @@
     gc.freeze()
     stopping = threading.Event()
 
+    changed = threading.Event()  # Also ends the wait at a stop.
+
     def stop(signal_number: int, frame: object) -> None:
         del signal_number, frame
         stopping.set()
+        changed.set()
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGHUP, lambda number, frame: changed.set())
     edge = Edge(options, platform)
     with edge.running():
-        _logger.info("serving", extra={"address": options.listen_address})
-        stopping.wait()
+        _logger.info("serving", extra={"settings": options._asdict()})
+        while not stopping.is_set():
+            if changed.wait(_SETTINGS_CHECK_S):
+                changed.clear()
+            if not stopping.is_set():
+                _reload(edge, platform)
         edge.stop()
     return 0
+
+
+def _reload(edge: Edge, platform: Platform) -> None:
+    try:
+        options = platform.read_settings()
+    except (OSError, ValueError) as error:
+        # The file may be half written; the settings in force stay.
+        _logger.warning("settings not read", extra={"reason": str(error)})
+        return
+    edge.reload(options)
--- a/persimmonspan/process/logs.py
+++ b/persimmonspan/process/logs.py
@@ -1,27 +1,110 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output.
 
+A thread that serves a request must never wait for whoever reads the logs. Lines
+go into a bounded buffer, which a thread of its own writes out. What finds the
+buffer full is left out; the next line that is written says how many were.
+"""
+
+import atexit
+import collections
 import contextvars
 import logging
 import sys
+import threading
+import typing
 
 from pythonjsonlogger import json as json_logger
 
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+# Several seconds of a busy daemon's lines.
+_BUFFERED_LINES = 4000
+# Lines of this time are written together, which costs one call.
+_WRITE_INTERVAL_S = 0.05
+_FLUSH_S = 0.5  # At the end of the process.
 
 # Set on each thread that serves a request; a field of its log lines.
 request_id: contextvars.ContextVar[str | None] = contextvars.ContextVar(
     "request_id", default=None)
 
 
+class BufferedHandler(logging.Handler):
+    """Writes lines from a bounded buffer, on a thread of its own.
+
+    Args:
+        stream: Where lines are written.
+        buffered_lines: Lines that are held at most.
+    """
+
+    def __init__(self,
+                 stream: typing.TextIO,
+                 buffered_lines: int = _BUFFERED_LINES) -> None:
+        super().__init__()
+        self._stream = stream
+        self._most = buffered_lines
+        self._lines: collections.deque[str] = collections.deque()
+        self._left_out = 0
+        self._has_lines = threading.Event()
+        self._is_written = threading.Event()
+        self._is_written.set()
+        threading.Thread(target=self._run, name="logs", daemon=True).start()
+        atexit.register(self.flush)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Buffers a line, or counts it as left out."""
+        if len(self._lines) >= self._most:
+            self._left_out += 1
+            return
+        try:
+            line = self.format(record)
+        except Exception:  # pylint: disable=broad-exception-caught
+            self.handleError(record)
+            return
+        self._is_written.clear()
+        self._lines.append(line)
+        self._has_lines.set()
+
+    def flush(self) -> None:
+        """Waits a little for the buffered lines to be written."""
+        self._is_written.wait(_FLUSH_S)
+
+    def _run(self) -> None:
+        pause = threading.Event()
+        while True:
+            self._has_lines.wait()
+            self._has_lines.clear()
+            lines = []
+            while self._lines:
+                lines.append(self._lines.popleft())
+            left_out, self._left_out = self._left_out, 0
+            if left_out:
+                lines.append(
+                    self.format(
+                        logging.makeLogRecord({
+                            "name": __name__,
+                            "levelname": "WARNING",
+                            "msg": "lines left out",
+                            "count": left_out
+                        })))
+            try:
+                self._stream.write("".join(line + "\n" for line in lines))
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads; there is nowhere to say so.
+                self._left_out += len(lines)
+            if not self._lines:
+                self._is_written.set()
+            pause.wait(_WRITE_INTERVAL_S)
+
+
 def configure(level: str, daemon: str) -> None:
-    """Sends all log records as JSON lines to standard error.
+    """Sends all log records as JSON lines to standard output.
 
     Args:
         level: Lowest level that is written.
         daemon: Name of the daemon, a field of each record.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BufferedHandler(sys.stdout)
     handler.setFormatter(
         json_logger.JsonFormatter(_FORMAT,
                                   rename_fields=_RENAMED,
--- a/persimmonspan/process/tests/test_edge.py
+++ b/persimmonspan/process/tests/test_edge.py
@@ -18,6 +18,7 @@
 from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
 from persimmonspan.process import row_store
+from persimmonspan.process import scheduler_actor
 from testbed import replica
 
 _HOST = "a.example"
@@ -426,3 +427,20 @@
         asking.join()
         stopping.join()
     assert answers[0][::2] == (200, b"done")
+
+
+def test_changed_settings_are_taken_but_for_addresses(world):
+    with world.running():
+        retry = edge_settings.RetryBudget(0.5, 10.0, 160.0)
+        world.edge.reload(
+            world.options._replace(retry=retry,
+                                   grace_s=5.0,
+                                   listen_address="127.0.0.1:1"))
+
+        def limits(state, now_s):
+            del now_s
+            return state.budget.limits
+
+        assert world.edge.scheduler.ask(
+            scheduler_actor.Ask(limits)) == edge.retry_limits(retry)
+        assert world.ask("/other/1")[0] == 404  # At the old address.
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -213,6 +213,13 @@
     fingerprint: str
 
 
+class RetryLimitsChanged(typing.NamedTuple):
+    """The size of the retry budgets changed; see `retry.Limits`."""
+
+    deposit: float
+    cap: float
+
+
 class Tick(typing.NamedTuple):
     """Time passed; sent about every 50 ms."""
 
@@ -284,6 +291,6 @@
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | Moved | Abandoned |
          LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
          TargetReturned | TargetDied | CacheEvent | QuarantineShared |
-         QuarantineLifted | Tick)
+         QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | Rearmed | Refuse | CancelAttempt |
            ShareQuarantine | Count)
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -251,6 +251,14 @@
                              })), commands
 
 
+@_step.register
+def _(event: events.RetryLimitsChanged, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del now_s, rng
+    limits = retry.Limits(event.deposit, event.cap, event.cap)
+    return state._replace(budget=state.budget._replace(limits=limits)), []
+
+
 @_step.register
 def _(event: events.TargetLeaving, state: State, now_s: float,
       rng: random.Random) -> Result:
