Let the listener's threads grow with the requests

Change: ten threads at the start, eight more whenever fewer than two are idle, 170 at most. Ruled out: fewer fixed threads, which streams would use up.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -21,6 +21,12 @@
 _SERVER_NAME = "persimmonspan"
 # Half the daemons may fail, and their callers then connect here at once.
 _BACKLOG = 512
+# Each thread holds one request, which may wait or stream for its whole time. An
+# idle daemon should not pay for the threads of a crowded one.
+_LEAST_THREADS = 10
+_MOST_THREADS = 170
+_SPARE_THREADS = 2
+_GROWTH_THREADS = 8
 _METRICS_PATH = "/metrics"
 # Callers reuse connections until shortly before the idle timeout.
 _IDLE_SLACK_S = 5.0
@@ -126,10 +132,13 @@
             self._connections.put(conn)
             return
         super().process_conn(conn)
+        if self.requests.idle - self.requests.qsize < _SPARE_THREADS:
+            # The new threads may take the connection while this one waits.
+            self.requests.grow(_GROWTH_THREADS)
 
 
-def make_server(address: tuple[str, int], application: Application,
-                threads: int) -> server.HTTPServer:
+def make_server(address: tuple[str, int],
+                application: Application) -> server.HTTPServer:
     """Returns a server for callers that is not started yet."""
     watchdog = deadlines.Watchdog()
 
@@ -141,8 +150,8 @@
 
     http_server = _Server(address,
                           _Gateway,
-                          minthreads=threads,
-                          maxthreads=threads,
+                          minthreads=_LEAST_THREADS,
+                          maxthreads=_MOST_THREADS,
                           server_name=_SERVER_NAME)
     http_server.request_queue_size = _BACKLOG
     http_server.max_request_header_size = _MAX_HEADER_BYTES
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -44,8 +44,6 @@
 _SEED_BITS = 64
 _SWITCH_INTERVAL_S = 0.0005
 _THREAD_STACK_BYTES = 256 * 1024
-# Each thread holds one request, which may wait or stream for its whole time.
-_THREADS = 96
 _NOT_READY_RETRY_S = 0.5
 # The balancer notices within two checks, one a second, and callers that were
 # already on their way arrive.
@@ -287,7 +285,7 @@
         threading.stack_size(_THREAD_STACK_BYTES)
         address = own_settings.split_address
         self._server = forwarding_listener.make_server(
-            address(self._options.listen_address), self, _THREADS)
+            address(self._options.listen_address), self)
         readiness = forwarding_listener.make_readiness_server(
             address(self._options.readiness_address), self)
         follower = followers.Followers(self._platform.open_store,
--- a/persimmonspan/process/tests/test_edge.py
+++ b/persimmonspan/process/tests/test_edge.py
@@ -444,3 +444,37 @@
         assert world.edge.scheduler.ask(
             scheduler_actor.Ask(limits)) == edge.retry_limits(retry)
         assert world.ask("/other/1")[0] == 404  # At the old address.
+
+
+def test_many_slow_requests_get_a_thread_each(world):
+
+    def slow(request):
+        time.sleep(0.8)
+        yield replica.whole(request, b"done")
+
+    for number in range(8):
+        world.add(f"i-{number}", "desk", slow)
+    answers = []
+    with world.running():
+        asking = [
+            threading.Thread(target=lambda: answers.append(
+                world.ask("/non_idempotent/1")[0])) for _ in range(30)
+        ]
+        began_s = time.monotonic()
+        for thread in asking:
+            thread.start()
+        for thread in asking:
+            thread.join()
+    assert answers == [200] * 30
+    assert time.monotonic() - began_s < 2.0
+
+
+def test_silent_connections_hold_no_thread(world):
+    world.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    with world.running(), contextlib.ExitStack() as stack:
+        for _ in range(200):
+            stack.enter_context(
+                contextlib.closing(
+                    socket.create_connection(
+                        _split(world.options.listen_address))))
+        assert world.ask("/non_idempotent/1")[0] == 200
