Add a seeded fault soak of the edge daemon

Change: testbed.soak runs three real daemons before stand-ins of store and replicas; kills, stops, pauses, SIGHUP, a store that is busy, silent or loses answers, replicas that break off, reset, refuse or leave; checks at-most-once runs, true refusals, whole streams and own answers. Not built: deliberate faults switched on in the program, shrinking of seeds.

--- /dev/null
+++ b/testbed/edge_store.py
@@ -0,0 +1,139 @@
+"""Stand-in of the platform's store: rows with versions, and its faults."""
+
+import base64
+import collections.abc
+import contextlib
+import http.server
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+_MS_PER_S = 1000.0
+_SILENT_S = 1.5
+
+
+class _Server(http.server.ThreadingHTTPServer):
+
+    def handle_error(self, request: typing.Any,
+                     client_address: typing.Any) -> None:
+        """Ignores callers that left before their answer."""
+
+
+class Store:
+    """A store that listens on loopback.
+
+    `mode` is "ok", "busy" (503), "silent" (no answer in time) or "lost" (writes
+    are done and not answered).
+    """
+
+    def __init__(self) -> None:
+        self.mode = "ok"
+        self._tables: dict[str, dict[str, tuple[bytes | None, int]]] = {}
+        self._version = 1
+        self._changed = threading.Condition()
+        store = self
+
+        class _Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:  # pylint: disable=invalid-name
+                """Answers a read."""
+                store.answer(self, b"")
+
+            def do_POST(self) -> None:  # pylint: disable=invalid-name
+                """Answers a write."""
+                store.answer(
+                    self, self.rfile.read(int(self.headers["Content-Length"])))
+
+            def log_message(self, format: str, *args: typing.Any) -> None:  # pylint: disable=redefined-builtin
+                """Keeps the output clean."""
+
+        self._server = _Server(("127.0.0.1", 0), _Handler)
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    @contextlib.contextmanager
+    def running(self) -> collections.abc.Iterator["Store"]:
+        """Serves until the block ends."""
+        thread = threading.Thread(target=self._server.serve_forever)
+        thread.start()
+        try:
+            yield self
+        finally:
+            self._server.shutdown()
+            thread.join()
+            self._server.server_close()
+
+    def write(self, table: str, key: str, document: object) -> None:
+        """Writes a row; removes it if the document is None."""
+        self._put(table, key,
+                  None if document is None else json.dumps(document).encode())
+
+    def _put(self, table: str, key: str, value: bytes | None) -> None:
+        with self._changed:
+            self._version += 1
+            self._tables.setdefault(table, {})[key] = value, self._version
+            self._changed.notify_all()
+
+    def answer(self, handler: http.server.BaseHTTPRequestHandler,
+               body: bytes) -> None:
+        """Answers one call as the mode says."""
+        mode = self.mode
+        if mode == "silent":
+            time.sleep(_SILENT_S)
+            handler.close_connection = True
+            return
+        if mode == "busy":
+            self._send(handler, 503, {})
+            return
+        parts = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        if parts.path == "/rows-tx":
+            for row in json.loads(body)["write"]:
+                self._put(row["tableName"], row["key"],
+                          base64.b64decode(row["data"]))
+            if mode == "lost":
+                handler.close_connection = True
+                return
+            self._send(handler, 200, {"schemaVersion": self._version})
+            return
+        self._send(handler, 200, self._rows(parts.path, query))
+
+    def _rows(self, path: str, query: dict[str, str]) -> dict[str, typing.Any]:
+        is_feed = path == "/rows-feed"
+        since = int(query.get("sinceRevision", 0))
+
+        def changed() -> list[tuple[str, bytes | None, int]]:
+            table = self._tables.get(query["tableName"], {})
+            return [(key, value, version)
+                    for key, (value, version) in sorted(table.items())
+                    if version > since and (is_feed or value is not None)]
+
+        with self._changed:
+            if is_feed:
+                self._changed.wait_for(changed,
+                                       int(query["waitMs"]) / _MS_PER_S)
+            rows = [{
+                "key": key,
+                "schemaVersion": version
+            } | ({
+                "deleted": True
+            } if value is None else {
+                "data": base64.b64encode(value).decode()
+            }) for key, value, version in changed()]
+            return {
+                "rows": rows,
+                "schemaVersion": self._version,
+                "hasMore": False
+            }
+
+    @staticmethod
+    def _send(handler: http.server.BaseHTTPRequestHandler, status: int,
+              document: object) -> None:
+        data = json.dumps(document).encode()
+        handler.send_response(status)
+        handler.send_header("Content-Length", str(len(data)))
+        handler.end_headers()
+        handler.wfile.write(data)
--- /dev/null
+++ b/testbed/soak.py
@@ -0,0 +1,389 @@
+"""Randomized soak of edge daemons: faults from outside, promises checked.
+
+Real daemons run as processes before stand-ins of the store and of replicas.
+While callers send requests, processes are paused, killed, stopped and started
+again, the store fails, replicas break off, reset and leave. What callers and
+replicas see is checked afterwards.
+
+    python -m testbed.soak --seeds 50 --seconds 8
+"""
+
+import argparse
+import collections
+import collections.abc
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+from testbed import edge_store
+from testbed import replica
+
+_HOST = "a.example"
+_DAEMONS = 3
+_EVENTS = 12
+_CALLER_PAUSE_S = 0.05
+_CALLERS = 6
+_TIMEOUT_S = 6.0
+_GRACE_S = 2.0
+_PROMISES = ("answered_wrong", "ran_twice", "refused_but_ran", "stream_wrong",
+             "served_nothing")
+
+
+class Result(typing.NamedTuple):
+    """What a caller saw of one request; status 0 is no whole answer."""
+
+    request_id: str
+    kind: str
+    status: int
+    body: bytes
+
+
+def check(results: collections.abc.Iterable[Result],
+          runs: collections.abc.Mapping[str, int]) -> dict[str, list[str]]:
+    """Returns the ids of requests that broke each promise.
+
+    Args:
+        results: What callers saw.
+        runs: How often each request was begun by a replica, without those that
+            went on from the memory of an earlier run.
+
+    >>> check([Result("a", "non_idempotent", 503, b"")], {"a": 1})
+    {'refused_but_ran': ['a'], 'served_nothing': ['all']}
+    """
+    broken: dict[str, list[str]] = collections.defaultdict(list)
+    served = False
+    for result in results:
+        name, runs_seen = result.request_id, runs.get(result.request_id, 0)
+        if result.status == 200:
+            served = True
+            expected = (_stream_body()
+                        if result.kind == "draft" else name.encode())
+            if result.body != expected:
+                broken["stream_wrong" if result.kind ==
+                       "draft" else "answered_wrong"].append(name)
+        if result.kind != "idempotent":
+            if runs_seen > 1:
+                broken["ran_twice"].append(name)
+            if result.status == 503 and runs_seen:
+                broken["refused_but_ran"].append(name)
+    if not served:
+        broken["served_nothing"].append("all")
+    return dict(broken)
+
+
+def _stream_body() -> bytes:
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (number, number)
+                    for number in range(1, _EVENTS + 1))
+
+
+class _Replicas:
+    """Replicas whose behaviour the faults change."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.fault_share = 0.0
+        self._rng = rng
+        self._lock = threading.Lock()
+
+    def plain(
+        self, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.Reset]:
+        """Answers with the request's id, or breaks off."""
+        fault = self._fault()
+        if fault == "full":
+            yield replica.not_run(request)
+            return
+        with self._lock:
+            self.runs[request.id] += 1
+        time.sleep(0.02)
+        answer = replica.whole(request, request.id.encode())
+        if fault == "cut":
+            yield answer[:-3]
+        elif fault == "reset":
+            yield replica.Reset()
+        elif fault == "error":
+            yield replica.whole(request, b"", 500)
+        else:
+            yield answer
+
+    def draft(
+        self, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.Reset]:
+        """Streams the events that are left, or breaks off."""
+        fault = self._fault()
+        if "kv-from" not in request.headers:
+            with self._lock:
+                self.runs[request.id] += 1
+        yield replica.stream_head(request)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, _EVENTS + 1):
+            if fault in ("cut", "reset") and number == _EVENTS // 2:
+                yield replica.event(number)[:7]
+                if fault == "reset":
+                    yield replica.Reset()
+                return
+            yield replica.event(number)
+            time.sleep(0.03)
+        yield replica.STREAM_END
+
+    def _fault(self) -> str:
+        with self._lock:
+            if self._rng.random() >= self.fault_share:
+                return ""
+            return self._rng.choice(["cut", "reset", "error", "full"])
+
+
+class _Daemon:
+    """One daemon process, started again after each end."""
+
+    def __init__(self, number: int, store_address: str,
+                 folder: pathlib.Path) -> None:
+        self.address = _free_address()
+        self._log = folder / f"edge-{number}.log"
+        self._settings = folder / f"edge-{number}.json"
+        peer_port = int(_free_address().rsplit(":", 1)[1])
+        self._settings.write_text(
+            json.dumps({
+                "nodeName": f"edge-{number}",
+                "ip": "127.0.0.1",
+                "zone": "a",
+                "listenersMap": {
+                    "frontend": self.address,
+                    "readiness": _free_address()
+                },
+                "platform": {
+                    "address": store_address
+                },
+                "portRange": [peer_port, peer_port],
+                "bounds": {
+                    "graceS": _GRACE_S
+                }
+            }))
+        self.process: subprocess.Popen[bytes] | None = None
+        self.start()
+
+    def start(self) -> None:
+        """Starts the process."""
+        environment = os.environ | {"PERSIMMONSPAN_CONFIG": str(self._settings)}
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(  # pylint: disable=consider-using-with
+                [sys.executable, "-m", "persimmonspan.platform"],
+                env=environment,
+                stdout=log,
+                stderr=log)
+
+    def end(self, how: signal.Signals) -> None:
+        """Ends the process by a signal and waits."""
+        self.process.send_signal(how)
+        try:
+            self.process.wait(_GRACE_S + 2.0)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+
+def _free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def _configuration(version: int) -> dict[str, typing.Any]:
+    kinds = {"idempotent": "desk", "non_idempotent": "desk", "draft": "engines"}
+    return {
+        "version": version,
+        "routes": [{
+            "name": kind,
+            "host": _HOST,
+            "pathPrefix": f"/{kind}/",
+            "kind": "streaming" if kind == "draft" else kind,
+            "timeoutMs": 4000,
+            "targetLatencyMs": 500,
+            "service": service,
+            "maxAttempts": 2 if kind == "idempotent" else 1,
+            "anonymous": True
+        } for kind, service in kinds.items()],
+        "services": [{
+            "name": "desk"
+        }, {
+            "name": "engines",
+            "runtime": {
+                "slots": 24,
+                "kvCapacity": 30000,
+                "snapshots": True
+            }
+        }],
+        "tenants": []
+    }
+
+
+def _ask(address: str, request_id: str, kind: str) -> Result:
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+    try:
+        connection.request(
+            "POST", f"/{kind}/1", b"body", {
+                "Host": _HOST,
+                "X-Attempt-Id": request_id,
+                "X-Deadline-Ms": "4000",
+                "X-Token-Usage": "100,48"
+            })
+        response = connection.getresponse()
+        return Result(request_id, kind, response.status, response.read())
+    except (OSError, http.client.HTTPException):
+        return Result(request_id, kind, 0, b"")
+    finally:
+        connection.close()
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, seconds: float, folder: pathlib.Path) -> None:
+        self.results: list[Result] = []
+        self.faults: list[str] = []
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._seconds = seconds
+        self._folder = folder
+        self._over = threading.Event()
+
+    def run(self) -> dict[str, list[str]]:
+        """Runs callers and faults; returns the promises that were broken."""
+        replicas = _Replicas(random.Random(self._seed + 1))
+        with contextlib.ExitStack() as stack:
+            store = stack.enter_context(edge_store.Store().running())
+            entries = {}
+            for number in range(6):
+                is_desk = number < 3
+                one = replica.Replica(
+                    replicas.plain if is_desk else replicas.draft)
+                stack.enter_context(one.running())
+                entries[f"i-{number}"] = {
+                    "service": "desk" if is_desk else "engines",
+                    "address": one.address,
+                    "zone": "a",
+                    "slots": 6,
+                    "state": "ready"
+                }
+            for name, entry in entries.items():
+                store.write("servers", name, entry)
+            store.write("op", "config", _configuration(1))
+            daemons = [
+                _Daemon(number, store.address, self._folder)
+                for number in range(_DAEMONS)
+            ]
+            try:
+                self._play(daemons, store, replicas, entries)
+            finally:
+                for daemon in daemons:
+                    daemon.process.kill()
+                    daemon.process.wait()
+        return check(self.results, replicas.runs)
+
+    def _play(self, daemons: list[_Daemon], store: edge_store.Store,
+              replicas: _Replicas, entries: dict[str, typing.Any]) -> None:
+        time.sleep(1.5)
+        callers = [
+            threading.Thread(target=self._call, args=(daemons, number))
+            for number in range(_CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        end_s = time.monotonic() + self._seconds
+        version = 1
+        while time.monotonic() < end_s:
+            version += 1
+            self._fault(daemons, store, replicas, entries, version)
+            time.sleep(self._rng.uniform(0.1, 0.6))
+        store.mode, replicas.fault_share = "ok", 0.0
+        self._over.set()
+        for caller in callers:
+            caller.join()
+
+    def _call(self, daemons: list[_Daemon], number: int) -> None:
+        rng = random.Random(self._seed * 100 + number)
+        for index in range(100_000):
+            if self._over.is_set():
+                return
+            kind = rng.choice(["idempotent", "non_idempotent", "draft"])
+            self.results.append(
+                _ask(rng.choice(daemons).address, f"r{number}x{index}", kind))
+            time.sleep(_CALLER_PAUSE_S)
+
+    def _fault(self, daemons: list[_Daemon], store: edge_store.Store,
+               replicas: _Replicas, entries: dict[str, typing.Any],
+               version: int) -> None:
+        kind = self._rng.choice([
+            "kill", "stop", "pause", "store", "replicas", "leave", "change",
+            "reload"
+        ])
+        daemon = self._rng.choice(daemons)
+        self.faults.append(kind)
+        if kind == "kill":
+            daemon.end(signal.SIGKILL)
+            daemon.start()
+        elif kind == "stop":
+            daemon.end(signal.SIGTERM)
+            daemon.start()
+        elif kind == "pause":
+            daemon.process.send_signal(signal.SIGSTOP)
+            time.sleep(self._rng.uniform(0.1, 1.0))
+            daemon.process.send_signal(signal.SIGCONT)
+        elif kind == "store":
+            store.mode = self._rng.choice(["ok", "busy", "silent", "lost"])
+        elif kind == "replicas":
+            replicas.fault_share = self._rng.choice([0.0, 0.1, 0.3])
+        elif kind == "leave":
+            name = self._rng.choice(sorted(entries))
+            state = self._rng.choice(["ready", "draining"])
+            store.write("servers", name, entries[name] | {"state": state})
+        elif kind == "change":
+            store.write("op", "config", _configuration(version))
+        else:
+            daemon.process.send_signal(signal.SIGHUP)
+
+
+def main() -> int:
+    """Runs some seeds; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parsed = parser.parse_args()
+    failed = 0
+    for seed in range(parsed.first, parsed.first + parsed.seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = Soak(seed, parsed.seconds, pathlib.Path(folder))
+            broken = soak.run()
+            statuses = collections.Counter(
+                result.status for result in soak.results)
+            print(json.dumps({
+                "seed": seed,
+                "broken": broken,
+                "statuses": dict(statuses.most_common()),
+                "faults": soak.faults
+            }),
+                  flush=True)
+            if broken:
+                failed += 1
+                for log in pathlib.Path(folder).glob("*.log"):
+                    kept = pathlib.Path("out") / f"soak-{seed}-{log.name}"
+                    kept.parent.mkdir(exist_ok=True)
+                    kept.write_bytes(log.read_bytes())
+    print(f"{parsed.seeds} seeds, {failed} with a promise broken")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
