--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -33,7 +33,7 @@
 # Several digests may be lost or late before a daemon counts as gone.
 _SILENT_S = 1.5
 # Longer than the time between two reads of the rows of all daemons.
-_FORGOTTEN_S = 30.0
+_FORGOTTEN_S = 100.0
 _INTERVAL_S = 0.1
 _HUB_INTERVAL_S = 0.2
 # Up to as many peers, digests go to all.
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -27,8 +27,9 @@
 # Time between two reads of the targets by the daemon that reads for all.
 _TARGETS_INTERVAL_S = 0.2
 _LOOK_INTERVAL_S = 0.1
-# Time between two reads of the other daemons' addresses.
-_ADDRESSES_INTERVAL_S = 10.0
+# Time between two reads of the other daemons' addresses. Digests tell of new
+# daemons sooner; the rows are for daemons that no digest reaches.
+_ADDRESSES_INTERVAL_S = 45.0
 # Pauses after failed calls grow from the least to the most.
 _LEAST_PAUSE_S = 0.25
 _MOST_PAUSE_S = 1.0
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -49,7 +49,7 @@
 def test_a_silent_daemon_is_no_reader_and_is_forgotten():
     state, _ = edge_peers.heard(edge_peers.State(), _digest("a"), 0.0, 0.0)
     assert edge_peers.is_reader(state, "b", 2.0)
-    assert not edge_peers.forget(state, 31.0).peers
+    assert not edge_peers.forget(state, 101.0).peers
 
 
 def test_a_daemon_known_from_its_row_is_sent_to_but_not_relied_on():
