Remove what nothing uses on the edge path

Cause: reading the diff as a newcomer: a callback, a set and a function without users, and the name of a copy written out beside the function that makes it. Change: removed; copy_name serves copies and moves. Behaviour is the same. Conclusion: nothing left to decide here.

--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -1,7 +1,6 @@
 """Settings file of the platform."""
 
 import os
-import typing
 
 import msgspec
 
@@ -84,8 +83,3 @@
                                         window_s=bounds.retryWindowS,
                                         burst=bounds.retryBurst),
         memory_mb=document.limits.memoryMb)
-
-
-def describe(settings: edge_settings.EdgeSettings) -> dict[str, typing.Any]:
-    """Returns the settings as fields of a log line."""
-    return settings._asdict() | {"retry": settings.retry._asdict()}
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -131,9 +131,9 @@
                           ((b"Host", b"replica"),))
 
 
-def copy_name(address: str, request_id: str) -> str:
-    """Returns the name of a copy of a run, kept at a replica."""
-    return f"{address}/{request_id}"
+def copy_name(address: str, name: str) -> str:
+    """Returns where a copy of a run lies: by request id, or by handle."""
+    return f"{address}/{name}"
 
 
 def retry_after(delay_s: float) -> tuple[bytes, bytes]:
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -90,7 +90,6 @@
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
-        self._leaving: frozenset[str] = frozenset()
         self._moved: set[str] = set()
         self._registrations: tuple[directory.Registration, ...] | None = None
         self._lock = threading.Lock()
@@ -128,9 +127,8 @@
         self._refuse_while_stopping(placed)
         with self._counted():
             context = forwarding.Context(configuration, self._find_target,
-                                         self._is_leaving, self._report_moved,
-                                         self.scheduler, self.metrics,
-                                         self._relay, self.wire)
+                                         self._report_moved, self.scheduler,
+                                         self.metrics, self._relay, self.wire)
             return forwarding.serve(placed, context, responder)
 
     def is_ready(self) -> bool:
@@ -177,9 +175,6 @@
         if self._peers is not None:
             self._peers.wake()
 
-    def _is_leaving(self, target: str) -> bool:
-        return target in self._leaving
-
     def _report_moved(self, target: str) -> None:
         """Notes that another process answers at a target's address."""
         _logger.warning("target is not at its address",
@@ -222,8 +217,6 @@
                              })
         for entry in (*change.leaving, *change.gone):
             self.scheduler.tell(events.TargetLeaving(entry.name))
-        self._leaving = frozenset(
-            entry.name for entry in state.present.values() if entry.is_leaving)
         for entry in (*change.restarted, *change.joined):
             self._moved.discard(entry.name)
         if is_first or not change.is_empty:
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -112,8 +112,8 @@
     def encode_drop(self, handle: str) -> exchange.Order:
         """Encodes a call that frees what was copied."""
 
-    def copy_name(self, address: str, request_id: str) -> str:
-        """Returns the name of a copy of a run."""
+    def copy_name(self, address: str, name: str) -> str:
+        """Returns where a copy of a run lies: by request id, or by handle."""
 
     def retry_after(self, delay_s: float) -> tuple[bytes, bytes]:
         """Returns the header that tells when to come back."""
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -60,7 +60,6 @@
 
     configuration: routes.Configuration
     find_target: collections.abc.Callable[[str], events.Target | None]
-    is_leaving: collections.abc.Callable[[str], bool]
     report_moved: collections.abc.Callable[[str], None]
     scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
     metrics: metrics.Metrics
@@ -307,14 +306,14 @@
                 break
             handle = move.handle
             if is_last and move.is_done:
-                self._handover = _Handover(refuge,
-                                           f"{self._target.address}/{handle}")
+                self._handover = _Handover(
+                    refuge, wire.copy_name(self._target.address, handle))
                 self._context.metrics.count("stream_evacuated_by_move")
                 return True
             if is_last:
                 # The run has stopped and its memory stays here.
-                self._handover = _Handover(self._target,
-                                           f"{self._target.address}/{handle}")
+                self._handover = _Handover(
+                    self._target, wire.copy_name(self._target.address, handle))
                 self._context.metrics.count("stream_evacuation_returned")
                 return True
         self._context.metrics.count("stream_evacuation_failed")
