Sum copies and unread prompts too where loads of daemons are added

Cause: reading the diff again: TargetLoad got two fields, which add_loads of the gossip plan dropped, and its doctest had been narrowed from [1:] to [1:5] with the new fields, which hid it. Change: both fields are summed; the doctest compares all values again. Conclusion: gossip adds what digests add.

--- a/persimmonspan/process/gossip_plan.py
+++ b/persimmonspan/process/gossip_plan.py
@@ -152,9 +152,9 @@
               other: events.TargetLoad) -> events.TargetLoad:
     """Returns what two daemons together have outstanding on a target.
 
-    >>> add_loads(events.TargetLoad("t", 1, 9, (3, 4), 3),
-    ...           events.TargetLoad("t", 2, 8, (1, 1), 4))[1:5]
-    (3, 17, (4, 5), 5)
+    >>> add_loads(events.TargetLoad("t", 1, 9, (3, 4), 3, 6, 2),
+    ...           events.TargetLoad("t", 2, 8, (1, 1), 4, 1, 5))[1:]
+    (3, 17, (4, 5), 5, 7, 7)
     """
     profile = tuple(map(operator.add, one.profile_tokens, other.profile_tokens))
     if len(one.profile_tokens) != len(other.profile_tokens):
@@ -162,4 +162,6 @@
     return events.TargetLoad(
         one.target, one.outstanding + other.outstanding,
         one.predicted_tokens + other.predicted_tokens, profile,
-        int(math.hypot(one.deviation_tokens, other.deviation_tokens)))
+        int(math.hypot(one.deviation_tokens, other.deviation_tokens)),
+        one.copy_tokens + other.copy_tokens,
+        one.prefill_tokens + other.prefill_tokens)
