End a daemon that cannot start, and close sockets to malformed addresses

Cause: a daemon whose listening address was in use raised, but its relay and scheduler threads kept the process alive, serving nothing (seen once in a loop of test_edge.py as a test that never ended). A row with an address that is none left one more open ZeroMQ socket at each interval and kept the process from its end. Change: threads are registered for clean-up before anything can fail; a socket is kept even if it cannot connect, so that it is closed. The stand-in world of the edge tests moves to testbed/edge_world.py and takes ports below those of outgoing connections, whose use was the cause of the address in use.

--- a/persimmonspan/connection/digest_links.py
+++ b/persimmonspan/connection/digest_links.py
@@ -123,8 +123,15 @@
             sock = self._context.socket(zmq.PUSH)
             self._configure(sock)
             sock.setsockopt(zmq.IMMEDIATE, 1)
-            sock.connect(f"tcp://{address}")
             self._pushes[address] = sock
+            try:
+                sock.connect(f"tcp://{address}")
+            except zmq.ZMQError as error:
+                _logger.error("address of a peer not understood",
+                              extra={
+                                  "address": address,
+                                  "reason": str(error)
+                              })
 
     def _send(self, digests: dict[str, bytes]) -> None:
         for address, data in digests.items():
--- a/persimmonspan/platform/tests/test_edge.py
+++ b/persimmonspan/platform/tests/test_edge.py
@@ -4,181 +4,30 @@
 over loopback.
 """
 
-import base64
 import contextlib
 import http.client
-import json
 import socket
 import threading
 import time
 
 import pytest
 
-from persimmonspan.platform import program
 from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
-from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
+from testbed import edge_world
 from testbed import replica
 
-_HOST = "a.example"
-_TIMEOUT_S = 5.0
-
-
-class _Rows:
-    """Rows in memory, with the interface of the store's client."""
-
-    def __init__(self):
-        self.tables = {"op": {}, "servers": {}}
-        self.version = 1
-        self.changed = threading.Condition()
-
-    def write(self, table, key, document):
-        """Writes a row; removes it if the document is None."""
-        with self.changed:
-            self.version += 1
-            self.tables.setdefault(table,
-                                   {})[key] = (None if document is None else
-                                               json.dumps(document).encode(),
-                                               self.version)
-            self.changed.notify_all()
-
-    def read(self, table):
-        """Returns all rows of a table."""
-        return self.changes(table, 0, 0.0)
-
-    def changes(self, table, since, wait_s):
-        """Waits for rows that changed after a version."""
-
-        def rows():
-            return tuple(
-                row_store.Row(key, value, version)
-                for key, (value, version) in self.tables.get(table, {}).items()
-                if version > since and (value is not None or since))
-
-        with self.changed:
-            self.changed.wait_for(rows, wait_s)
-            return row_store.Rows(rows(), self.version)
-
-    def put(self, table, key, value):
-        """Writes a row, whatever it holds."""
-        self.write(table, key, base64.b64encode(value).decode())
-
-
-def _free_address():
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
-def _configuration(version=1, **route_changes):
-    engine = {"slots": 8, "kvCapacity": 30000, "snapshots": True}
-    return {
-        "version": version,
-        "routes": [{
-            "name": kind,
-            "host": _HOST,
-            "pathPrefix": f"/{kind}/",
-            "kind": "streaming" if kind == "draft" else kind,
-            "timeoutMs": 30000 if kind == "draft" else 2000,
-            "targetLatencyMs": 500,
-            "service": "engines" if kind == "draft" else "desk",
-            "maxAttempts": 2 if kind == "idempotent" else 1
-        } | route_changes
-                   for kind in ("idempotent", "non_idempotent", "draft")],
-        "services": [{
-            "name": "desk"
-        }, {
-            "name": "engines",
-            "runtime": engine
-        }],
-        "tenants": [{
-            "name": "t",
-            "apiKeys": ["k"]
-        }]
-    }
-
-
-class _World:
-    """A daemon, its store, and replicas by name."""
-
-    def __init__(self):
-        self.rows = _Rows()
-        self.options = edge_settings.EdgeSettings("edge-1",
-                                                  "a",
-                                                  _free_address(),
-                                                  _free_address(),
-                                                  _free_address(),
-                                                  "store",
-                                                  grace_s=2.0)
-        self.edge = edge.Edge(
-            self.options,
-            program.PLATFORM._replace(open_store=lambda address: self.rows))
-        self._replicas = contextlib.ExitStack()
-
-    def add(self, name, service, script):
-        """Starts a replica and registers it."""
-        one = self._replicas.enter_context(replica.Replica(script).running())
-        self.register(name, service, one.address)
-        return one
-
-    def register(self, name, service, address, state="ready"):
-        """Writes the entry of a replica."""
-        self.rows.write(
-            "servers", name, {
-                "service": service,
-                "address": address,
-                "zone": "a",
-                "slots": 6,
-                "state": state
-            })
-
-    @contextlib.contextmanager
-    def running(self):
-        """Runs the daemon until the block ends."""
-        with self._replicas, self.edge.running():
-            _wait(self.edge.is_ready)
-            yield self
-
-    def ask(self, path, method="POST", body=b"x", **headers):
-        """Sends a request; returns status, headers and body."""
-        connection = http.client.HTTPConnection(*_split(
-            self.options.listen_address),
-                                                timeout=_TIMEOUT_S)
-        values = {
-            "Host": _HOST,
-            "X-Attempt-Id": "r1",
-            "X-Api-Key": "k",
-            "X-Deadline-Ms": "4000"
-        } | {
-            name.replace("_", "-"): value for name, value in headers.items()
-        }
-        with contextlib.closing(connection):
-            connection.request(method, path, body, values)
-            response = connection.getresponse()
-            return response.status, response.headers, response.read()
-
-
-def _split(address):
-    host, port = address.split(":")
-    return host, int(port)
-
-
-def _wait(condition):
-    end_s = time.monotonic() + _TIMEOUT_S
-    while not condition():
-        assert time.monotonic() < end_s
-        time.sleep(0.01)
-
 
 @pytest.fixture(name="world")
 def _world():
-    world = _World()
-    world.rows.write("op", "config", _configuration())
+    world = edge_world.World()
+    world.rows.write("op", "config", edge_world.configuration())
     return world
 
 
 def test_without_a_configuration_the_answer_is_503():
-    world = _World()
+    world = edge_world.World()
     world.rows.tables["op"] = {}
     with world.edge.running():
         status, headers, _ = world.ask("/idempotent/1")
@@ -314,13 +163,13 @@
     one = world.add("i-1", "desk",
                     lambda request: [replica.whole(request, b"")])
     with world.running(), socket.create_connection(
-            _split(world.options.listen_address)) as caller:
+            edge_world.split(world.options.listen_address)) as caller:
         caller.sendall(b"POST /idempotent/1 HTTP/1.1\r\nHost: a.example\r\n"
                        b"X-Attempt-Id: r1\r\nX-Api-Key: k\r\n"
                        b"Content-Length: 40\r\n"
                        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
                        b"POST /idempotent/2 HTTP/1.1\r\n\r\n")
-        caller.settimeout(_TIMEOUT_S)
+        caller.settimeout(edge_world.TIMEOUT_S)
         assert caller.recv(100).startswith(b"HTTP/1.1 400")
     assert not one.requests
 
@@ -397,9 +246,10 @@
 def test_configurations_never_go_back(world):
     world.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
     with world.running():
-        world.rows.write("op", "config", _configuration(5, pathPrefix="/new/"))
-        _wait(lambda: world.ask("/new/1")[0] == 200)
-        world.rows.write("op", "config", _configuration(4))
+        world.rows.write("op", "config",
+                         edge_world.configuration(5, pathPrefix="/new/"))
+        edge_world.wait(lambda: world.ask("/new/1")[0] == 200)
+        world.rows.write("op", "config", edge_world.configuration(4))
         time.sleep(0.3)
         assert world.ask("/idempotent/1")[0] == 404
 
@@ -419,7 +269,7 @@
         time.sleep(0.2)
         stopping = threading.Thread(target=world.edge.stop)
         stopping.start()
-        _wait(world.edge.is_stopping)
+        edge_world.wait(world.edge.is_stopping)
         assert not world.edge.is_ready()
         status, headers, _ = world.ask("/non_idempotent/2")
         assert (status, headers["Connection"]) == (200, "close")
@@ -476,5 +326,18 @@
             stack.enter_context(
                 contextlib.closing(
                     socket.create_connection(
-                        _split(world.options.listen_address))))
+                        edge_world.split(world.options.listen_address))))
         assert world.ask("/non_idempotent/1")[0] == 200
+
+
+def test_a_daemon_whose_address_is_in_use_ends(world):
+    # Its threads kept the process alive, which served nothing.
+    before = set(threading.enumerate())
+    with socket.create_server(edge_world.split(
+            world.options.readiness_address)), pytest.raises(OSError):
+        with world.edge.running():
+            pass
+    edge_world.wait(lambda: not [
+        thread for thread in set(threading.enumerate()) - before
+        if not thread.daemon
+    ])
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -277,23 +277,24 @@
         """Serves until the block ends."""
         threading.stack_size(_THREAD_STACK_BYTES)
         address = own_settings.split_address
-        self._server = forwarding_listener.make_server(
-            address(self._options.listen_address), self)
-        readiness = forwarding_listener.make_readiness_server(
-            address(self._options.readiness_address), self)
-        follower = followers.Followers(self._platform.open_store,
-                                       self._options.store_address,
-                                       self._platform.formats, self)
-        self._peers = peering.Peering(self._options.name,
-                                      self._options.peer_address,
-                                      self.scheduler, follower.take_news)
-        follower.peers = self._peers
-        self._relay.start()
-        self._server.prepare()
-        readiness.prepare()
         with contextlib.ExitStack() as stack:
             stack.callback(self.scheduler.stop)
+            self._relay.start()
             stack.callback(self._relay.stop)
+            self._server = forwarding_listener.make_server(
+                address(self._options.listen_address), self)
+            readiness = forwarding_listener.make_readiness_server(
+                address(self._options.readiness_address), self)
+            for server in (self._server, readiness):
+                server.prepare()
+                stack.callback(server.stop)
+            follower = followers.Followers(self._platform.open_store,
+                                           self._options.store_address,
+                                           self._platform.formats, self)
+            self._peers = peering.Peering(self._options.name,
+                                          self._options.peer_address,
+                                          self.scheduler, follower.take_news)
+            follower.peers = self._peers
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
             for server in (self._server, readiness):
--- /dev/null
+++ b/testbed/edge_world.py
@@ -0,0 +1,175 @@
+"""An edge daemon in this process, with a store in memory and stand-in replicas.
+
+Callers, replicas and the daemon speak over loopback.
+"""
+
+import contextlib
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+
+from persimmonspan.platform import program
+from persimmonspan.process import edge
+from persimmonspan.process import edge_settings
+from persimmonspan.process import row_store
+from testbed import replica
+
+HOST = "a.example"
+TIMEOUT_S = 5.0
+# Below those that systems give to outgoing connections.
+_PORTS = range(10_000, 30_000)
+
+
+class Rows:
+    """Rows in memory, with the interface of the store's client."""
+
+    def __init__(self):
+        self.tables = {"op": {}, "servers": {}}
+        self.version = 1
+        self.changed = threading.Condition()
+
+    def write(self, table, key, document):
+        """Writes a row; removes it if the document is None."""
+        self._write(table, key,
+                    None if document is None else json.dumps(document).encode())
+
+    def _write(self, table, key, value):
+        with self.changed:
+            self.version += 1
+            self.tables.setdefault(table, {})[key] = value, self.version
+            self.changed.notify_all()
+
+    def read(self, table):
+        """Returns all rows of a table."""
+        return self.changes(table, 0, 0.0)
+
+    def changes(self, table, since, wait_s):
+        """Waits for rows that changed after a version."""
+
+        def rows():
+            return tuple(
+                row_store.Row(key, value, version)
+                for key, (value, version) in self.tables.get(table, {}).items()
+                if version > since and (value is not None or since))
+
+        with self.changed:
+            self.changed.wait_for(rows, wait_s)
+            return row_store.Rows(rows(), self.version)
+
+    def put(self, table, key, value):
+        """Writes a row, whatever it holds."""
+        self._write(table, key, value)
+
+
+def free_address():
+    """Returns an address on which nothing listens."""
+    while True:
+        address = "127.0.0.1", random.choice(_PORTS)
+        with contextlib.suppress(OSError), socket.create_server(address):
+            return f"{address[0]}:{address[1]}"
+
+
+def configuration(version=1, **route_changes):
+    """Returns a configuration with a route of each kind."""
+    engine = {"slots": 8, "kvCapacity": 30000, "snapshots": True}
+    return {
+        "version": version,
+        "routes": [{
+            "name": kind,
+            "host": HOST,
+            "pathPrefix": f"/{kind}/",
+            "kind": "streaming" if kind == "draft" else kind,
+            "timeoutMs": 30000 if kind == "draft" else 2000,
+            "targetLatencyMs": 500,
+            "service": "engines" if kind == "draft" else "desk",
+            "maxAttempts": 2 if kind == "idempotent" else 1
+        } | route_changes
+                   for kind in ("idempotent", "non_idempotent", "draft")],
+        "services": [{
+            "name": "desk"
+        }, {
+            "name": "engines",
+            "runtime": engine
+        }],
+        "tenants": [{
+            "name": "t",
+            "apiKeys": ["k"]
+        }]
+    }
+
+
+class World:
+    """A daemon, its store, and replicas by name."""
+
+    def __init__(self, name="edge-1", rows=None):
+        self.rows = rows if rows is not None else Rows()
+        self.options = edge_settings.EdgeSettings(name,
+                                                  "a",
+                                                  free_address(),
+                                                  free_address(),
+                                                  free_address(),
+                                                  "store",
+                                                  grace_s=2.0)
+        self.edge = edge.Edge(
+            self.options,
+            program.PLATFORM._replace(open_store=lambda address: self.rows))
+        self._replicas = contextlib.ExitStack()
+
+    def add(self, name, service, script):
+        """Starts a replica and registers it."""
+        one = self._replicas.enter_context(replica.Replica(script).running())
+        self.register(name, service, one.address)
+        return one
+
+    def register(self, name, service, address, state="ready"):
+        """Writes the entry of a replica."""
+        self.rows.write(
+            "servers", name, {
+                "service": service,
+                "address": address,
+                "zone": "a",
+                "slots": 6,
+                "state": state
+            })
+
+    @contextlib.contextmanager
+    def running(self):
+        """Runs the daemon until the block ends."""
+        with self._replicas, self.edge.running():
+            wait(self.edge.is_ready)
+            yield self
+
+    def ask(self, path, method="POST", body=b"x", **headers):
+        """Sends a request; returns status, headers and body."""
+        connection = http.client.HTTPConnection(*split(
+            self.options.listen_address),
+                                                timeout=TIMEOUT_S)
+        values = {
+            "Host": HOST,
+            "X-Attempt-Id": "r1",
+            "X-Api-Key": "k",
+            "X-Deadline-Ms": "4000"
+        } | {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        with contextlib.closing(connection):
+            connection.request(method, path, body, values)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+
+
+def split(address):
+    """Returns host and port."""
+    host, port = address.split(":")
+    return host, int(port)
+
+
+def wait(condition):
+    """Waits until a condition holds."""
+    end_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
