Copy a stream at the notice and go on from the copy once it is cut

Change: a stream stays where it is until it ends or is cut; at the notice its memory is copied once, to a refuge drawn by the room that is left and the failure domain, and to another one if there is no room. Ruled out: lack of links; first copies were complete in most cases. Pauses of 0.2 s at the resumption are what is left.

--- /dev/null
+++ b/persimmonspan/platform/tests/test_moves.py
@@ -0,0 +1,148 @@
+"""Streams whose target leaves go on from a copy that is made at its notice.
+
+Replicas record the moves that are asked of them; a move lasts until the test
+lets the replica end.
+"""
+
+import http.client
+import threading
+import time
+
+import pytest
+
+from testbed import edge_world
+from testbed import replica
+
+_EVENTS = 120
+_PAUSE_S = 0.02
+# Several reads of the store.
+_NOTICED_S = 0.5
+
+
+class _Engines:
+    """Replicas that stream, move and leave as one.
+
+    Args:
+        world: Where they register.
+        refusing: Number of moves that find no room.
+    """
+
+    def __init__(self, world, refusing=0):
+        self.moves = []
+        self.drops = []
+        self.resumed = []
+        self.cut = threading.Event()
+        self._refusing = refusing
+        self._running_on = None
+        self._keeper = None
+        self._world = world
+        self._replicas = {
+            f"i-{number}": world.add(f"i-{number}", "engines", self._script)
+            for number in range(6)
+        }
+
+    def _script(self, request):
+        if request.path == "/kv-move":
+            return self._move(request)
+        if request.path.startswith("/kv-handle/"):
+            self.drops.append(request.path.rpartition("/")[2])
+            return [replica.whole(request, b"")]
+        if request.headers.get("kv-from", "").endswith("/r1"):
+            return [replica.not_run(request)]  # The keeper has left.
+        if "kv-from" in request.headers:
+            self.resumed.append(request.headers)
+            return self._stream(request, threading.Event())
+        self._keeper = request.headers["x-kv-backup"]
+        self._running_on = request.headers["x-expected-instance"]
+        return self._stream(request, self.cut)
+
+    def _move(self, request):
+        self.moves.append(request.body)
+        if len(self.moves) <= self._refusing:
+            return [replica.whole(request, b"{}", 503)]
+        return [replica.whole(request, b'{"session": "h1", "created": 1}')]
+
+    def _stream(self, request, cut):
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        yield replica.stream_head(request)
+        for number in range(first, _EVENTS + 1):
+            if cut.is_set():
+                return
+            yield replica.event(number)
+            time.sleep(_PAUSE_S)
+        yield replica.STREAM_END
+
+    def address(self):
+        """Returns the address of the replica that runs the stream."""
+        return self._replicas[self._running_on].address
+
+    def leave(self):
+        """Has the keeper of the copy leave, and then the stream's replica."""
+        edge_world.wait(lambda: self._running_on)
+        for address in (self._keeper, self.address()):
+            for name, one in self._replicas.items():
+                if one.address == address:
+                    self._world.register(name, "engines", address, "draining")
+            time.sleep(_NOTICED_S)
+
+
+@pytest.fixture(name="world")
+def _world():
+    world = edge_world.World()
+    world.rows.write("op", "config", edge_world.configuration())
+    return world
+
+
+def _ask(world):
+    status, _, body = world.ask("/draft/1", X_Token_Usage="100,500")
+    assert status == 200
+    numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    assert numbers == [b"id: %d" % number for number in range(1, _EVENTS + 1)]
+
+
+def _when_moved(engines, action):
+    """Runs an action in the background once a move was made."""
+
+    def run():
+        engines.leave()
+        edge_world.wait(lambda: engines.moves)
+        time.sleep(0.1)
+        action()
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread
+
+
+@pytest.mark.parametrize("refusing", [0, 2])
+def test_a_stream_that_is_cut_goes_on_at_its_refuge(world, refusing):
+    engines = _Engines(world, refusing)
+    with world.running():
+        thread = _when_moved(engines, engines.cut.set)
+        _ask(world)
+        thread.join()
+    assert len(engines.moves) == refusing + 1
+    assert len(set(engines.moves)) == refusing + 1
+    headers, = engines.resumed
+    assert headers["kv-from"] == f"{engines.address()}/h1"
+    assert not engines.drops
+
+
+def test_a_stream_that_ends_before_its_target_leaves_the_refuge_free(world):
+    engines = _Engines(world)
+    with world.running():
+        thread = _when_moved(engines, lambda: None)
+        _ask(world)
+        thread.join()
+        edge_world.wait(lambda: engines.drops)
+    assert engines.drops == ["h1"]
+    assert not engines.resumed
+
+
+def test_a_stream_without_a_refuge_does_not_look_complete(world):
+    engines = _Engines(world, refusing=9)
+    with world.running():
+        thread = _when_moved(engines, engines.cut.set)
+        with pytest.raises(http.client.IncompleteRead):
+            _ask(world)
+        thread.join()
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -166,6 +166,15 @@
     return peak_tokens(item, new, peers, now_s) <= limit
 
 
+def room(item: load_view.TargetView, new: load_view.Profile, peers: int,
+         now_s: float) -> float:
+    """Returns the part of the memory that is left beside a running request."""
+    capacity = item.target.kv_capacity_tokens
+    if not capacity:
+        return 0.0
+    return _USABLE_SHARE - peak_tokens(item, new, peers, now_s) / capacity
+
+
 def _long_slot_free(item: load_view.TargetView, target: events.Target,
                     now_s: float) -> bool:
     if item.long_running >= _LONG_SLOTS_SHARE * target.max_running:
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -69,6 +69,7 @@
     refresh_at: int = 0
     backup: str | None = None
     backup_profile: load_view.Profile = load_view.Profile()
+    refused_refuges: tuple[str, ...] = ()
 
 
 class State(typing.NamedTuple):
