--- /dev/null
+++ b/persimmonspan/platform/tests/test_peers.py
@@ -0,0 +1,84 @@
+"""Daemons that share what one of them reads of the store."""
+
+import contextlib
+import logging
+import time
+
+import pytest
+
+from persimmonspan import errors
+from testbed import edge_world
+from testbed import replica
+
+_VERSION = 7
+# Several intervals between digests.
+_NEWS_S = 0.5
+
+
+class _RefusedRows:
+    """A store that turns one daemon away once it has started.
+
+    The daemon's own row is written, so that the others find it.
+    """
+
+    def __init__(self, rows):
+        self._rows = rows
+        self.is_refusing = False
+        self.calls = []
+
+    def _check(self, table):
+        if self.is_refusing:
+            self.calls.append(table)
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE, "status 503")
+
+    def read(self, table):
+        """Returns all rows of a table."""
+        self._check(table)
+        return self._rows.read(table)
+
+    def changes(self, table, since, wait_s):
+        """Waits for rows that changed after a version."""
+        self._check(table)
+        return self._rows.changes(table, since, wait_s)
+
+    def put(self, table, key, value):
+        """Writes a row."""
+        self._check(table)
+        self._rows.put(table, key, value)
+
+
+@pytest.fixture(name="pair")
+def _pair(caplog):
+    """A daemon that reads the store, and one that is turned away."""
+    caplog.set_level(logging.INFO)
+    first = edge_world.World("edge-1")
+    first.rows.write("op", "config", edge_world.configuration())
+    refused = _RefusedRows(first.rows)
+    second = edge_world.World("edge-2", refused)
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(first.running())
+        stack.enter_context(second.running())
+        # The first has heard the second, which knew it from its row.
+        edge_world.wait(lambda: "peer found" in caplog.text)
+        time.sleep(_NEWS_S)
+        yield first, second, refused
+
+
+def test_a_daemon_that_the_store_refuses_gets_configurations_of_its_peer(pair):
+    first, second, refused = pair
+    first.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    refused.is_refusing = True
+    first.rows.write("op", "config",
+                     edge_world.configuration(_VERSION, pathPrefix="/new/"))
+    edge_world.wait(lambda: second.ask("/new/1")[0] == 200)
+
+
+def test_a_daemon_with_a_reader_makes_no_calls_to_the_store(pair):
+    first, second, refused = pair
+    first.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    edge_world.wait(lambda: second.ask("/idempotent/1")[0] == 200)
+    refused.is_refusing = True
+    first.rows.write("op", "config",
+                     edge_world.configuration(_VERSION, pathPrefix="/new/"))
+    edge_world.wait(lambda: second.ask("/new/1")[0] == 200)
+    assert not refused.calls
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -12,6 +12,7 @@
 import threading
 import time
 import typing
+import zlib
 
 import msgspec
 import pykka
@@ -31,6 +32,10 @@
 _TARGETS_FRESH_S = 0.7
 _CONFIGURATION_FRESH_S = 1.3
 _MAX_ADDRESS_BYTES = 64
+# Fast; rows of a store are small, and daemons' links may be slow.
+_COMPRESSION_LEVEL = 1
+# Of a configuration; several times the size of a row in the store.
+_MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -42,6 +47,7 @@
     entries_s: float = -math.inf
     version: int = 0
     version_s: float = -math.inf
+    configuration: bytes = b""  # Compressed.
 
 
 class Peering:
@@ -51,25 +57,27 @@
         name: Name of this daemon.
         address: Where it receives digests.
         scheduler_ref: Gets the loads of peers, and tells the own ones.
-        take_news: Called with the targets that the reader read, and with the
-            version of the configuration.
+        take_news: Called with the targets that the reader read, with the
+            version of the configuration, and with the configuration if this
+            daemon told an older one.
     """
 
     def __init__(
         self, name: str, address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-        take_news: collections.abc.Callable[[list[directory.Registration], int],
-                                            None]
+        take_news: collections.abc.Callable[
+            [list[directory.Registration], int, bytes], None]
     ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._take_news = take_news
-        self._state = edge_peers.State()
+        self._state = edge_peers.State(hub_s=time.monotonic())
         self._lock = threading.Lock()
         self._can_read = False
         self._is_hub = False
         self._read = Read()
+        self._own_version = 0
         self._sent: tuple[typing.Any, ...] = ()
         self._sent_s = 0.0
         self._links = digest_links.Links(address, self._receive, self._compose,
@@ -90,7 +98,8 @@
     def must_read_targets(self) -> bool:
         """Returns whether this daemon should read the registered targets."""
         now_s = time.monotonic()
-        return (now_s - self._state.news_s > _TARGETS_FRESH_S or
+        known_s = max(self._state.news_s, self._read.entries_s)
+        return (now_s - known_s > _TARGETS_FRESH_S or
                 edge_peers.is_reader(self._state, self._name, now_s))
 
     def must_read_configuration(self) -> bool:
@@ -108,6 +117,14 @@
     def configuration_read(self, version: int, at_s: float) -> None:
         """Notes the version that was in force in the store at a time."""
         self._read = self._read._replace(version=version, version_s=at_s)
+        if edge_peers.outdated(self._state, version, at_s):
+            self.wake()
+
+    def adopted(self, version: int, configuration: bytes) -> None:
+        """Notes a configuration that is in force here, to send it to peers."""
+        self._own_version = version
+        self._read = self._read._replace(
+            configuration=zlib.compress(configuration, _COMPRESSION_LEVEL))
 
     def read_failed(self) -> None:
         """Notes that the store does not answer this daemon."""
@@ -127,9 +144,9 @@
             if (row.value and row.key != self._name and
                     len(row.value) <= _MAX_ADDRESS_BYTES):
                 with self._lock:
-                    self._state = edge_peers.introduced(self._state, row.key,
-                                                        row.value.decode(),
-                                                        now_s)
+                    self._state = edge_peers.introduced(
+                        self._state, row.key,
+                        row.value.decode(errors="replace"), now_s)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -149,9 +166,11 @@
             self._state, is_newer = edge_peers.heard(self._state, digest, now_s,
                                                      self._read.entries_s)
         self._scheduler.tell(edge_peers.to_peer_load(digest))
-        if is_newer:
-            self._take_news(edge_peers.to_registrations(digest.news.entries),
-                            digest.news.configuration_version)
+        news = digest.news
+        if is_newer or (news is not None and news.configuration):
+            self._take_news(
+                edge_peers.to_registrations(news.entries) if is_newer else None,
+                news.configuration_version, _decompress(news.configuration))
 
     def _compose(self) -> dict[str, bytes]:
         """Returns the digest for each address that gets one now."""
@@ -171,25 +190,49 @@
         read = self._read
         is_hub = edge_peers.has_hub(state) and len(receivers) > 1
         self._forget_loads(state, is_hub)
-        content = (loads, self._can_read, read.version, news and read.entries_s)
+        content = (loads, self._can_read, self._own_version, read.version,
+                   news and read.entries_s)
         is_changed = is_hub or content != self._sent
         if not edge_peers.is_due(is_changed, self._sent_s, now_s):
             return {}
         self._sent, self._sent_s = content, now_s
         digest = edge_peers.Digest(self._name, self._address, self._can_read,
-                                   own, news, is_hub)
-        if not is_hub:
+                                   own, news, is_hub, self._own_version)
+        outdated = self._outdated(news, receivers, now_s)
+        if not is_hub and not outdated:
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return {
             address:
                 edge_peers.encode(
-                    msgspec.structs.replace(digest,
-                                            loads=edge_peers.others(
-                                                state, own, name, now_s)))
+                    self._for_peer(digest, name, name in outdated, now_s))
             for name, address in receivers.items()
         }
 
+    def _outdated(self, news: edge_peers.News | None,
+                  receivers: collections.abc.Iterable[str],
+                  now_s: float) -> frozenset[str]:
+        """Returns the peers that are sent the configuration now."""
+        if news is None:
+            return frozenset()
+        version = self._read.version
+        with self._lock:
+            names = frozenset(receivers).intersection(
+                edge_peers.outdated(self._state, version, now_s))
+            self._state = edge_peers.sent(self._state, names, version, now_s)
+        return names
+
+    def _for_peer(self, digest: edge_peers.Digest, name: str, is_outdated: bool,
+                  now_s: float) -> edge_peers.Digest:
+        if digest.is_sum:
+            loads = edge_peers.others(self._state, digest.loads, name, now_s)
+            digest = msgspec.structs.replace(digest, loads=loads)
+        if is_outdated:
+            news = msgspec.structs.replace(
+                digest.news, configuration=self._read.configuration)
+            digest = msgspec.structs.replace(digest, news=news)
+        return digest
+
     def _forget_loads(self, state: edge_peers.State, is_hub: bool) -> None:
         """Forgets loads that came by the other way than they come now."""
         if is_hub == self._is_hub:
@@ -211,6 +254,17 @@
                                read.version, now_s - read.version_s)
 
 
+def _decompress(data: bytes) -> bytes:
+    """Returns a configuration as it was stored, or nothing for nothing.
+
+    Raises:
+        zlib.error: The bytes are no compressed configuration.
+    """
+    if not data:
+        return b""
+    return zlib.decompressobj().decompress(data, _MAX_CONFIGURATION_BYTES)
+
+
 def _loads(state: scheduler.State,
            now_s: float) -> tuple[events.TargetLoad, ...]:
     del now_s
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -55,6 +55,9 @@
         """Records a version and its time."""
         self.told.append((version, at_s, time.monotonic()))
 
+    def adopted(self, version, configuration):
+        """Ignores what is in force."""
+
     def targets_read(self, state, began_s):
         """Ignores targets."""
 
