Interpret the load by its age, and bound the prompts that wait at an engine

All daemons sent to an engine that had just joined until the next digest: up to eight prompts waited there while others were idle. The estimate of what peers start used this daemon's own starts, which are few at 66 daemons, and the number of peers, which is one behind a hub. Change: digests tell starts a second; the demand that was not told yet fills the least used engines up to a level, and targets are drawn by how far they are below it. An engine admits no further prompt while unread ones would fill 0.45 of its memory. A daemon that looks for the hub no longer tells sums. Ruled out: waiting at daemons; most late requests had been sent at once.

--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -100,6 +100,7 @@
     news: News | None = None
     is_sum: bool = False  # Whether the loads are those of all other daemons.
     version: int = 0  # Of the configuration that the daemon has in force.
+    starts_per_s: tuple[tuple[str, float], ...] = ()  # By service.
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -114,6 +115,7 @@
     known_s: float
     can_read: bool
     loads: tuple[Load, ...] = ()
+    starts_per_s: tuple[tuple[str, float], ...] = ()
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
@@ -158,12 +160,14 @@
     """
     loads = () if digest.is_sum else tuple(digest.loads)
     known = state.peers.get(digest.name, Peer("", now_s, now_s, False))
-    peer = known._replace(address=digest.address,
-                          heard_s=now_s,
-                          known_s=now_s,
-                          can_read=digest.can_read,
-                          loads=loads,
-                          version=digest.version)
+    peer = known._replace(
+        address=digest.address,
+        heard_s=now_s,
+        known_s=now_s,
+        can_read=digest.can_read,
+        loads=loads,
+        starts_per_s=() if digest.is_sum else digest.starts_per_s,
+        version=digest.version)
     is_hub = digest.is_sum and digest.can_read
     state = state._replace(peers=state.peers.set(digest.name, peer),
                            hub_s=now_s if is_hub else state.hub_s)
@@ -226,6 +230,11 @@
     return len(state.peers) > _MOST_DIRECT_PEERS
 
 
+def is_hub(state: State, name: str, now_s: float) -> bool:
+    """Returns whether a daemon tells the others the sums of their loads."""
+    return has_hub(state) and is_reader(state, name, now_s)
+
+
 def receivers(state: State, name: str, now_s: float) -> dict[str, str]:
     """Returns the addresses of the daemons to send digests to, by name."""
     hub = reader(state, name, now_s)
@@ -291,6 +300,19 @@
     return list(sums.values())
 
 
+def other_starts_per_s(state: State, own: typing.Iterable[tuple[str, float]],
+                       receiver: str,
+                       now_s: float) -> tuple[tuple[str, float], ...]:
+    """Returns what all daemons but one start a second, by service."""
+    sums = dict(own)
+    for name, peer in state.peers.items():
+        if name == receiver or now_s - peer.heard_s > _SILENT_S:
+            continue
+        for service, rate in peer.starts_per_s:
+            sums[service] = sums.get(service, 0.0) + rate
+    return tuple((service, round(rate, 1)) for service, rate in sums.items())
+
+
 def _sum(one: Load, other: Load) -> Load:
     profile = tuple(map(operator.add, one.profile_tokens, other.profile_tokens))
     return Load(one.target, one.outstanding + other.outstanding,
@@ -337,4 +359,4 @@
         OTHERS if digest.is_sum else digest.name,
         tuple(
             events.TargetLoad(*msgspec.structs.astuple(load))
-            for load in digest.loads))
+            for load in digest.loads), digest.starts_per_s, digest.is_sum)
--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -30,6 +30,8 @@
 REPORT_FADES_S = 5.0
 _PEER_FORGOTTEN_S = 10.0
 _INTERVAL_GAIN = 0.15
+# A digest takes so long, from a start to its arrival at another daemon.
+_TOLD_S = 0.08
 
 # Horizon from which work counts as lasting: short work that peers may have
 # started will have ended before they speak again.
@@ -79,6 +81,8 @@
 
     heard_s: float
     loads: immutables.Map[str, events.TargetLoad]
+    starts_per_s: tuple[tuple[str, float], ...] = ()
+    is_sum: bool = False
 
 
 class View(typing.NamedTuple):
@@ -212,6 +216,20 @@
                       failures=0))
 
 
+def expected_starts(view: View, service: str, now_s: float) -> float:
+    """Returns how many requests peers have probably started unseen.
+
+    A peer tells of each start at once; the sum of many is told at an interval.
+    """
+    expected = 0.0
+    for peer in view.peers.values():
+        unseen_s = _TOLD_S
+        if peer.is_sum:
+            unseen_s += min(_PEER_FORGOTTEN_S, now_s - peer.heard_s)
+        expected += unseen_s * dict(peer.starts_per_s).get(service, 0.0)
+    return expected
+
+
 def recent_tokens(item: TargetView, now_s: float) -> float:
     """Returns the tokens this daemon sent there since peers last spoke."""
     if not item.recent_tokens:
@@ -268,7 +286,10 @@
         before = old.loads.get(name) if old else None
         targets = targets.set(name, _with_peer(item, before, loads.get(name)))
     return view._replace(targets=targets,
-                         peers=view.peers.set(event.daemon, Peer(now_s, loads)))
+                         peers=view.peers.set(
+                             event.daemon,
+                             Peer(now_s, loads, event.starts_per_s,
+                                  event.is_sum)))
 
 
 def _with_peer(item: TargetView, old: events.TargetLoad | None,
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -184,11 +184,11 @@
         self._links.set_peers(receivers.values())
         if not receivers:
             return {}
-        loads = self._scheduler.ask(scheduler_actor.Ask(_loads))
+        loads, starts = self._scheduler.ask(scheduler_actor.Ask(_loads))
         own = edge_peers.to_loads(loads)
         news = self._news(state, now_s)
         read = self._read
-        is_hub = edge_peers.has_hub(state) and len(receivers) > 1
+        is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._forget_loads(state, is_hub)
         content = (loads, self._can_read, self._own_version, read.version,
                    news and read.entries_s)
@@ -197,7 +197,7 @@
             return {}
         self._sent, self._sent_s = content, now_s
         digest = edge_peers.Digest(self._name, self._address, self._can_read,
-                                   own, news, is_hub, self._own_version)
+                                   own, news, is_hub, self._own_version, starts)
         outdated = self._outdated(news, receivers, now_s)
         if not is_hub and not outdated:
             data = edge_peers.encode(digest)
@@ -225,8 +225,11 @@
     def _for_peer(self, digest: edge_peers.Digest, name: str, is_outdated: bool,
                   now_s: float) -> edge_peers.Digest:
         if digest.is_sum:
-            loads = edge_peers.others(self._state, digest.loads, name, now_s)
-            digest = msgspec.structs.replace(digest, loads=loads)
+            digest = msgspec.structs.replace(
+                digest,
+                loads=edge_peers.others(self._state, digest.loads, name, now_s),
+                starts_per_s=edge_peers.other_starts_per_s(
+                    self._state, digest.starts_per_s, name, now_s))
         if is_outdated:
             news = msgspec.structs.replace(
                 digest.news, configuration=self._read.configuration)
@@ -265,7 +268,9 @@
     return zlib.decompressobj().decompress(data, _MAX_CONFIGURATION_BYTES)
 
 
-def _loads(state: scheduler.State,
-           now_s: float) -> tuple[events.TargetLoad, ...]:
-    del now_s
-    return scheduler.peer_loads(state)
+def _loads(
+    state: scheduler.State, now_s: float
+) -> tuple[tuple[events.TargetLoad, ...], tuple[tuple[str, float], ...]]:
+    return scheduler.peer_loads(state), tuple(
+        (service, round(rate, 1))
+        for service, rate in scheduler.starts_per_s(state, now_s))
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -97,6 +97,15 @@
     assert edge_peers.is_reader(state, "d50", 7.6)
 
 
+def test_a_daemon_that_looks_for_the_hub_tells_no_sums():
+    # It sends to several, as a hub does, and its sums were counted twice.
+    state = _many(40)
+    assert len(edge_peers.receivers(state, "d50", 1.6)) > 1
+    assert not edge_peers.is_hub(state, "d50", 1.6)
+    assert edge_peers.is_hub(state, "d00", 1.6)
+    assert not edge_peers.is_hub(_many(8), "d00", 1.6)
+
+
 def test_the_next_daemon_is_the_hub_when_the_first_cannot_read():
     state = _many(40)
     assert not edge_peers.is_reader(state, "d02", 0.1)
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -42,6 +42,9 @@
 _LONGEST_TOKENS = 8192.0
 # Horizon by which targets are ranked, by whether the request is long.
 _RANK_HORIZONS = {False: 1, True: 3}
+# Part of the memory that prompts may fill which are still to be prefilled: an
+# engine reads them one after the other, and the last would start late.
+_PREFILL_SHARE = 0.45
 # Prompts that are still to be prefilled delay short work more than they use.
 _PREFILL_WEIGHT = 3.0
 # A report this old no longer says that the engine has no queue.
@@ -129,6 +132,16 @@
     return tokens / target.kv_capacity_tokens
 
 
+def unit(item: load_view.TargetView, new: load_view.Profile,
+         is_long: bool) -> float:
+    """Returns by how much `use` of a target grows with a request."""
+    target = item.target
+    if not target.kv_capacity_tokens:
+        return 1.0 / target.max_running
+    tokens = new.mean[_RANK_HORIZONS[is_long]] + _PREFILL_WEIGHT * new.mean[0]
+    return tokens / target.kv_capacity_tokens
+
+
 def fits(item: load_view.TargetView, new: load_view.Profile, is_long: bool,
          peers: int, now_s: float) -> bool:
     """Returns whether a target can take a request.
@@ -148,6 +161,10 @@
         return False
     if not target.kv_capacity_tokens:
         return True
+    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    if (prefill > 0 and
+            prefill + new.mean[0] > _PREFILL_SHARE * target.kv_capacity_tokens):
+        return False
     if is_long and not _long_slot_free(item, target, now_s):
         return False
     limit = _USABLE_SHARE * target.kv_capacity_tokens
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -3,17 +3,17 @@
 Of the targets that admit the request, the one is chosen that is predicted to be
 used least, divided by its weight: of its health, which falls for stragglers,
 and of its recent refusals.
-With few targets all are compared; of many, two at random, and all only if
-neither admits (the power of two choices). Many daemons that see the same load
-would all choose the same target; each therefore adds a small bias of its own,
-and the load counts what peers are likely to have started.
+Many daemons that see the same load would all choose the same target. Each
+therefore draws one, with the probabilities by which the requests that all
+daemons start before they hear of each other would level the load (the load is
+interpreted by its age).
 
 A daemon sends only to its subset of many targets, chosen by rendezvous hashing
 and spread over failure domains, so that load reports and state stay bounded.
 
 References:
-    Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE
-    Transactions on Parallel and Distributed Systems 12, 2001.
+    Dahlin, "Interpreting Stale Load Information", IEEE Transactions on Parallel
+    and Distributed Systems 11, 2000.
     Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
     IEEE/ACM Transactions on Networking 6, 1998 (rendezvous hashing).
 """
@@ -30,10 +30,10 @@
 from persimmonspan.request import retry
 
 SUBSET_TARGETS = 24
-_COMPARE_ALL = 8
 # Targets with less weight get no long work, which would stay slow for long.
 _HEALTHY_WEIGHT = 0.5
-# Random part of the score, which keeps daemons from agreeing on one target.
+# Random part of the use by which keepers of copies are ranked, which keeps
+# daemons from agreeing on one target.
 _BIAS = 0.04
 DEFAULT_INTERVAL_S = 0.02
 # Moves within a failure domain take half the time of others.
@@ -99,26 +99,14 @@
 
 def choose(view: load_view.View, wanted: Wanted, rules: Rules, now_s: float,
            rng: random.Random) -> str | None:
-    """Returns the target for a request, or None when none admits it."""
-    names = view.groups.get(wanted.service, ())
-    if wanted.only:
-        names = tuple(name for name in wanted.only if name in names)
-    if len(names) > _COMPARE_ALL:
-        few = (names[int(rng.random() * len(names))],
-               names[int(rng.random() * len(names))])
-        best = _best(view, few, wanted, rules, now_s, rng)
-        if best is not None:
-            return best
-    return _best(view, names, wanted, rules, now_s, rng)
-
-
-def _best(view: load_view.View, names: typing.Iterable[str], wanted: Wanted,
-          rules: Rules, now_s: float, rng: random.Random) -> str | None:
-    """Returns the least used of the targets that admit a request.
+    """Returns the target for a request, or None when none admits it.
 
     Targets are ranked by a cheap measure of use; admission is decided for the
-    first of the ranking, and for the next ones as long as it fails.
+    first of the order, and for the next ones as long as it fails.
     """
+    names = view.groups.get(wanted.service, ())
+    if wanted.only:
+        names = tuple(name for name in wanted.only if name in names)
     ranked: list[tuple[float, str]] = []
     peers = len(view.peers)
     may_be_reserved = (rules.suspects.records or rules.suspects.reserved)
@@ -141,15 +129,48 @@
         if rules.budget.weights:
             weight *= retry.send_weight(rules.budget, name, now_s)
         use = admission.use(item, wanted.is_long, peers, now_s)
-        ranked.append(((use + _BIAS * rng.random()) / weight, name))
+        ranked.append((use / weight, name))
+    if not ranked:
+        return None
     ranked.sort()
-    for _, name in ranked:
+    demand = (1 + load_view.expected_starts(
+        view, wanted.service, now_s)) * admission.unit(
+            view.targets[ranked[0][1]], wanted.profile, wanted.is_long)
+    for name in spread(ranked, demand, rng):
         if admission.fits(view.targets[name], wanted.profile, wanted.is_long,
                           peers, now_s):
             return name
     return None
 
 
+def spread(ranked: typing.Sequence[tuple[float, str]], demand: float,
+           rng: random.Random) -> list[str]:
+    """Returns targets in the order in which they are tried.
+
+    The demand of all daemons that see this load fills the least used targets
+    up to a common level; each of these comes first as often as it is below the
+    level, so that together the daemons level the load. The others follow by
+    their use.
+
+    Args:
+        ranked: Use and name of each target, least used first.
+        demand: Use that is added before the next news of peers.
+        rng: Source of randomness.
+    """
+    level, total = 0.0, 0.0
+    for count, (use, _) in enumerate(ranked):
+        if count and use >= level:
+            break
+        total += use
+        level = (total + demand) / (count + 1)
+    drawn = [(-(rng.random()**(1.0 / (level - use))), name)
+             for use, name in ranked
+             if use < level]
+    drawn.sort()
+    return [name for _, name in drawn
+           ] + [name for use, name in ranked if use >= level]
+
+
 def backup(view: load_view.View, wanted: Wanted, rules: Rules, target: str,
            now_s: float, rng: random.Random) -> str | None:
     """Returns where to keep a copy of a request, or None without room.
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -160,6 +160,9 @@
 
     daemon: str
     loads: tuple[TargetLoad, ...]
+    # Requests that it starts a second, by service.
+    starts_per_s: tuple[tuple[str, float], ...] = ()
+    is_sum: bool = False  # Of several daemons, told at an interval.
 
 
 class TargetsChanged(typing.NamedTuple):
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -203,6 +203,15 @@
                           usage=_charged(queue, item, item.work, now_s))
 
 
+def starts_per_s(queue: Queue, now_s: float) -> tuple[tuple[str, float], ...]:
+    """Returns the requests that are dispatched a second, by service."""
+    rates: dict[str, float] = {}
+    for (service, _, _), rate in queue.rates.items():
+        rates[service] = (rates.get(service, 0.0) +
+                          rate.at(now_s, _RATE_S) / _RATE_S)
+    return tuple(rates.items())
+
+
 def settled(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
     """Replaces the predicted work of a request by what it was.
 
--- /dev/null
+++ b/testbed/crowd.py
@@ -0,0 +1,458 @@
+"""Emulator of crowded engines before many daemons, in virtual time.
+
+The daemons are states of the real scheduler (`persimmonspan.request.scheduler`)
+that see each other's loads with the delays of digests. An engine runs one step
+after the other: a step makes a token of each running generation and reads a
+chunk of the first prompt that is not read yet, so that prompts wait for each
+other and delay all tokens. Generations hold memory for their prompt and their
+tokens; when it runs out, the newest is preempted and read again.
+
+Engines leave with a notice, and new ones join, as on the users' platform.
+
+Source of the figures: pages of the platform (step 7 ms and 0.12 ms for each
+running request, 14 prompt tokens read in a ms, chunks of 112 tokens).
+"""
+
+import heapq
+import itertools
+import math
+import random
+import typing
+
+from persimmonspan.request import events
+from persimmonspan.request import scheduler
+
+_SERVICE = "engines"
+_STEP_S = 0.007
+_STEP_PER_RUNNING_S = 0.00012
+_READ_TOKENS_PER_S = 14_000.0
+_CHUNK_TOKENS = 112
+_COPY_TOKENS_PER_S = 14e9 / 8 / 96_256
+_TICK_S = 0.05
+_DIRECT_DELAY_S = 0.02
+_STORE_DELAY_S = 0.3
+
+
+class Kind(typing.NamedTuple):
+    """Requests of one kind; lengths are drawn from log-normal distributions."""
+
+    name: str
+    rate_per_s: float
+    prompt_tokens: float
+    output_tokens: float
+    output_spread: float
+    most_output_tokens: int
+    aim_s: float
+    deadline_s: float
+    is_long: bool
+    is_resumable: bool
+
+
+class Scenario(typing.NamedTuple):
+    """A day of a deployment.
+
+    `crest` is by how much traffic rises, and falls, around its mean.
+    """
+
+    kinds: tuple[Kind, ...]
+    daemons: int = 64
+    engines: int = 20
+    capacity_tokens: int = 27_000
+    slots: int = 24
+    duration_s: float = 30.0
+    digest_interval_s: float = 0.2
+    crest: float = 0.55
+    period_s: float = 13.0
+    leave_every_s: float = 3.3  # Time between two departures; 0 for none.
+    leave_together: int = 3
+    notice_s: float = 1.8
+
+
+class Outcome(typing.NamedTuple):
+    """What the callers of a kind got."""
+
+    asked: int
+    in_aim: int
+    answered: int
+    cut: int
+    refused: int
+    first_s: tuple[float, ...]  # Sorted times to the first token.
+
+    def quantile_s(self, share: float) -> float:
+        """Returns the time to the first token at a quantile."""
+        if not self.first_s:
+            return math.inf
+        return self.first_s[min(
+            len(self.first_s) - 1, int(share * len(self.first_s)))]
+
+
+class _Request:
+    """A caller's request and how far it got."""
+
+    def __init__(self, name: str, kind: Kind, daemon: int, arrived_s: float,
+                 rng: random.Random) -> None:
+        self.name = name
+        self.kind = kind
+        self.daemon = daemon
+        self.arrived_s = arrived_s
+        self.prompt = max(200, int(rng.gauss(1.0, 0.3) * kind.prompt_tokens))
+        spread = kind.output_spread
+        mean = math.log(kind.output_tokens) - spread * spread / 2
+        self.output = max(
+            1,
+            min(kind.most_output_tokens, int(rng.lognormvariate(mean, spread))))
+        self.tokens = 0
+        self.unread = self.prompt
+        self.first_s: float | None = None
+        self.copy_on: str | None = None
+        self.is_over = False
+
+    @property
+    def memory(self) -> int:
+        """Tokens that it holds at its engine."""
+        return self.prompt - self.unread + self.tokens
+
+
+class _Engine:
+    """Requests at one engine."""
+
+    def __init__(self, name: str, scenario: Scenario) -> None:
+        self.target = events.Target(name, _SERVICE, name, "a",
+                                    scenario.capacity_tokens, scenario.slots)
+        self.queue: list[_Request] = []
+        self.running: list[_Request] = []
+        self.is_stepping = False
+        self.is_gone = False
+
+    def admit(self) -> None:
+        """Starts requests that wait, while there is memory and a slot."""
+        held = sum(item.prompt + item.tokens for item in self.running)
+        while self.queue and len(self.running) < self.target.max_running:
+            need = self.queue[0].prompt + self.queue[0].tokens
+            if self.running and held + need > self.target.kv_capacity_tokens:
+                return
+            held += need
+            self.running.append(self.queue.pop(0))
+
+    def preempt(self) -> None:
+        """Puts the newest request back when memory has run out."""
+        while (len(self.running) > 1 and
+               sum(item.memory for item in self.running)
+               > self.target.kv_capacity_tokens):
+            item = self.running.pop()
+            item.unread = item.prompt + item.tokens
+            self.queue.insert(0, item)
+
+    def step(self) -> tuple[float, list[_Request]]:
+        """Runs a step; returns its length and the requests with a new token."""
+        self.admit()
+        self.preempt()
+        length_s = _STEP_S + _STEP_PER_RUNNING_S * len(self.running)
+        ready = [item for item in self.running if item.unread <= 0]
+        reading = next((item for item in self.running if item.unread > 0), None)
+        if reading is not None:
+            chunk = min(_CHUNK_TOKENS, reading.unread)
+            reading.unread -= chunk
+            length_s += chunk / _READ_TOKENS_PER_S
+            if reading.unread == 0:
+                ready.append(reading)
+        return length_s, ready
+
+
+class Crowd:
+    """A scenario as it is played, with one source of randomness."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self._scenario = scenario
+        self._rng = random.Random(seed)
+        self._now_s = 0.0
+        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._engines: dict[str, _Engine] = {}
+        self._leaving: set[str] = set()
+        self._requests: dict[str, _Request] = {}
+        self._results: dict[str, list[tuple[str, float | None]]] = {
+            kind.name: [] for kind in scenario.kinds
+        }
+        self._states = [scheduler.State() for _ in range(scenario.daemons)]
+
+    def play(self) -> dict[str, Outcome]:
+        """Plays the day; returns the outcome of each kind."""
+        scenario = self._scenario
+        for _ in range(scenario.engines):
+            self._join()
+        self._list_targets()
+        for kind in scenario.kinds:
+            self._after(self._gap_s(kind), lambda kind=kind: self._arrive(kind))
+        self._after(scenario.digest_interval_s, self._tell_loads)
+        self._after(_TICK_S, self._tick)
+        if scenario.leave_every_s:
+            self._after(scenario.leave_every_s / 2, self._leave)
+        last_s = max(kind.deadline_s for kind in scenario.kinds)
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            if self._now_s > scenario.duration_s + last_s:
+                break
+            action()
+        return {kind.name: self._outcome(kind) for kind in scenario.kinds}
+
+    def _outcome(self, kind: Kind) -> Outcome:
+        results = self._results[kind.name]
+        ends = [end for end, _ in results]
+        firsts = sorted(
+            first_s for _, first_s in results if first_s is not None)
+        in_aim = sum(end == "answered" and first_s <= kind.aim_s
+                     for end, first_s in results)
+        return Outcome(len(results), in_aim, ends.count("answered"),
+                       ends.count("cut"), ends.count("refused"), tuple(firsts))
+
+    def _after(self, delay_s: float, action: typing.Callable[[], None]) -> None:
+        heapq.heappush(self._events,
+                       (self._now_s + delay_s, next(self._numbers), action))
+
+    # Traffic.
+
+    def _gap_s(self, kind: Kind) -> float:
+        scenario = self._scenario
+        wave = math.sin(2 * math.pi * self._now_s / scenario.period_s)
+        return self._rng.expovariate(kind.rate_per_s *
+                                     (1 + scenario.crest * wave))
+
+    def _arrive(self, kind: Kind) -> None:
+        if self._now_s > self._scenario.duration_s:
+            return
+        self._after(self._gap_s(kind), lambda: self._arrive(kind))
+        daemon = self._rng.randrange(self._scenario.daemons)
+        name = f"r{next(self._numbers)}"
+        item = _Request(name, kind, daemon, self._now_s, self._rng)
+        self._requests[name] = item
+        self._send(
+            daemon,
+            events.Arrived(name,
+                           "w",
+                           kind.name,
+                           _SERVICE,
+                           item.prompt,
+                           kind.most_output_tokens,
+                           self._now_s + kind.deadline_s,
+                           name,
+                           is_idempotent=False,
+                           idempotency_key=name,
+                           max_attempts=2 if kind.is_resumable else 1,
+                           is_resumable=kind.is_resumable,
+                           wants_backup=not kind.is_resumable))
+        self._after(kind.deadline_s, lambda: self._give_up(item))
+
+    def _give_up(self, item: _Request) -> None:
+        if not item.is_over:
+            self._end(item, "late")
+            self._send(item.daemon, events.Abandoned(item.name))
+
+    def _end(self, item: _Request, how: str) -> None:
+        item.is_over = True
+        del self._requests[item.name]
+        first_s = (None if item.first_s is None else item.first_s -
+                   item.arrived_s)
+        self._results[item.kind.name].append((how, first_s))
+        for engine in self._engines.values():
+            for queue in (engine.queue, engine.running):
+                if item in queue:
+                    queue.remove(item)
+
+    # Daemons.
+
+    def _send(self, daemon: int, event: events.Event) -> None:
+        state, commands = scheduler.step(self._states[daemon], event,
+                                         self._now_s, self._rng)
+        self._states[daemon] = state
+        for command in commands:
+            if isinstance(command, events.Dispatch):
+                self._dispatch(command)
+            elif isinstance(command, events.Evacuate):
+                self._copy(daemon, command)
+            elif (isinstance(command, events.Refuse) and
+                  command.request_id in self._requests):
+                self._end(self._requests[command.request_id], "refused")
+
+    def _tick(self) -> None:
+        self._after(_TICK_S, self._tick)
+        for daemon, state in enumerate(self._states):
+            if state.queue.requests:
+                self._send(daemon, events.Tick())
+
+    def _tell_loads(self) -> None:
+        """Tells each daemon the sum of what the others have."""
+        self._after(self._scenario.digest_interval_s, self._tell_loads)
+        told = [(scheduler.peer_loads(state),
+                 dict(scheduler.starts_per_s(state, self._now_s)))
+                for state in self._states]
+        total: dict[str, list[events.TargetLoad]] = {}
+        for loads, _ in told:
+            for load in loads:
+                total.setdefault(load.target, []).append(load)
+        sums = {name: _sum(loads) for name, loads in total.items()}
+        starts = sum(one.get(_SERVICE, 0.0) for _, one in told)
+        for daemon, (loads, own) in enumerate(told):
+            others = dict(sums)
+            for load in loads:
+                others[load.target] = _less(others[load.target], load)
+            rate = starts - own.get(_SERVICE, 0.0)
+            event = events.PeerLoad("others", tuple(others.values()),
+                                    ((_SERVICE, rate),), True)
+            self._after(
+                _DIRECT_DELAY_S,
+                lambda daemon=daemon, event=event: self._send(daemon, event))
+
+    def _list_targets(self) -> None:
+        kinds = tuple(
+            events.KindPolicy(kind.name, _SERVICE, 1.0, not kind.is_long, False,
+                              kind.deadline_s) for kind in self._scenario.kinds)
+        targets = tuple(engine.target
+                        for name, engine in self._engines.items()
+                        if name not in self._leaving)
+        for daemon in range(self._scenario.daemons):
+            self._send(
+                daemon,
+                events.TargetsChanged(1, targets, kinds, (), f"d{daemon}",
+                                      self._scenario.digest_interval_s))
+
+    # Engines.
+
+    def _join(self) -> None:
+        name = f"e{next(self._numbers)}"
+        self._engines[name] = _Engine(name, self._scenario)
+
+    def _leave(self) -> None:
+        scenario = self._scenario
+        self._after(scenario.leave_every_s, self._leave)
+        names = self._rng.sample(
+            [name for name in self._engines if name not in self._leaving],
+            scenario.leave_together)
+        self._leaving.update(names)
+        for _ in names:
+            self._join()
+
+        def notice() -> None:
+            for daemon in range(scenario.daemons):
+                for name in names:
+                    self._send(daemon, events.TargetLeaving(name))
+            self._list_targets()
+
+        self._after(_STORE_DELAY_S, notice)
+        for name in names:
+            self._after(scenario.notice_s, lambda name=name: self._gone(name))
+
+    def _gone(self, name: str) -> None:
+        engine = self._engines.pop(name)
+        engine.is_gone = True
+        self._leaving.discard(name)
+        for item in (*engine.running, *engine.queue):
+            copy = self._engines.get(item.copy_on or "")
+            if copy is not None and item.first_s is not None:
+                item.copy_on = None
+                item.unread = 0
+                copy.queue.insert(0, item)
+                self._run(copy)
+                self._send(item.daemon, events.Moved(item.name,
+                                                     copy.target.name))
+            elif item.kind.is_resumable or item.first_s is None:
+                self._send(
+                    item.daemon,
+                    events.AttemptEnded(item.name, name,
+                                        events.Outcome.CONNECT_FAILED))
+            else:
+                self._end(item, "cut")
+                self._send(
+                    item.daemon,
+                    events.AttemptEnded(item.name, name,
+                                        events.Outcome.FAILED_AFTER_FIRST_TOKEN,
+                                        item.tokens))
+
+    def _dispatch(self, command: events.Dispatch) -> None:
+        item = self._requests.get(command.request_id)
+        engine = self._engines.get(command.target)
+        if item is None:
+            return
+        if engine is None:
+            self._after(
+                _DIRECT_DELAY_S, lambda: self._send(
+                    item.daemon,
+                    events.AttemptEnded(command.request_id, command.target,
+                                        events.Outcome.CONNECT_FAILED)))
+            return
+        item.unread = item.prompt + item.tokens
+        item.copy_on = command.backup
+        engine.queue.append(item)
+        self._run(engine)
+
+    def _copy(self, daemon: int, command: events.Evacuate) -> None:
+        item = self._requests.get(command.request_id)
+        refuge = self._engines.get(command.target)
+        if item is None:
+            return
+        held = sum(other.memory for other in refuge.running) if refuge else 0
+        capacity = self._scenario.capacity_tokens
+        if refuge is None or held + item.memory > capacity:
+            self._after(
+                _DIRECT_DELAY_S, lambda: self._send(
+                    daemon, events.MoveFailed(item.name, command.target)))
+            return
+        self._after(item.memory / _COPY_TOKENS_PER_S,
+                    lambda: setattr(item, "copy_on", command.target))
+
+    def _run(self, engine: _Engine) -> None:
+        if not engine.is_stepping:
+            engine.is_stepping = True
+            self._step(engine)
+
+    def _step(self, engine: _Engine) -> None:
+        if engine.is_gone or not (engine.running or engine.queue):
+            engine.is_stepping = False
+            return
+        length_s, ready = engine.step()
+
+        def done() -> None:
+            for item in ready:
+                if not item.is_over:
+                    self._token(engine, item)
+            self._step(engine)
+
+        self._after(length_s, done)
+
+    def _token(self, engine: _Engine, item: _Request) -> None:
+        item.tokens += 1
+        name = engine.target.name
+        if item.first_s is None:
+            item.first_s = self._now_s
+            self._send(item.daemon, events.FirstToken(item.name, name))
+        elif item.tokens % 32 == 0:
+            self._send(item.daemon,
+                       events.Progressed(item.name, name, item.tokens))
+        if item.tokens >= item.output:
+            self._end(item, "answered")
+            self._send(
+                item.daemon,
+                events.AttemptEnded(item.name, name, events.Outcome.COMPLETED,
+                                    item.tokens))
+
+
+def _sum(loads: typing.Sequence[events.TargetLoad]) -> events.TargetLoad:
+    return events.TargetLoad(
+        loads[0].target, sum(load.outstanding for load in loads),
+        sum(load.predicted_tokens for load in loads),
+        tuple(map(sum, zip(*(load.profile_tokens for load in loads)))),
+        int(math.hypot(*(load.deviation_tokens for load in loads))),
+        sum(load.copy_tokens for load in loads),
+        sum(load.prefill_tokens for load in loads))
+
+
+def _less(total: events.TargetLoad,
+          one: events.TargetLoad) -> events.TargetLoad:
+    profile = tuple(
+        a - b for a, b in zip(total.profile_tokens, one.profile_tokens))
+    return total._replace(
+        outstanding=total.outstanding - one.outstanding,
+        predicted_tokens=total.predicted_tokens - one.predicted_tokens,
+        profile_tokens=profile,
+        copy_tokens=total.copy_tokens - one.copy_tokens,
+        prefill_tokens=total.prefill_tokens - one.prefill_tokens)
