Keep less room for copies, count what waits elsewhere, sum loads once

Since streams are copied at the notice, a copy from the start guards only against crashes. Change: copies only in the first 0.3 of an engine's memory. Digests tell what waits, and few places are drawn for. The hub sums all loads once and takes off those of each receiver. Ruled out: no copies at all, which would leave crashes unguarded.

--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -63,6 +63,14 @@
     prefill_tokens: int = 0
 
 
+class Demand(msgspec.Struct, array_like=True):
+    """Requests that a daemon places, see `events.Demand`."""
+
+    service: str
+    starts_per_s: float
+    waiting: int
+
+
 class Entry(msgspec.Struct, array_like=True):
     """A registered target, see `directory.Registration`."""
 
@@ -100,7 +108,7 @@
     news: News | None = None
     is_sum: bool = False  # Whether the loads are those of all other daemons.
     version: int = 0  # Of the configuration that the daemon has in force.
-    starts_per_s: tuple[tuple[str, float], ...] = ()  # By service.
+    demands: tuple[Demand, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -115,7 +123,7 @@
     known_s: float
     can_read: bool
     loads: tuple[Load, ...] = ()
-    starts_per_s: tuple[tuple[str, float], ...] = ()
+    demands: tuple[Demand, ...] = ()
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
@@ -160,17 +168,16 @@
     """
     loads = () if digest.is_sum else tuple(digest.loads)
     known = state.peers.get(digest.name, Peer("", now_s, now_s, False))
-    peer = known._replace(
-        address=digest.address,
-        heard_s=now_s,
-        known_s=now_s,
-        can_read=digest.can_read,
-        loads=loads,
-        starts_per_s=() if digest.is_sum else digest.starts_per_s,
-        version=digest.version)
-    is_hub = digest.is_sum and digest.can_read
+    peer = known._replace(address=digest.address,
+                          heard_s=now_s,
+                          known_s=now_s,
+                          can_read=digest.can_read,
+                          loads=loads,
+                          demands=() if digest.is_sum else digest.demands,
+                          version=digest.version)
+    is_usable_hub = digest.is_sum and digest.can_read
     state = state._replace(peers=state.peers.set(digest.name, peer),
-                           hub_s=now_s if is_hub else state.hub_s)
+                           hub_s=now_s if is_usable_hub else state.hub_s)
     if digest.news is None:
         return state, False
     news_s = now_s - digest.news.age_s
@@ -287,30 +294,64 @@
     return state._replace(peers=peers)
 
 
-def others(state: State, own: typing.Iterable[Load], receiver: str,
-           now_s: float) -> list[Load]:
-    """Returns the sum of what all daemons but one have, as a hub tells it."""
-    sums: dict[str, Load] = {load.target: load for load in own}
-    for name, peer in state.peers.items():
-        if name == receiver or now_s - peer.heard_s > _SILENT_S:
+class Totals(typing.NamedTuple):
+    """What all daemons have together, by target and by service."""
+
+    loads: dict[str, Load]
+    demands: dict[str, Demand]
+
+
+def totals(state: State, loads: typing.Iterable[Load],
+           demands: typing.Iterable[Demand], now_s: float) -> Totals:
+    """Returns what this daemon and all that were heard of late have."""
+    sums = Totals({load.target: load for load in loads},
+                  {demand.service: demand for demand in demands})
+    for peer in state.peers.values():
+        if now_s - peer.heard_s > _SILENT_S:
             continue
         for load in peer.loads:
-            before = sums.get(load.target)
-            sums[load.target] = load if before is None else _sum(before, load)
-    return list(sums.values())
-
-
-def other_starts_per_s(state: State, own: typing.Iterable[tuple[str, float]],
-                       receiver: str,
-                       now_s: float) -> tuple[tuple[str, float], ...]:
-    """Returns what all daemons but one start a second, by service."""
-    sums = dict(own)
-    for name, peer in state.peers.items():
-        if name == receiver or now_s - peer.heard_s > _SILENT_S:
-            continue
-        for service, rate in peer.starts_per_s:
-            sums[service] = sums.get(service, 0.0) + rate
-    return tuple((service, round(rate, 1)) for service, rate in sums.items())
+            before = sums.loads.get(load.target)
+            sums.loads[load.target] = load if before is None else _sum(
+                before, load)
+        for demand in peer.demands:
+            known = sums.demands.get(demand.service)
+            sums.demands[demand.service] = demand if known is None else Demand(
+                demand.service, known.starts_per_s +
+                demand.starts_per_s, known.waiting + demand.waiting)
+    return sums
+
+
+def others(state: State, sums: Totals, receiver: str,
+           now_s: float) -> tuple[list[Load], tuple[Demand, ...]]:
+    """Returns what all daemons but one have, as a hub tells it that one."""
+    peer = state.peers[receiver]
+    is_counted = now_s - peer.heard_s <= _SILENT_S
+    own_loads = peer.loads if is_counted else ()
+    own_demands = peer.demands if is_counted else ()
+    loads = dict(sums.loads)
+    for load in own_loads:
+        rest = _less(loads[load.target], load)
+        if rest.outstanding or rest.copy_tokens:
+            loads[load.target] = rest
+        else:
+            del loads[load.target]
+    demands = dict(sums.demands)
+    for demand in own_demands:
+        total = demands[demand.service]
+        demands[demand.service] = Demand(
+            demand.service, round(total.starts_per_s - demand.starts_per_s, 1),
+            total.waiting - demand.waiting)
+    return list(loads.values()), tuple(demands.values())
+
+
+def _less(total: Load, one: Load) -> Load:
+    profile = tuple(map(operator.sub, total.profile_tokens, one.profile_tokens))
+    variance = total.deviation_tokens**2 - one.deviation_tokens**2
+    return Load(total.target, total.outstanding - one.outstanding,
+                total.predicted_tokens - one.predicted_tokens, profile,
+                math.isqrt(max(0,
+                               variance)), total.copy_tokens - one.copy_tokens,
+                total.prefill_tokens - one.prefill_tokens)
 
 
 def _sum(one: Load, other: Load) -> Load:
@@ -353,10 +394,18 @@
     return [Load(*load) for load in loads]
 
 
+def to_demands(demands: typing.Iterable[events.Demand]) -> tuple[Demand, ...]:
+    """Returns demands in the form of a digest."""
+    return tuple(Demand(*demand) for demand in demands)
+
+
 def to_peer_load(digest: Digest) -> events.PeerLoad:
     """Returns what a peer has on the targets, for the scheduler."""
     return events.PeerLoad(
         OTHERS if digest.is_sum else digest.name,
         tuple(
             events.TargetLoad(*msgspec.structs.astuple(load))
-            for load in digest.loads), digest.starts_per_s, digest.is_sum)
+            for load in digest.loads),
+        tuple(
+            events.Demand(*msgspec.structs.astuple(demand))
+            for demand in digest.demands), digest.is_sum)
--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -81,7 +81,7 @@
 
     heard_s: float
     loads: immutables.Map[str, events.TargetLoad]
-    starts_per_s: tuple[tuple[str, float], ...] = ()
+    demands: tuple[events.Demand, ...] = ()
     is_sum: bool = False
 
 
@@ -217,16 +217,19 @@
 
 
 def expected_starts(view: View, service: str, now_s: float) -> float:
-    """Returns how many requests peers have probably started unseen.
+    """Returns how many requests peers start before this daemon hears of it.
 
     A peer tells of each start at once; the sum of many is told at an interval.
+    What waits at peers is placed as soon as a target has room.
     """
     expected = 0.0
     for peer in view.peers.values():
         unseen_s = _TOLD_S
         if peer.is_sum:
             unseen_s += min(_PEER_FORGOTTEN_S, now_s - peer.heard_s)
-        expected += unseen_s * dict(peer.starts_per_s).get(service, 0.0)
+        for demand in peer.demands:
+            if demand.service == service:
+                expected += unseen_s * demand.starts_per_s + demand.waiting
     return expected
 
 
@@ -288,8 +291,7 @@
     return view._replace(targets=targets,
                          peers=view.peers.set(
                              event.daemon,
-                             Peer(now_s, loads, event.starts_per_s,
-                                  event.is_sum)))
+                             Peer(now_s, loads, event.demands, event.is_sum)))
 
 
 def _with_peer(item: TargetView, old: events.TargetLoad | None,
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -184,7 +184,7 @@
         self._links.set_peers(receivers.values())
         if not receivers:
             return {}
-        loads, starts = self._scheduler.ask(scheduler_actor.Ask(_loads))
+        loads, demands = self._scheduler.ask(scheduler_actor.Ask(_loads))
         own = edge_peers.to_loads(loads)
         news = self._news(state, now_s)
         read = self._read
@@ -197,15 +197,19 @@
             return {}
         self._sent, self._sent_s = content, now_s
         digest = edge_peers.Digest(self._name, self._address, self._can_read,
-                                   own, news, is_hub, self._own_version, starts)
+                                   own, news, is_hub, self._own_version,
+                                   edge_peers.to_demands(demands))
         outdated = self._outdated(news, receivers, now_s)
         if not is_hub and not outdated:
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
+        sums = None
+        if is_hub:
+            sums = edge_peers.totals(state, own, digest.demands, now_s)
         return {
             address:
                 edge_peers.encode(
-                    self._for_peer(digest, name, name in outdated, now_s))
+                    self._for_peer(digest, name, name in outdated, sums, now_s))
             for name, address in receivers.items()
         }
 
@@ -223,13 +227,13 @@
         return names
 
     def _for_peer(self, digest: edge_peers.Digest, name: str, is_outdated: bool,
+                  sums: edge_peers.Totals | None,
                   now_s: float) -> edge_peers.Digest:
-        if digest.is_sum:
-            digest = msgspec.structs.replace(
-                digest,
-                loads=edge_peers.others(self._state, digest.loads, name, now_s),
-                starts_per_s=edge_peers.other_starts_per_s(
-                    self._state, digest.starts_per_s, name, now_s))
+        if sums is not None:
+            loads, demands = edge_peers.others(self._state, sums, name, now_s)
+            digest = msgspec.structs.replace(digest,
+                                             loads=loads,
+                                             demands=demands)
         if is_outdated:
             news = msgspec.structs.replace(
                 digest.news, configuration=self._read.configuration)
@@ -270,7 +274,5 @@
 
 def _loads(
     state: scheduler.State, now_s: float
-) -> tuple[tuple[events.TargetLoad, ...], tuple[tuple[str, float], ...]]:
-    return scheduler.peer_loads(state), tuple(
-        (service, round(rate, 1))
-        for service, rate in scheduler.starts_per_s(state, now_s))
+) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...]]:
+    return scheduler.peer_loads(state), scheduler.demands(state, now_s)
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -135,8 +135,13 @@
     assert not edge_peers.outdated(state, 5, 5.0)  # Silent by now.
 
 
+def _others(state, own, receiver, now_s):
+    sums = edge_peers.totals(state, own, (), now_s)
+    return edge_peers.others(state, sums, receiver, now_s)[0]
+
+
 def test_a_hub_tells_the_sum_of_what_the_others_have():
-    sums = edge_peers.others(_many(4), [_load("i-9", 5)], "d02", 0.1)
+    sums = _others(_many(4), [_load("i-9", 5)], "d02", 0.1)
     assert {
         load.target: load.outstanding for load in sums
     } == {
@@ -147,4 +152,18 @@
 
 
 def test_a_silent_daemon_has_nothing_in_the_sum():
-    assert edge_peers.others(_many(4), [], "d00", 5.0) == []
+    assert _others(_many(4), [], "d02", 5.0) == []
+
+
+def test_a_hub_tells_what_the_others_place():
+    state = edge_peers.State()
+    for name, waiting in (("a", 1), ("b", 2)):
+        digest = edge_peers.Digest(name,
+                                   "",
+                                   True, [],
+                                   demands=(edge_peers.Demand(
+                                       "s", 0.5, waiting),))
+        state, _ = edge_peers.heard(state, digest, 0.0, 0.0)
+    sums = edge_peers.totals(state, [], (edge_peers.Demand("s", 1.0, 4),), 0.1)
+    _, demands = edge_peers.others(state, sums, "b", 0.1)
+    assert demands == (edge_peers.Demand("s", 1.5, 5),)
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -32,8 +32,10 @@
 # Part of memory and slots that long work leaves to short work.
 _SHORT_RESERVE_SHARE = 0.08
 _LONG_SLOTS_SHARE = 0.75
-# Part of the memory up to which copies of requests may fill it.
-_COPY_SHARE = 0.7
+# Part of the memory up to which copies of requests may fill it. Copies guard
+# against crashes; at a notice there is time for a move, if memory is free then.
+# Source: `docs/design/emulator.md`.
+_COPY_SHARE = 0.3
 # Below this part of its first memory a request counts as ended.
 _GONE_SHARE = 0.05
 # A request must be able to end within its deadline with this probability.
@@ -192,6 +194,16 @@
     return _USABLE_SHARE - peak_tokens(item, new, peers, now_s) / capacity
 
 
+def places(item: load_view.TargetView, new: load_view.Profile, peers: int,
+           now_s: float) -> float:
+    """Returns how many requests like one an engine has room for."""
+    capacity = item.target.kv_capacity_tokens
+    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    unread = _PREFILL_SHARE * capacity - prefill
+    held = room(item, new, peers, now_s) * capacity
+    return max(1.0, min(unread / new.mean[0], 1 + held / max(new.mean)))
+
+
 def _long_slot_free(item: load_view.TargetView, target: events.Target,
                     now_s: float) -> bool:
     if item.long_running >= _LONG_SLOTS_SHARE * target.max_running:
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -36,6 +36,12 @@
 # daemons from agreeing on one target.
 _BIAS = 0.04
 DEFAULT_INTERVAL_S = 0.02
+# Factor of the demand at engines: prompts are read and generations end long
+# after they were told, and daemons that follow each digest would fill the
+# engines in turns. Source: `docs/design/emulator.md`.
+_DAMPING = 6.0
+# A request that waits draws again at each tick, several times between digests.
+_DRAW_SHARE = 0.5
 # Moves within a failure domain take half the time of others.
 _NEAR_WEIGHT = 2.0
 
@@ -107,6 +113,34 @@
     names = view.groups.get(wanted.service, ())
     if wanted.only:
         names = tuple(name for name in wanted.only if name in names)
+    ranked, probe = _by_use(view, names, wanted, rules, now_s)
+    if probe is not None or not ranked:
+        return probe
+    peers = len(view.peers)
+    expected = load_view.expected_starts(view, wanted.service, now_s)
+    least = view.targets[ranked[0][1]]
+    demand = (1 + expected) * admission.unit(least, wanted.profile,
+                                             wanted.is_long)
+    if least.target.kv_capacity_tokens:
+        demand *= _DAMPING
+    for position, name in enumerate(spread(ranked, demand, rng)):
+        item = view.targets[name]
+        if not admission.fits(item, wanted.profile, wanted.is_long, peers,
+                              now_s):
+            continue
+        if position and expected and item.target.kv_capacity_tokens:
+            # Few targets have room, and all daemons see it.
+            places = admission.places(item, wanted.profile, peers, now_s)
+            if rng.random() > _DRAW_SHARE * places / (1 + expected):
+                return None
+        return name
+    return None
+
+
+def _by_use(view: load_view.View, names: typing.Iterable[str], wanted: Wanted,
+            rules: Rules,
+            now_s: float) -> tuple[list[tuple[float, str]], str | None]:
+    """Returns targets by their use, and one that is to be probed at once."""
     ranked: list[tuple[float, str]] = []
     peers = len(view.peers)
     may_be_reserved = (rules.suspects.records or rules.suspects.reserved)
@@ -123,24 +157,15 @@
         weight = known.weight if known else 1.0
         if weight < _HEALTHY_WEIGHT:
             if may_probe and health.is_probe_due(rules.observed, name, now_s):
-                return name
+                return ranked, name
             if wanted.is_long or weight == 0.0:
                 continue
         if rules.budget.weights:
             weight *= retry.send_weight(rules.budget, name, now_s)
         use = admission.use(item, wanted.is_long, peers, now_s)
         ranked.append((use / weight, name))
-    if not ranked:
-        return None
     ranked.sort()
-    demand = (1 + load_view.expected_starts(
-        view, wanted.service, now_s)) * admission.unit(
-            view.targets[ranked[0][1]], wanted.profile, wanted.is_long)
-    for name in spread(ranked, demand, rng):
-        if admission.fits(view.targets[name], wanted.profile, wanted.is_long,
-                          peers, now_s):
-            return name
-    return None
+    return ranked, None
 
 
 def spread(ranked: typing.Sequence[tuple[float, str]], demand: float,
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -155,13 +155,20 @@
     prefill_tokens: int = 0  # Of prompts that are still to be read.
 
 
+class Demand(typing.NamedTuple):
+    """Requests of a service that a daemon places."""
+
+    service: str
+    starts_per_s: float
+    waiting: int
+
+
 class PeerLoad(typing.NamedTuple):
     """A peer daemon told what it has outstanding."""
 
     daemon: str
     loads: tuple[TargetLoad, ...]
-    # Requests that it starts a second, by service.
-    starts_per_s: tuple[tuple[str, float], ...] = ()
+    demands: tuple[Demand, ...] = ()
     is_sum: bool = False  # Of several daemons, told at an interval.
 
 
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -26,6 +26,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.request import copies
 from persimmonspan.request import event_stream
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
@@ -44,8 +45,6 @@
 _PROGRESS_INTERVAL_S = 0.25
 _TOKENS_PER_EVENT = 4
 _LEAST_TIME_LEFT_S = 0.02
-# Memory of a long request over a link that others use too.
-_MOVE_S = 2.5
 _MAX_REPORTED_PRIORITY = 9
 _OK = 200
 _FIRST_ERROR = 500
@@ -82,7 +81,7 @@
                                       CALLER_WRITE_S)
     with contextlib.ExitStack() as stack, watching as transfer:
         work = _Forwarding(owner, placed, context, responder, transfer)
-        stack.callback(work.drop_moved)
+        stack.callback(work.drop_copy)
         try:
             session.run(owner, _arrived(placed, context.configuration),
                         work.attempt)
@@ -163,13 +162,6 @@
         return _Pauses(self.first_s, now_s, pause_s, now_s)
 
 
-class _Handover(typing.NamedTuple):
-    """Where a stream goes on, and the memory that it goes on from."""
-
-    target: events.Target
-    resume_from: str
-
-
 class _Forwarding:
     """A request over one target after the other."""
 
@@ -192,8 +184,7 @@
         self._target: events.Target | None = None
         self._progress_s = 0.0
         self._ran_before = False
-        self._moved: _Handover | None = None
-        self._moved_handle: str | None = None
+        self._copies = copies.Copies(placed, context)
         self._pauses = _Pauses()
         self._handovers: list[float] = []
         self.has_begun = False
@@ -224,6 +215,11 @@
             }
         _logger.info("answered", extra=fields)
 
+    def drop_copy(self) -> None:
+        """Frees a copy that the ended stream did not need."""
+        if self._target is not None:
+            self._copies.drop(self._target)
+
     def attempt(self, dispatch: events.Dispatch, target: events.Target) -> bool:
         """Runs one attempt; returns whether the request is at its end."""
         self._target = target
@@ -268,8 +264,9 @@
                              "reason": str(self._problem),
                              "events": self.event_count
                          })
-            handover = (self._from_copy(outcome, backup)
-                        if has_progressed else None)
+            handover = None
+            if has_progressed and outcome is events.Outcome.INTERRUPTED:
+                handover = self._copies.handover(self._copy(backup))
             if handover is None:
                 break
             target, resume_from = handover
@@ -279,23 +276,6 @@
             backup = self._next_backup()
         return self._finish(outcome)
 
-    def _from_copy(self, outcome: events.Outcome,
-                   backup: str | None) -> _Handover | None:
-        """Returns where a stream that was cut goes on."""
-        if outcome is not events.Outcome.INTERRUPTED:
-            return None
-        if self._moved is not None:
-            self._context.metrics.count("stream_moved_to_refuge")
-            return self._moved
-        copy = self._copy(backup)
-        if copy is None:
-            return None
-        self._context.metrics.count("stream_moved_to_backup")
-        return _Handover(
-            copy,
-            self._context.wire.copy_name(copy.address,
-                                         self._placed.call.request_id))
-
     def _next_backup(self) -> str | None:
         """Waits for the scheduler to say where the next copy is kept."""
         while True:
@@ -303,61 +283,6 @@
             if isinstance(message, events.Rearmed):
                 return message.backup
 
-    def _copy_to(self, refuge_name: str) -> None:
-        """Has the memory of the running stream copied to another target.
-
-        The stream goes on here: it may end before its target does. Once it is
-        cut, it goes on from the copy, which lacks the last tokens only.
-        """
-        refuge = self._context.find_target(refuge_name)
-        move = None
-        if refuge is not None and self._is_streaming():
-            move = self._move(refuge)
-        if move is None or not move.is_done or move.handle is None:
-            self._context.metrics.count("stream_evacuation_failed")
-            self._context.scheduler.tell(
-                events.MoveFailed(self._placed.request_id, refuge_name))
-            return
-        self._context.metrics.count("stream_copied")
-        self._moved = _Handover(
-            refuge,
-            self._context.wire.copy_name(self._target.address, move.handle))
-        self._moved_handle = move.handle
-
-    def _move(self, refuge: events.Target) -> forwarded.Move | None:
-        order = self._context.wire.encode_move(self._placed.call.request_id,
-                                               refuge.address)
-        try:
-            move = self._context.wire.decode_move(
-                *exchange.call(self._target.address, order, _MOVE_S))
-        except errors.TargetError as error:
-            _logger.warning("move failed",
-                            extra={
-                                "target": self._target.name,
-                                "refuge": refuge.name,
-                                "reason": str(error)
-                            })
-            return None
-        _logger.info("move",
-                     extra={
-                         "target": self._target.name,
-                         "refuge": refuge.name,
-                         "status": move.status,
-                         "events": self.event_count
-                     })
-        return move
-
-    def drop_moved(self) -> None:
-        """Frees a copy that the ended stream did not need."""
-        handle, self._moved_handle = self._moved_handle, None
-        if handle is None:
-            return
-        try:
-            exchange.call(self._target.address,
-                          self._context.wire.encode_drop(handle), _CONNECT_S)
-        except errors.TargetError as error:
-            _logger.info("copy not freed", extra={"reason": str(error)})
-
     def _copy(self, backup: str | None) -> events.Target | None:
         return self._context.find_target(backup) if backup else None
 
@@ -386,8 +311,7 @@
         self._reader = exchange.AnswerReader(self._placed.call.method)
         self._head = None
         self._problem = None
-        self._moved = None
-        self._moved_handle = None
+        self._copies.restart()
         self._body = []
         self._stream = event_stream.resumed(self._stream)
         time_left_s = self._owner.remaining_s()
@@ -410,7 +334,7 @@
                 self._ran_before = self._owner.may_have_run
                 self._owner.may_have_run = True
                 exchange.send(sock, data, _SEND_S)
-                self._relay(sock)
+                self._relay(target, sock)
         except exchange.NotSentError as error:
             self._problem = error
             return (events.Outcome.CONNECT_FAILED
@@ -419,7 +343,7 @@
             self._problem = error
         return self._outcome()
 
-    def _relay(self, sock: socket.socket) -> None:
+    def _relay(self, target: events.Target, sock: socket.socket) -> None:
         silent_s = self._placed.end_s
         if self._is_stream:
             silent_s = _STREAM_SILENT_S
@@ -434,7 +358,8 @@
                         self._closed(message.signal)
                         return
                 elif isinstance(message, events.Evacuate):
-                    self._copy_to(message.target)
+                    if self._is_streaming():
+                        self._copies.copy(target, message.target)
                 elif isinstance(message, events.Dispatch):
                     self._owner.end_attempt(message.target,
                                             events.Outcome.CANCELLED)
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -20,6 +20,7 @@
 """
 
 import bisect
+import collections
 import enum
 import math
 import random
@@ -203,13 +204,18 @@
                           usage=_charged(queue, item, item.work, now_s))
 
 
-def starts_per_s(queue: Queue, now_s: float) -> tuple[tuple[str, float], ...]:
-    """Returns the requests that are dispatched a second, by service."""
+def demands(queue: Queue, now_s: float) -> tuple[events.Demand, ...]:
+    """Returns what is dispatched a second and what waits, by service."""
     rates: dict[str, float] = {}
     for (service, _, _), rate in queue.rates.items():
         rates[service] = (rates.get(service, 0.0) +
                           rate.at(now_s, _RATE_S) / _RATE_S)
-    return tuple(rates.items())
+    waiting = collections.Counter({service: 0 for service in rates})
+    for (service, _, _), lane in queue.lanes.items():
+        waiting[service] += len(lane.items)
+    return tuple(
+        events.Demand(service, round(rates.get(service, 0.0), 1), count)
+        for service, count in waiting.items())
 
 
 def settled(queue: Queue, item: Queued, work: float, now_s: float) -> Queue:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -66,9 +66,9 @@
     return load_view.own_loads(state.view)
 
 
-def starts_per_s(state: State, now_s: float) -> tuple[tuple[str, float], ...]:
-    """Returns the requests that this daemon starts a second, by service."""
-    return queueing.starts_per_s(state.queue, now_s)
+def demands(state: State, now_s: float) -> tuple[events.Demand, ...]:
+    """Returns what this daemon places, by service."""
+    return queueing.demands(state.queue, now_s)
 
 
 @functools.singledispatch
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -160,11 +160,13 @@
 
 
 class Crowd:
-    """A scenario as it is played, with one source of randomness."""
+    """A scenario as it is played."""
 
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self._scenario = scenario
-        self._rng = random.Random(seed)
+        # The same traffic and departures, whatever is decided.
+        self._day_rng = random.Random(seed)
+        self._rng = random.Random(seed + 1)
         self._now_s = 0.0
         self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -215,16 +217,16 @@
     def _gap_s(self, kind: Kind) -> float:
         scenario = self._scenario
         wave = math.sin(2 * math.pi * self._now_s / scenario.period_s)
-        return self._rng.expovariate(kind.rate_per_s *
-                                     (1 + scenario.crest * wave))
+        return self._day_rng.expovariate(kind.rate_per_s *
+                                         (1 + scenario.crest * wave))
 
     def _arrive(self, kind: Kind) -> None:
         if self._now_s > self._scenario.duration_s:
             return
         self._after(self._gap_s(kind), lambda: self._arrive(kind))
-        daemon = self._rng.randrange(self._scenario.daemons)
+        daemon = self._day_rng.randrange(self._scenario.daemons)
         name = f"r{next(self._numbers)}"
-        item = _Request(name, kind, daemon, self._now_s, self._rng)
+        item = _Request(name, kind, daemon, self._now_s, self._day_rng)
         self._requests[name] = item
         self._send(
             daemon,
@@ -284,21 +286,24 @@
         """Tells each daemon the sum of what the others have."""
         self._after(self._scenario.digest_interval_s, self._tell_loads)
         told = [(scheduler.peer_loads(state),
-                 dict(scheduler.starts_per_s(state, self._now_s)))
+                 scheduler.demands(state, self._now_s))
                 for state in self._states]
         total: dict[str, list[events.TargetLoad]] = {}
         for loads, _ in told:
             for load in loads:
                 total.setdefault(load.target, []).append(load)
         sums = {name: _sum(loads) for name, loads in total.items()}
-        starts = sum(one.get(_SERVICE, 0.0) for _, one in told)
+        starts = sum(one.starts_per_s for _, own in told for one in own)
+        waiting = sum(one.waiting for _, own in told for one in own)
         for daemon, (loads, own) in enumerate(told):
             others = dict(sums)
             for load in loads:
                 others[load.target] = _less(others[load.target], load)
-            rate = starts - own.get(_SERVICE, 0.0)
-            event = events.PeerLoad("others", tuple(others.values()),
-                                    ((_SERVICE, rate),), True)
+            rest = events.Demand(_SERVICE,
+                                 starts - sum(one.starts_per_s for one in own),
+                                 waiting - sum(one.waiting for one in own))
+            event = events.PeerLoad("others", tuple(others.values()), (rest,),
+                                    True)
             self._after(
                 _DIRECT_DELAY_S,
                 lambda daemon=daemon, event=event: self._send(daemon, event))
@@ -325,7 +330,7 @@
     def _leave(self) -> None:
         scenario = self._scenario
         self._after(scenario.leave_every_s, self._leave)
-        names = self._rng.sample(
+        names = self._day_rng.sample(
             [name for name in self._engines if name not in self._leaving],
             scenario.leave_together)
         self._leaving.update(names)
