Bring copies up to date while a target lingers after its notice

Cause: a copy that is not used is freed after some seconds, and some targets serve on for many seconds after they told that they leave; a stream that is cut then would find no copy. Change: while a stream runs on a leaving target its copy is renewed every 1.5 s. Tests: test_the_copy_of_a_draft_on_a_target_that_lingers_is_renewed, which failed before; test_a_copy_from_the_start_needs_no_renewal.

--- a/persimmonspan/request/evacuation.py
+++ b/persimmonspan/request/evacuation.py
@@ -9,6 +9,7 @@
     `persimmonspan.request.forwarding`: carries out `events.Evacuate`.
 """
 
+import math
 import random
 
 from persimmonspan.process import load_view
@@ -19,6 +20,8 @@
 # A copy that is kept from the start is sent along several times a second; with
 # the notice it is complete when the target ends.
 _COPIED_S = 0.3
+# Targets keep an unused copy for some seconds.
+_RENEW_S = 1.5
 
 
 def evacuate(state: placement.State, running: placement.Running, now_s: float,
@@ -44,6 +47,21 @@
     return _to_refuge(state, running, now_s, rng)
 
 
+def renew(state: placement.State, running: placement.Running,
+          now_s: float) -> placement.Result:
+    """Has a copy brought up to date whose stream still runs at its target.
+
+    Targets forget copies that are not used, and some linger after the notice.
+    """
+    if running.backup is None or now_s - running.copied_s < _RENEW_S:
+        return state, []
+    request_id = running.item.arrived.request_id
+    running = running._replace(copied_s=now_s)
+    return state._replace(running=state.running.set(request_id, running)), [
+        events.Evacuate(request_id, running.backup)
+    ]
+
+
 def _to_refuge(state: placement.State, running: placement.Running, now_s: float,
                rng: random.Random) -> placement.Result:
     """Plans a move; what was to keep the copy before is free again."""
@@ -59,7 +77,9 @@
     if refuge is not None:
         view = load_view.copied(view, refuge, running.profile)
         commands.append(events.Evacuate(arrived.request_id, refuge))
-    running = running._replace(backup=refuge, backup_profile=running.profile)
+    running = running._replace(backup=refuge,
+                               backup_profile=running.profile,
+                               copied_s=now_s)
     return state._replace(view=view,
                           running=state.running.set(arrived.request_id,
                                                     running)), commands
@@ -100,6 +120,7 @@
                                backup=backup,
                                backup_profile=running.profile,
                                refused_refuges=(),
+                               copied_s=math.inf,
                                first_token_s=now_s,
                                progress_s=now_s)
     return state._replace(view=view,
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -70,6 +70,7 @@
     backup: str | None = None
     backup_profile: load_view.Profile = load_view.Profile()
     refused_refuges: tuple[str, ...] = ()
+    copied_s: float = math.inf  # When a copy was ordered as its target leaves.
 
 
 class State(typing.NamedTuple):
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -146,8 +146,10 @@
     state = state._replace(view=view)
     if event.tokens >= running.refresh_at:
         state, running = placement.grown(state, running)
-    return state._replace(
-        running=state.running.set(event.request_id, running)), []
+    state = state._replace(running=state.running.set(event.request_id, running))
+    if running.target in state.leaving:
+        return evacuation.renew(state, running, now_s)
+    return state, []
 
 
 @_step.register
--- a/persimmonspan/request/tests/test_evacuation.py
+++ b/persimmonspan/request/tests/test_evacuation.py
@@ -84,6 +84,24 @@
     assert sorted(refuges) == sorted(others)
 
 
+def test_the_copy_of_a_draft_on_a_target_that_lingers_is_renewed():
+    world = _Scheduler()
+    dispatch = world.start("r")
+    command, = world.send(events.TargetLeaving(dispatch.target), 0.1)
+    progress = [
+        world.send(events.Progressed("r", dispatch.target, tokens), 0.5)
+        for tokens in (40, 80, 120, 160)
+    ]
+    assert progress == [[], [], [command], []]
+
+
+def test_a_copy_from_the_start_needs_no_renewal():
+    world = _Scheduler()
+    dispatch = world.start("r")
+    world.send(events.TargetLeaving(dispatch.target), 5.0)
+    assert not world.send(events.Progressed("r", dispatch.target, 80), 5.0)
+
+
 def test_a_draft_that_loses_its_copy_on_a_leaving_target_is_moved():
     world = _Scheduler()
     dispatch = world.start("r")
