--- a/persimmonspan/request/evacuation.py
+++ b/persimmonspan/request/evacuation.py
@@ -1,12 +1,13 @@
 """Running requests that go on at another target when theirs leaves.
 
 The load: engines are taken away with a notice of about two seconds, while
-generations run for ten and may not be run again. A request goes on from a copy
-of its memory that another engine keeps, or its memory is moved while it runs.
+generations run for ten and may not be run again. Once it is cut, a request goes
+on from a copy of its memory: one that another engine kept from its start, or
+one that is made at the notice.
 
 See Also:
     `persimmonspan.request.choice`: `backup` and `refuge`.
-    `persimmonspan.request.forwarding`: carries out `events.Evacuate`.
+    `persimmonspan.request.copies`: carries out `events.Evacuate`.
 """
 
 import math
