Measure many slow requests without the stop of the daemon

Cause: test_many_slow_requests_get_a_thread_each failed in 4 of about 20 runs of its file with 2.01 to 2.02 s of 2.0 s. A run with times in the log shows all 30 requests answered 0.98 s after the first was sent; the rest was the daemon's stop, since the time was taken after the block that runs it. Change: the time is taken before the stop. The bound stays; without new threads three rounds of 0.8 s are over it. Ruled out: packets sent again (none counted), the relay, growth of threads.

--- a/persimmonspan/platform/tests/test_edge.py
+++ b/persimmonspan/platform/tests/test_edge.py
@@ -315,8 +315,10 @@
             thread.start()
         for thread in asking:
             thread.join()
+        # Before the daemon stops, which takes a second by itself.
+        took_s = time.monotonic() - began_s
     assert answers == [200] * 30
-    assert time.monotonic() - began_s < 2.0
+    assert took_s < 2.0
 
 
 def test_silent_connections_hold_no_thread(world):
