Refuse late work while stopping, and keep ZeroMQ from aborting the daemon

Cause: only routes with a timeout over the whole grace time were refused. Change: once the balancer has had time to notice, what may not end before this process is refused with 503. Test: test_a_stop_refuses_in_the_end_what_may_not_end_in_time, failed before.

Cause: ZeroMQ sends a heartbeat on a connection that has ended while its input was stopped by a full queue of a busy daemon, and asserts that there was no error. Change: receiving sockets send no heartbeats (the senders' time to live ends silent connections) and queue 1,000 digests. Test: test_a_peer_that_resets_while_digests_are_queued_does_not_abort _the_daemon, which aborted before. Ruled out: faults of ours in the links' thread; the test needs none.

--- a/persimmonspan/connection/digest_links.py
+++ b/persimmonspan/connection/digest_links.py
@@ -19,11 +19,14 @@
 import zmq
 
 _QUEUED_MESSAGES = 8
+# More than all peers send while this thread is held up for some seconds.
+_RECEIVED_MESSAGES = 1000
 _MAX_MESSAGE_BYTES = 256 * 1024
 _RECONNECT_MS = 100
 _RECONNECT_MAX_MS = 2000
 _HEARTBEAT_MS = 1000
 _HEARTBEAT_TIMEOUT_MS = 2000
+_HEARTBEAT_TTL_MS = 4000
 _MS_PER_S = 1000.0
 
 _logger = logging.getLogger(__name__)
@@ -51,7 +54,10 @@
         self._context = zmq.Context()
         self._pull = self._context.socket(zmq.PULL)
         self._pull.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
-        self._configure(self._pull)
+        self._pull.linger = 0
+        # Its peers send the heartbeats: ZeroMQ aborts the process when one is
+        # due on a connection that ended while its input was stopped.
+        self._pull.set_hwm(_RECEIVED_MESSAGES)
         self._pull.bind(f"tcp://{address}")
         self._pushes: dict[str, zmq.Socket] = {}
         self._wanted: frozenset[str] = frozenset()
@@ -87,6 +93,8 @@
         sock.set_hwm(_QUEUED_MESSAGES)
         sock.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
         sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+        # After as long without one, the receiver drops the connection.
+        sock.setsockopt(zmq.HEARTBEAT_TTL, _HEARTBEAT_TTL_MS)
         sock.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
         sock.setsockopt(zmq.CONNECT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
--- a/persimmonspan/connection/tests/test_digest_links.py
+++ b/persimmonspan/connection/tests/test_digest_links.py
@@ -2,9 +2,14 @@
 
 import contextlib
 import logging
+import socket
+import subprocess
+import sys
 import threading
 import time
 
+import zmq
+
 from persimmonspan.connection import digest_links
 
 _INTERVAL_S = 0.02
@@ -29,3 +34,41 @@
     thread.join(_END_S)
     assert not thread.is_alive()
     assert len(caplog.records) == 1
+
+
+# A daemon whose thread is held up while more than its queue holds arrives, and
+# whose peer then resets the connection.
+_HELD_UP = """
+import threading, time, zmq
+from persimmonspan.connection import digest_links
+
+busy = threading.Event()
+
+def receive(data):
+    busy.set()
+    time.sleep(3.0)
+
+links = digest_links.Links("127.0.0.1:%d", receive, dict, lambda: 0.1)
+with links.running():
+    busy.wait(10.0)
+    time.sleep(4.0)
+print("alive")
+"""
+
+
+def test_a_peer_that_resets_while_digests_are_queued_does_not_abort_the_daemon(
+):
+    # ZeroMQ aborts the process when it sends a heartbeat on a connection that
+    # ended while its input was stopped by a full queue.
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    with subprocess.Popen([sys.executable, "-c", _HELD_UP % port],
+                          stdout=subprocess.PIPE) as daemon:
+        context = zmq.Context()
+        push = context.socket(zmq.PUSH)
+        push.connect(f"tcp://127.0.0.1:{port}")
+        for _ in range(200):
+            push.send(b"digest")
+        time.sleep(1.0)
+        context.destroy(linger=0)
+        assert daemon.communicate(timeout=20.0)[0] == b"alive\n"
--- a/persimmonspan/platform/tests/test_edge.py
+++ b/persimmonspan/platform/tests/test_edge.py
@@ -279,6 +279,19 @@
     assert answers[0][::2] == (200, b"done")
 
 
+def test_a_stop_refuses_in_the_end_what_may_not_end_in_time():
+    # mix --seed 25594793605 of elo-nordeste: a request that came 7.7 s after
+    # SIGTERM on a kept connection was passed on and cut by the end at 8 s.
+    world = edge_world.World(grace_s=6.0)
+    world.rows.write("op", "config", edge_world.configuration())
+    world.add("i-1", "desk", lambda request: [replica.whole(request, b"")])
+    with world.running():
+        world.edge.stop()
+        assert world.ask("/non_idempotent/1")[0] == 200
+        time.sleep(1.2)
+        assert world.ask("/non_idempotent/2")[0] == 503
+
+
 def test_changed_settings_are_taken_but_for_addresses(world):
     with world.running():
         retry = edge_settings.RetryBudget(0.5, 10.0, 160.0)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -152,8 +152,11 @@
         """Refuses what would not end before this process does."""
         if self._stop_s is None:
             return
-        is_long = placed.route.timeout_s > self._options.grace_s
-        if is_long:
+        time_left_s = self._options.grace_s
+        stopping_s = time.monotonic() - self._stop_s
+        if stopping_s > _STOP_LEAST_S:
+            time_left_s -= stopping_s + _STOP_MARGIN_S
+        if placed.route.timeout_s > time_left_s:
             raise errors.RefusalError(errors.Code.DRAINING,
                                       "this daemon is stopping", 0.0)
 
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -104,7 +104,7 @@
 class World:
     """A daemon, its store, and replicas by name."""
 
-    def __init__(self, name="edge-1", rows=None):
+    def __init__(self, name="edge-1", rows=None, grace_s=2.0):
         self.rows = rows if rows is not None else Rows()
         self.options = edge_settings.EdgeSettings(name,
                                                   "a",
@@ -112,7 +112,7 @@
                                                   free_address(),
                                                   free_address(),
                                                   "store",
-                                                  grace_s=2.0)
+                                                  grace_s=grace_s)
         self.edge = edge.Edge(
             self.options,
             program.PLATFORM._replace(open_store=lambda address: self.rows))
