Replace what was read of the store under the lock

Cause: three threads replace fields of one tuple (targets, version and the configuration that is sent to peers); one could undo what another had noted. Found by reading the diff. Ruled out: a deadlock; no thread takes the followers' locks with this one held. No test: the loss takes a switch of threads within one expression.

--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -73,6 +73,7 @@
         self._scheduler = scheduler_ref
         self._take_news = take_news
         self._state = edge_peers.State(hub_s=time.monotonic())
+        # Of the state and of what was read, which three threads replace.
         self._lock = threading.Lock()
         self._can_read = False
         self._is_hub = False
@@ -111,20 +112,23 @@
     def targets_read(self, state: directory.State, began_s: float) -> None:
         """Notes what was read, for the next digest."""
         self._can_read = True
-        self._read = self._read._replace(entries=edge_peers.to_entries(state),
-                                         entries_s=began_s)
+        entries = edge_peers.to_entries(state)
+        with self._lock:
+            self._read = self._read._replace(entries=entries, entries_s=began_s)
 
     def configuration_read(self, version: int, at_s: float) -> None:
         """Notes the version that was in force in the store at a time."""
-        self._read = self._read._replace(version=version, version_s=at_s)
+        with self._lock:
+            self._read = self._read._replace(version=version, version_s=at_s)
         if edge_peers.outdated(self._state, version, at_s):
             self.wake()
 
     def adopted(self, version: int, configuration: bytes) -> None:
         """Notes a configuration that is in force here, to send it to peers."""
-        self._own_version = version
-        self._read = self._read._replace(
-            configuration=zlib.compress(configuration, _COMPRESSION_LEVEL))
+        compressed = zlib.compress(configuration, _COMPRESSION_LEVEL)
+        with self._lock:
+            self._own_version = version
+            self._read = self._read._replace(configuration=compressed)
 
     def read_failed(self) -> None:
         """Notes that the store does not answer this daemon."""
