Give each worker of the edge tests ports of its own, in turn

Change: each worker goes through a range of its own. Ruled out: ports of outgoing connections, which lie above the range.

--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -5,8 +5,9 @@
 
 import contextlib
 import http.client
+import itertools
 import json
-import random
+import os
 import socket
 import threading
 import time
@@ -19,8 +20,14 @@
 
 HOST = "a.example"
 TIMEOUT_S = 5.0
-# Below those that systems give to outgoing connections.
-_PORTS = range(10_000, 30_000)
+# Below those that systems give to outgoing connections, and others for each
+# worker of the tests.
+_FIRST_PORT = 10_000
+_PORTS_PER_WORKER = 2_000
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 10
+_ports = itertools.cycle(
+    range(_FIRST_PORT + _WORKER * _PORTS_PER_WORKER,
+          _FIRST_PORT + (_WORKER + 1) * _PORTS_PER_WORKER))
 
 
 class Rows:
@@ -67,7 +74,7 @@
 def free_address():
     """Returns an address on which nothing listens."""
     while True:
-        address = "127.0.0.1", random.choice(_PORTS)
+        address = "127.0.0.1", next(_ports)
         with contextlib.suppress(OSError), socket.create_server(address):
             return f"{address[0]}:{address[1]}"
 
