Send the product's own load types in digests, and add loads in one place

Cause: edge_peers held twins of events.TargetLoad, events.Demand and directory.Registration with conversions both ways, and loads were added in three places (edge_peers, gossip_plan, testbed.crowd) and subtracted in two. Change: the named tuples go over the wire as they are; load_view.add_loads and subtract_loads serve gossip, digests and the emulator, which takes its sums from edge_peers.totals and others. Engines of the emulator derive that they are gone.

--- a/bench/edge_capacity.py
+++ b/bench/edge_capacity.py
@@ -37,25 +37,24 @@
     take_us: float
 
 
-def _load(target: str, rng: random.Random) -> edge_peers.Load:
+def _load(target: str, rng: random.Random) -> events.TargetLoad:
     tokens = rng.randrange(2000, 9000)
-    return edge_peers.Load(target, rng.randrange(1, 3), tokens,
-                           tuple(tokens - 100 * k for k in range(6)), 900, 3000,
-                           500)
+    return events.TargetLoad(target, rng.randrange(1, 3), tokens,
+                             tuple(tokens - 100 * k for k in range(6)), 900,
+                             3000, 500)
 
 
 def _digest(name: str, targets: int, rng: random.Random) -> edge_peers.Digest:
-    loads = [
+    loads = tuple(
         _load(f"i-{rng.randrange(targets):010}", rng)
-        for _ in range(_OWN_TARGETS)
-    ]
+        for _ in range(_OWN_TARGETS))
     return edge_peers.Digest(name,
                              "10.0.0.1:7200",
                              True,
                              loads,
                              version=12,
-                             demands=(edge_peers.Demand("voba55a", 0.4, 0),
-                                      edge_peers.Demand("baje63b", 1.1, 0)))
+                             demands=(events.Demand("voba55a", 0.4, 0),
+                                      events.Demand("baje63b", 1.1, 0)))
 
 
 def _us(work: collections.abc.Callable[[], object], repeats: int) -> float:
@@ -83,7 +82,7 @@
     def hear() -> None:
         edge_peers.heard(state, edge_peers.decode(member), 0.1, 0.0)
 
-    sums = edge_peers.totals(state, [], (), 0.1)
+    sums = edge_peers.totals(state, (), (), 0.1)
 
     def compose() -> bytes:
         loads, demands = edge_peers.others(state, sums, "d005", 0.1)
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -108,8 +108,11 @@
             Change(tuple(joined), tuple(leaving), gone, tuple(restarted)))
 
 
+def known(state: State) -> tuple[Registration, ...]:
+    """Returns all targets, also those whose entries may have lapsed."""
+    return (*state.present.values(), *state.lapsed.values())
+
+
 def usable(state: State) -> tuple[Registration, ...]:
     """Returns the targets that may get new work."""
-    return tuple(entry for entry in (*state.present.values(),
-                                     *state.lapsed.values())
-                 if not entry.is_leaving)
+    return tuple(entry for entry in known(state) if not entry.is_leaving)
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -22,13 +22,13 @@
 """
 
 import math
-import operator
 import typing
 
 import immutables
 import msgspec
 
 from persimmonspan.process import directory
+from persimmonspan.process import load_view
 from persimmonspan.request import events
 
 # Several digests may be lost or late before a daemon counts as gone.
@@ -51,39 +51,6 @@
 _UNCHANGED_INTERVAL_S = 0.5
 
 
-class Load(msgspec.Struct, array_like=True):
-    """Work on one target, see `events.TargetLoad`."""
-
-    target: str
-    outstanding: int
-    predicted_tokens: int
-    profile_tokens: tuple[int, ...] = ()
-    deviation_tokens: int = 0
-    copy_tokens: int = 0
-    prefill_tokens: int = 0
-
-
-class Demand(msgspec.Struct, array_like=True):
-    """Requests that a daemon places, see `events.Demand`."""
-
-    service: str
-    starts_per_s: float
-    waiting: int
-
-
-class Entry(msgspec.Struct, array_like=True):
-    """A registered target, see `directory.Registration`."""
-
-    name: str
-    service: str
-    address: str
-    failure_domain: str
-    max_running: int
-    is_leaving: bool
-    incarnation: int
-    slow_start_s: float
-
-
 class News(msgspec.Struct, array_like=True):
     """What the reader read of the store.
 
@@ -92,7 +59,7 @@
     """
 
     age_s: float
-    entries: tuple[Entry, ...]
+    entries: tuple[directory.Registration, ...]
     configuration_version: int
     configuration_age_s: float
     configuration: bytes = b""  # Compressed; empty for daemons that have it.
@@ -104,11 +71,11 @@
     name: str
     address: str
     can_read: bool
-    loads: list[Load]
+    loads: tuple[events.TargetLoad, ...]
     news: News | None = None
     is_sum: bool = False  # Whether the loads are those of all other daemons.
     version: int = 0  # Of the configuration that the daemon has in force.
-    demands: tuple[Demand, ...] = ()
+    demands: tuple[events.Demand, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -122,8 +89,8 @@
     heard_s: float
     known_s: float
     can_read: bool
-    loads: tuple[Load, ...] = ()
-    demands: tuple[Demand, ...] = ()
+    loads: tuple[events.TargetLoad, ...] = ()
+    demands: tuple[events.Demand, ...] = ()
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
@@ -166,7 +133,7 @@
         The next state, and whether the digest brings registered targets that
         were read later than those that are known.
     """
-    loads = () if digest.is_sum else tuple(digest.loads)
+    loads = () if digest.is_sum else digest.loads
     known = state.peers.get(digest.name, Peer("", now_s, now_s, False))
     peer = known._replace(address=digest.address,
                           heard_s=now_s,
@@ -215,9 +182,9 @@
 
     >>> def after(digest):
     ...     return heard(State(), digest, 0.0, 0.0)[0]
-    >>> reader(after(Digest("a", "", True, [])), "b", 0.1)
+    >>> reader(after(Digest("a", "", True, ())), "b", 0.1)
     'a'
-    >>> reader(after(Digest("a", "", False, [])), "b", 0.1)
+    >>> reader(after(Digest("a", "", False, ())), "b", 0.1)
     'b'
     """
     return min([
@@ -270,7 +237,7 @@
 def outdated(state: State, version: int, now_s: float) -> list[str]:
     """Returns the daemons that are to be sent a version of the configuration.
 
-    >>> digest = Digest("a", "", True, [], version=3)
+    >>> digest = Digest("a", "", True, (), version=3)
     >>> state, _ = heard(State(), digest, 0.0, 0.0)
     >>> outdated(state, 4, 0.1)
     ['a']
@@ -297,12 +264,12 @@
 class Totals(typing.NamedTuple):
     """What all daemons have together, by target and by service."""
 
-    loads: dict[str, Load]
-    demands: dict[str, Demand]
+    loads: dict[str, events.TargetLoad]
+    demands: dict[str, events.Demand]
 
 
-def totals(state: State, loads: typing.Iterable[Load],
-           demands: typing.Iterable[Demand], now_s: float) -> Totals:
+def totals(state: State, loads: typing.Iterable[events.TargetLoad],
+           demands: typing.Iterable[events.Demand], now_s: float) -> Totals:
     """Returns what this daemon and all that were heard of late have."""
     sums = Totals({load.target: load for load in loads},
                   {demand.service: demand for demand in demands})
@@ -311,18 +278,20 @@
             continue
         for load in peer.loads:
             before = sums.loads.get(load.target)
-            sums.loads[load.target] = load if before is None else _sum(
-                before, load)
+            sums.loads[load.target] = (load if before is None else
+                                       load_view.add_loads(before, load))
         for demand in peer.demands:
             known = sums.demands.get(demand.service)
-            sums.demands[demand.service] = demand if known is None else Demand(
-                demand.service, known.starts_per_s +
-                demand.starts_per_s, known.waiting + demand.waiting)
+            sums.demands[
+                demand.service] = demand if known is None else events.Demand(
+                    demand.service, known.starts_per_s +
+                    demand.starts_per_s, known.waiting + demand.waiting)
     return sums
 
 
-def others(state: State, sums: Totals, receiver: str,
-           now_s: float) -> tuple[list[Load], tuple[Demand, ...]]:
+def others(
+    state: State, sums: Totals, receiver: str, now_s: float
+) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...]]:
     """Returns what all daemons but one have, as a hub tells it that one."""
     peer = state.peers[receiver]
     is_counted = now_s - peer.heard_s <= _SILENT_S
@@ -330,7 +299,7 @@
     own_demands = peer.demands if is_counted else ()
     loads = dict(sums.loads)
     for load in own_loads:
-        rest = _less(loads[load.target], load)
+        rest = load_view.subtract_loads(loads[load.target], load)
         if rest.outstanding or rest.copy_tokens:
             loads[load.target] = rest
         else:
@@ -338,29 +307,10 @@
     demands = dict(sums.demands)
     for demand in own_demands:
         total = demands[demand.service]
-        demands[demand.service] = Demand(
+        demands[demand.service] = events.Demand(
             demand.service, round(total.starts_per_s - demand.starts_per_s, 1),
             total.waiting - demand.waiting)
-    return list(loads.values()), tuple(demands.values())
-
-
-def _less(total: Load, one: Load) -> Load:
-    profile = tuple(map(operator.sub, total.profile_tokens, one.profile_tokens))
-    variance = total.deviation_tokens**2 - one.deviation_tokens**2
-    return Load(total.target, total.outstanding - one.outstanding,
-                total.predicted_tokens - one.predicted_tokens, profile,
-                math.isqrt(max(0,
-                               variance)), total.copy_tokens - one.copy_tokens,
-                total.prefill_tokens - one.prefill_tokens)
-
-
-def _sum(one: Load, other: Load) -> Load:
-    profile = tuple(map(operator.add, one.profile_tokens, other.profile_tokens))
-    return Load(one.target, one.outstanding + other.outstanding,
-                one.predicted_tokens + other.predicted_tokens, profile,
-                int(math.hypot(one.deviation_tokens, other.deviation_tokens)),
-                one.copy_tokens + other.copy_tokens,
-                one.prefill_tokens + other.prefill_tokens)
+    return tuple(loads.values()), tuple(demands.values())
 
 
 def interval_s(state: State) -> float:
@@ -373,39 +323,7 @@
     return is_changed or now_s - sent_s >= _UNCHANGED_INTERVAL_S
 
 
-def to_entries(state: directory.State) -> tuple[Entry, ...]:
-    """Returns the registered targets in the form of a digest."""
-    return tuple(
-        Entry(*registration)
-        for registration in (*state.present.values(), *state.lapsed.values()))
-
-
-def to_registrations(
-        entries: typing.Iterable[Entry]) -> list[directory.Registration]:
-    """Returns the targets that a digest holds."""
-    return [
-        directory.Registration(*msgspec.structs.astuple(entry))
-        for entry in entries
-    ]
-
-
-def to_loads(loads: typing.Iterable[events.TargetLoad]) -> list[Load]:
-    """Returns loads in the form of a digest."""
-    return [Load(*load) for load in loads]
-
-
-def to_demands(demands: typing.Iterable[events.Demand]) -> tuple[Demand, ...]:
-    """Returns demands in the form of a digest."""
-    return tuple(Demand(*demand) for demand in demands)
-
-
 def to_peer_load(digest: Digest) -> events.PeerLoad:
     """Returns what a peer has on the targets, for the scheduler."""
-    return events.PeerLoad(
-        OTHERS if digest.is_sum else digest.name,
-        tuple(
-            events.TargetLoad(*msgspec.structs.astuple(load))
-            for load in digest.loads),
-        tuple(
-            events.Demand(*msgspec.structs.astuple(demand))
-            for demand in digest.demands), digest.is_sum)
+    return events.PeerLoad(OTHERS if digest.is_sum else digest.name,
+                           digest.loads, digest.demands, digest.is_sum)
--- a/persimmonspan/process/gossip_plan.py
+++ b/persimmonspan/process/gossip_plan.py
@@ -12,8 +12,6 @@
 
 import functools
 import hashlib
-import math
-import operator
 import typing
 
 import immutables
@@ -146,22 +144,3 @@
         elif load.target in known:
             known = known.delete(load.target)
     return known
-
-
-def add_loads(one: events.TargetLoad,
-              other: events.TargetLoad) -> events.TargetLoad:
-    """Returns what two daemons together have outstanding on a target.
-
-    >>> add_loads(events.TargetLoad("t", 1, 9, (3, 4), 3, 6, 2),
-    ...           events.TargetLoad("t", 2, 8, (1, 1), 4, 1, 5))[1:]
-    (3, 17, (4, 5), 5, 7, 7)
-    """
-    profile = tuple(map(operator.add, one.profile_tokens, other.profile_tokens))
-    if len(one.profile_tokens) != len(other.profile_tokens):
-        profile = ()
-    return events.TargetLoad(
-        one.target, one.outstanding + other.outstanding,
-        one.predicted_tokens + other.predicted_tokens, profile,
-        int(math.hypot(one.deviation_tokens, other.deviation_tokens)),
-        one.copy_tokens + other.copy_tokens,
-        one.prefill_tokens + other.prefill_tokens)
--- a/persimmonspan/process/gossip_round.py
+++ b/persimmonspan/process/gossip_round.py
@@ -12,6 +12,7 @@
 from persimmonspan.process import gossip_facts
 from persimmonspan.process import gossip_plan
 from persimmonspan.process import gossip_state as types
+from persimmonspan.process import load_view
 from persimmonspan.process import membership
 from persimmonspan.request import events
 
@@ -173,7 +174,7 @@
     sums: dict[str, events.TargetLoad] = dict(state.loads)
     for name in state.plan.mates:
         for target, load in state.peer_loads.get(name, {}).items():
-            sums[target] = (gossip_plan.add_loads(sums[target], load)
+            sums[target] = (load_view.add_loads(sums[target], load)
                             if target in sums else load)
     return tuple(
         sorted(sums.values(),
--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -17,6 +17,7 @@
 """
 
 import math
+import operator
 import typing
 
 import immutables
@@ -317,6 +318,42 @@
                          peers_prefill_tokens=prefill)
 
 
+def add_loads(one: events.TargetLoad,
+              other: events.TargetLoad) -> events.TargetLoad:
+    """Returns what two daemons together have outstanding on a target.
+
+    >>> add_loads(events.TargetLoad("t", 1, 9, (3, 4), 3, 6, 2),
+    ...           events.TargetLoad("t", 2, 8, (1, 1), 4, 1, 5))[1:]
+    (3, 17, (4, 5), 5, 7, 7)
+    """
+    profile = tuple(map(operator.add, one.profile_tokens, other.profile_tokens))
+    if len(one.profile_tokens) != len(other.profile_tokens):
+        profile = ()
+    return events.TargetLoad(
+        one.target, one.outstanding + other.outstanding,
+        one.predicted_tokens + other.predicted_tokens, profile,
+        int(math.hypot(one.deviation_tokens, other.deviation_tokens)),
+        one.copy_tokens + other.copy_tokens,
+        one.prefill_tokens + other.prefill_tokens)
+
+
+def subtract_loads(total: events.TargetLoad,
+                   one: events.TargetLoad) -> events.TargetLoad:
+    """Returns what is left of a sum without one daemon's load.
+
+    >>> subtract_loads(events.TargetLoad("t", 3, 17, (4, 5), 5, 7, 7),
+    ...                events.TargetLoad("t", 2, 8, (1, 1), 4, 1, 5))[1:]
+    (1, 9, (3, 4), 3, 6, 2)
+    """
+    profile = tuple(map(operator.sub, total.profile_tokens, one.profile_tokens))
+    variance = total.deviation_tokens**2 - one.deviation_tokens**2
+    return events.TargetLoad(total.target, total.outstanding - one.outstanding,
+                             total.predicted_tokens - one.predicted_tokens,
+                             profile, math.isqrt(max(0, variance)),
+                             total.copy_tokens - one.copy_tokens,
+                             total.prefill_tokens - one.prefill_tokens)
+
+
 def _mean(load: events.TargetLoad) -> Vector:
     if len(load.profile_tokens) == len(HORIZONS_TOKENS):
         return load.profile_tokens
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -43,7 +43,7 @@
 class Read(typing.NamedTuple):
     """What this daemon read of the store itself, and when."""
 
-    entries: tuple[edge_peers.Entry, ...] = ()
+    entries: tuple[directory.Registration, ...] = ()
     entries_s: float = -math.inf
     version: int = 0
     version_s: float = -math.inf
@@ -66,7 +66,7 @@
         self, name: str, address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         take_news: collections.abc.Callable[
-            [list[directory.Registration], int, bytes], None]
+            [tuple[directory.Registration, ...] | None, int, bytes], None]
     ) -> None:
         self._name = name
         self._address = address
@@ -112,7 +112,7 @@
     def targets_read(self, state: directory.State, began_s: float) -> None:
         """Notes what was read, for the next digest."""
         self._can_read = True
-        entries = edge_peers.to_entries(state)
+        entries = directory.known(state)
         with self._lock:
             self._read = self._read._replace(entries=entries, entries_s=began_s)
 
@@ -172,9 +172,9 @@
         self._scheduler.tell(edge_peers.to_peer_load(digest))
         news = digest.news
         if is_newer or (news is not None and news.configuration):
-            self._take_news(
-                edge_peers.to_registrations(news.entries) if is_newer else None,
-                news.configuration_version, _decompress(news.configuration))
+            self._take_news(news.entries if is_newer else None,
+                            news.configuration_version,
+                            _decompress(news.configuration))
 
     def _compose(self) -> dict[str, bytes]:
         """Returns the digest for each address that gets one now."""
@@ -189,7 +189,6 @@
         if not receivers:
             return {}
         loads, demands = self._scheduler.ask(scheduler_actor.Ask(_loads))
-        own = edge_peers.to_loads(loads)
         news = self._news(state, now_s)
         read = self._read
         is_hub = edge_peers.is_hub(state, self._name, now_s)
@@ -201,15 +200,15 @@
             return {}
         self._sent, self._sent_s = content, now_s
         digest = edge_peers.Digest(self._name, self._address, self._can_read,
-                                   own, news, is_hub, self._own_version,
-                                   edge_peers.to_demands(demands))
+                                   loads, news, is_hub, self._own_version,
+                                   demands)
         outdated = self._outdated(news, receivers, now_s)
         if not is_hub and not outdated:
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         sums = None
         if is_hub:
-            sums = edge_peers.totals(state, own, digest.demands, now_s)
+            sums = edge_peers.totals(state, loads, demands, now_s)
         return {
             address:
                 edge_peers.encode(
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -2,23 +2,23 @@
 
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.request import events
 
 _ONE = directory.Registration("i-1", "s", "10.0.0.1:80", "a", 4)
 
 
 def _digest(name="a", can_read=True, news=None):
-    return edge_peers.Digest(name, "10.0.0.2:1", can_read, [], news)
+    return edge_peers.Digest(name, "10.0.0.2:1", can_read, (), news)
 
 
 def _news(age_s):
-    entries = edge_peers.to_entries(
-        directory.read(directory.State(), [_ONE], 0.0)[0])
+    entries = directory.known(directory.read(directory.State(), [_ONE], 0.0)[0])
     return edge_peers.News(age_s, entries, 7, age_s)
 
 
 def test_a_digest_survives_its_encoding():
     digest = edge_peers.decode(edge_peers.encode(_digest(news=_news(0.1))))
-    assert edge_peers.to_registrations(digest.news.entries) == [_ONE]
+    assert digest.news.entries == (_ONE,)
 
 
 def test_targets_read_before_those_that_are_known_are_not_taken():
@@ -59,16 +59,15 @@
 
 
 def _load(target, outstanding):
-    return edge_peers.Load(target, outstanding, 10 * outstanding)
+    return events.TargetLoad(target, outstanding, 10 * outstanding)
 
 
 def _many(count, now_s=0.0):
     """Returns what the first of many daemons, d00, heard of all others."""
     state = edge_peers.State()
     for number in range(1, count):
-        digest = edge_peers.Digest(
-            f"d{number:02}", f"10.0.0.{number}:1", True,
-            [_load("i-1", 1), _load(f"i-{number}", 2)])
+        digest = edge_peers.Digest(f"d{number:02}", f"10.0.0.{number}:1", True,
+                                   (_load("i-1", 1), _load(f"i-{number}", 2)))
         state, _ = edge_peers.heard(state, digest, now_s, 0.0)
     return state
 
@@ -118,7 +117,7 @@
 def test_a_hub_that_cannot_read_is_not_waited_for():
     state = _many(40, -9.0)  # All are silent.
     state, _ = edge_peers.heard(
-        state, edge_peers.Digest("d01", "", False, [], None, True), 0.0, 0.0)
+        state, edge_peers.Digest("d01", "", False, (), None, True), 0.0, 0.0)
     assert set(edge_peers.receivers(state, "d50", 0.1)) >= {"d02"}
     assert "d01" not in edge_peers.receivers(state, "d50", 0.1)
 
@@ -126,7 +125,7 @@
 def test_the_configuration_is_sent_once_to_those_that_tell_an_older_one():
     state = edge_peers.State()
     for name, version in (("a", 4), ("b", 5)):
-        digest = edge_peers.Digest(name, "", True, [], version=version)
+        digest = edge_peers.Digest(name, "", True, (), version=version)
         state, _ = edge_peers.heard(state, digest, 0.0, 0.0)
     assert edge_peers.outdated(state, 5, 0.1) == ["a"]
     state = edge_peers.sent(state, ["a"], 5, 0.1)
@@ -137,7 +136,7 @@
 
 def _others(state, own, receiver, now_s):
     sums = edge_peers.totals(state, own, (), now_s)
-    return edge_peers.others(state, sums, receiver, now_s)[0]
+    return list(edge_peers.others(state, sums, receiver, now_s)[0])
 
 
 def test_a_hub_tells_the_sum_of_what_the_others_have():
@@ -152,7 +151,7 @@
 
 
 def test_a_silent_daemon_has_nothing_in_the_sum():
-    assert _others(_many(4), [], "d02", 5.0) == []
+    assert not _others(_many(4), [], "d02", 5.0)
 
 
 def test_a_hub_tells_what_the_others_place():
@@ -160,10 +159,9 @@
     for name, waiting in (("a", 1), ("b", 2)):
         digest = edge_peers.Digest(name,
                                    "",
-                                   True, [],
-                                   demands=(edge_peers.Demand(
-                                       "s", 0.5, waiting),))
+                                   True, (),
+                                   demands=(events.Demand("s", 0.5, waiting),))
         state, _ = edge_peers.heard(state, digest, 0.0, 0.0)
-    sums = edge_peers.totals(state, [], (edge_peers.Demand("s", 1.0, 4),), 0.1)
+    sums = edge_peers.totals(state, [], (events.Demand("s", 1.0, 4),), 0.1)
     _, demands = edge_peers.others(state, sums, "b", 0.1)
-    assert demands == (edge_peers.Demand("s", 1.5, 5),)
+    assert demands == (events.Demand("s", 1.5, 5),)
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -19,6 +19,7 @@
 import random
 import typing
 
+from persimmonspan.process import edge_peers
 from persimmonspan.request import events
 from persimmonspan.request import scheduler
 
@@ -126,7 +127,6 @@
         self.queue: list[_Request] = []
         self.running: list[_Request] = []
         self.is_stepping = False
-        self.is_gone = False
 
     def admit(self) -> None:
         """Starts requests that wait, while there is memory and a slot."""
@@ -299,25 +299,19 @@
     def _tell_loads(self) -> None:
         """Tells each daemon the sum of what the others have."""
         self._after(self._scenario.digest_interval_s, self._tell_loads)
-        told = [(scheduler.peer_loads(state),
-                 scheduler.demands(state, self._now_s))
-                for state in self._states]
-        total: dict[str, list[events.TargetLoad]] = {}
-        for loads, _ in told:
-            for load in loads:
-                total.setdefault(load.target, []).append(load)
-        sums = {name: _sum(loads) for name, loads in total.items()}
-        starts = sum(one.starts_per_s for _, own in told for one in own)
-        waiting = sum(one.waiting for _, own in told for one in own)
-        for daemon, (loads, own) in enumerate(told):
-            others = dict(sums)
-            for load in loads:
-                others[load.target] = _less(others[load.target], load)
-            rest = events.Demand(_SERVICE,
-                                 starts - sum(one.starts_per_s for one in own),
-                                 waiting - sum(one.waiting for one in own))
-            event = events.PeerLoad("others", tuple(others.values()), (rest,),
-                                    True)
+        now_s = self._now_s
+        peers = edge_peers.State()
+        for daemon, state in enumerate(self._states):
+            digest = edge_peers.Digest(f"d{daemon}",
+                                       "",
+                                       True,
+                                       scheduler.peer_loads(state),
+                                       demands=scheduler.demands(state, now_s))
+            peers, _ = edge_peers.heard(peers, digest, now_s, now_s)
+        sums = edge_peers.totals(peers, (), (), now_s)
+        for daemon in range(self._scenario.daemons):
+            loads, demands = edge_peers.others(peers, sums, f"d{daemon}", now_s)
+            event = events.PeerLoad(edge_peers.OTHERS, loads, demands, True)
             self._after(
                 _DIRECT_DELAY_S,
                 lambda daemon=daemon, event=event: self._send(daemon, event))
@@ -363,7 +357,6 @@
 
     def _gone(self, name: str) -> None:
         engine = self._engines.pop(name)
-        engine.is_gone = True
         self._leaving.discard(name)
         for item in (*engine.running, *engine.queue):
             copy = self._engines.get(item.copy_on or "")
@@ -425,7 +418,8 @@
             self._step(engine)
 
     def _step(self, engine: _Engine) -> None:
-        if engine.is_gone or not (engine.running or engine.queue):
+        is_gone = engine.target.name not in self._engines
+        if is_gone or not (engine.running or engine.queue):
             engine.is_stepping = False
             return
         length_s, ready = engine.step()
@@ -456,25 +450,3 @@
                 item.daemon,
                 events.AttemptEnded(item.name, name, events.Outcome.COMPLETED,
                                     item.tokens))
-
-
-def _sum(loads: typing.Sequence[events.TargetLoad]) -> events.TargetLoad:
-    return events.TargetLoad(
-        loads[0].target, sum(load.outstanding for load in loads),
-        sum(load.predicted_tokens for load in loads),
-        tuple(map(sum, zip(*(load.profile_tokens for load in loads)))),
-        int(math.hypot(*(load.deviation_tokens for load in loads))),
-        sum(load.copy_tokens for load in loads),
-        sum(load.prefill_tokens for load in loads))
-
-
-def _less(total: events.TargetLoad,
-          one: events.TargetLoad) -> events.TargetLoad:
-    profile = tuple(
-        a - b for a, b in zip(total.profile_tokens, one.profile_tokens))
-    return total._replace(
-        outstanding=total.outstanding - one.outstanding,
-        predicted_tokens=total.predicted_tokens - one.predicted_tokens,
-        profile_tokens=profile,
-        copy_tokens=total.copy_tokens - one.copy_tokens,
-        prefill_tokens=total.prefill_tokens - one.prefill_tokens)
