Log entries of targets that cannot be read

Cause: an entry that another writer left torn was dropped without a line. Change: the follower logs the names, each once while the entry stays. Test: test_entries_that_are_not_understood_are_logged_once_each, failed before.

--- a/persimmonspan/platform/registrations.py
+++ b/persimmonspan/platform/registrations.py
@@ -26,7 +26,10 @@
 
 
 def decode(key: str, data: bytes) -> directory.Registration | None:
-    """Decodes the entry of a replica; None if it names no replica to use."""
+    """Decodes the entry of a replica; None if it names no replica to use.
+
+    Other writers leave entries that cannot be read; the follower logs them.
+    """
     try:
         entry = _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError):
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -79,6 +79,7 @@
         self._receiver = receiver
         self._stopped = threading.Event()
         self._failures: dict[str, int] = {}
+        self._unusable: frozenset[str] = frozenset()
         self._directory = directory.State()
         self._directory_lock = threading.Lock()
         self._adoption_lock = threading.Lock()
@@ -95,7 +96,8 @@
                              daemon=True).start()
             yield
 
-    def take_news(self, registrations: list[directory.Registration] | None,
+    def take_news(self,
+                  registrations: tuple[directory.Registration, ...] | None,
                   configuration_version: int, configuration: bytes) -> None:
         """Takes what a peer read of the store.
 
@@ -205,11 +207,14 @@
             self._failed(table, error)
             return False
         self._succeeded(table)
-        entries = [
-            entry for entry in (self._formats.decode_target(row.key, row.value)
-                                for row in rows.rows
-                                if row.value) if entry is not None
-        ]
+        decoded = {
+            row.key: self._formats.decode_target(row.key, row.value)
+            for row in rows.rows
+            if row.value
+        }
+        entries = [entry for entry in decoded.values() if entry is not None]
+        self._note_unusable(
+            frozenset(key for key, entry in decoded.items() if entry is None))
         with self._directory_lock:
             self._directory, change = directory.read(self._directory, entries,
                                                      time.monotonic())
@@ -217,6 +222,14 @@
             self.peers.targets_read(self._directory, began_s)
         return True
 
+    def _note_unusable(self, names: frozenset[str]) -> None:
+        """Logs which entries name no target to use, each once."""
+        added = names - self._unusable
+        self._unusable = names
+        if added:
+            _logger.warning("target entries not understood",
+                            extra={"targets": sorted(added)})
+
     def _failed(self, table: str, error: errors.StoreError) -> None:
         failures = self._failures.get(table, 0)
         self._failures[table] = failures + 1
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -85,12 +85,16 @@
         """Ignores targets."""
 
 
+def _formats(decode_target):
+    return followers.Formats("op", "key",
+                             lambda data: routes.build(int(data), (), (), None),
+                             "targets", decode_target)
+
+
 def test_a_series_of_changes_is_taken_at_once_and_its_age_is_told():
     # In a series of 25 changes a busy daemon applied each, fell 2 s behind, and
-    # told its peers that what it had was fresh (scale-2, Plaza Verde at 64 VMs).
-    formats = followers.Formats(
-        "op", "key", lambda data: routes.build(int(data), (),
-                                               (), None), "targets",
+    # told its peers that what it had was fresh (scale-2, Plaza Verde, 64 VMs).
+    formats = _formats(
         lambda key, data: directory.Registration(key, "s", "a:1", "d", 1))
     receiver = _Receiver()
     store = _Store()
@@ -103,3 +107,35 @@
     version, at_s, told_s = follower.peers.told[1]
     assert version == 29
     assert told_s - at_s >= _ANSWER_S
+
+
+def test_entries_that_are_not_understood_are_logged_once_each(caplog):
+    entries = {"i-1": None, "i-2": b"{}", "i-3": b"torn"}
+
+    class Store(_Store):
+        """A store with these entries."""
+
+        def read(self, table):
+            """Returns the entries, or no configuration."""
+            del table
+            return row_store.Rows(
+                tuple(
+                    row_store.Row(key, value, 1)
+                    for key, value in entries.items()), 1)
+
+    store = Store()
+    formats = _formats(lambda key, data: None)
+    follower = followers.Followers(lambda address: store, "", formats,
+                                   _Receiver())
+    follower.peers = _Peers()
+    with follower.running():
+        time.sleep(2 * _ANSWER_S)
+        del entries["i-2"]
+        entries["i-4"] = b"torn"
+        time.sleep(2 * _ANSWER_S)
+    told = [
+        record.targets
+        for record in caplog.records
+        if record.message == "target entries not understood"
+    ]
+    assert told == [["i-2", "i-3"], ["i-4"]]
