Report tokens of both interfaces in one place, and drop unread settings

Cause: forwarding and generation told first tokens and progress by the same lines; copies repeated the protocol of a session's context; three fields of the settings file were decoded and never read. Change: Session.report_tokens, with the interval of each interface; the context of copies extends that of sessions; the fields are gone. Behaviour is as before, but that a wrong type in a field nobody reads no longer keeps a daemon from starting.

--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -22,13 +22,10 @@
     retryBudgetRatio: float = 0.2
     retryWindowS: float = 10.0
     retryBurst: float = 50.0
-    drainMs: float = 2000.0
 
 
 class _Store(msgspec.Struct):
     address: str
-    readsPerS: float = 2000.0
-    writesPerS: float = 400.0
 
 
 class _Limits(msgspec.Struct):
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -9,18 +9,14 @@
     `persimmonspan.request.evacuation`: decides where a copy is made.
 """
 
-import collections.abc
 import logging
 import typing
 
-import pykka
-
 from persimmonspan import errors
 from persimmonspan.connection import exchange
-from persimmonspan.process import metrics
-from persimmonspan.process import scheduler_actor
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
+from persimmonspan.request import session
 
 # Memory of a long request over a link that others use too.
 _MOVE_S = 2.5
@@ -36,22 +32,9 @@
     resume_from: str
 
 
-class ContextLike(typing.Protocol):
+class ContextLike(session.ContextLike, typing.Protocol):
     """What copies need of the process."""
 
-    @property
-    def find_target(
-            self) -> collections.abc.Callable[[str], events.Target | None]:
-        """Finds a target by its name."""
-
-    @property
-    def scheduler(self) -> pykka.ActorRef[scheduler_actor.SchedulerActor]:
-        """The scheduler."""
-
-    @property
-    def metrics(self) -> metrics.Metrics:
-        """The metrics."""
-
     @property
     def wire(self) -> forwarded.Wire:
         """The formats of the platform."""
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -182,7 +182,6 @@
         self._body: list[bytes] = []
         self._problem: errors.TargetError | None = None
         self._target: events.Target | None = None
-        self._progress_s = 0.0
         self._ran_before = False
         self._copies = copies.Copies(placed, context)
         self._pauses = _Pauses()
@@ -423,27 +422,11 @@
             output = self._responder.stream_head(self._head.status,
                                                  self._head.headers) + output
         self._pauses = self._pauses.after(now_s)
-        self._report(first, now_s)
+        self._owner.report_tokens(self._target.name, first,
+                                  self.event_count * _TOKENS_PER_EVENT, now_s,
+                                  _PROGRESS_INTERVAL_S)
         return output, count
 
-    def _report(self, is_first: bool, now_s: float) -> None:
-        context = self._context
-        request_id = self._placed.request_id
-        if is_first:
-            self._owner.has_run = True
-            self._progress_s = now_s
-            context.relay.report(context.metrics.first_token.observe,
-                                 now_s - self._placed.arrived_s)
-            context.relay.report(
-                context.scheduler.tell,
-                events.FirstToken(request_id, self._target.name))
-        elif now_s - self._progress_s >= _PROGRESS_INTERVAL_S:
-            self._progress_s = now_s
-            context.relay.report(
-                context.scheduler.tell,
-                events.Progressed(request_id, self._target.name,
-                                  self.event_count * _TOKENS_PER_EVENT))
-
     def _outcome(self) -> events.Outcome:
         head = self._head
         if self._problem is not None or not self._reader.is_complete:
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -59,7 +59,6 @@
         self._decision: stream.Resume | stream.End | None = None
         self._texts: list[str] = []
         self._finish = ""
-        self._progress_s = 0.0
 
     @property
     def has_started(self) -> bool:
@@ -235,7 +234,7 @@
             text = self._reader.expected_text(data, first)
             if text is not None:
                 self._ahead += 1
-                if now_s - self._progress_s >= _PROGRESS_INTERVAL_S:
+                if now_s - self._session.progress_s >= _PROGRESS_INTERVAL_S:
                     self._report(first, now_s)
                 return (self._responder.frame(
                     self._formatter.encoded_token(text)), 1, False)
@@ -292,21 +291,8 @@
             output.append(self._formatter.closing(self.tokens))
 
     def _report(self, first: int, now_s: float) -> None:
-        context = self._session.context
-        request_id = self._session.call.request_id
-        if first == 0:
-            self._session.has_run = True
-            self._progress_s = now_s
-            context.relay.report(context.metrics.first_token.observe,
-                                 now_s - self._session.call.arrived_s)
-            context.relay.report(
-                context.scheduler.tell,
-                events.FirstToken(request_id, self._target.name))
-        elif now_s - self._progress_s >= _PROGRESS_INTERVAL_S:
-            self._progress_s = now_s
-            context.relay.report(
-                context.scheduler.tell,
-                events.Progressed(request_id, self._target.name, self.tokens))
+        self._session.report_tokens(self._target.name, first == 0, self.tokens,
+                                    now_s, _PROGRESS_INTERVAL_S)
 
     def _generate_body(self,
                        dispatch: events.Dispatch) -> engine.GenerateDocument:
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -63,6 +63,10 @@
     def request_id(self) -> str:
         """Id that is unique among all calls."""
 
+    @property
+    def arrived_s(self) -> float:
+        """When it arrived."""
+
 
 class ContextLike(typing.Protocol):
     """What a session needs of the process."""
@@ -71,6 +75,10 @@
     def scheduler(self) -> pykka.ActorRef[scheduler_actor.SchedulerActor]:
         """The scheduler."""
 
+    @property
+    def metrics(self) -> metrics.Metrics:
+        """The metrics."""
+
     @property
     def relay(self) -> relay.Relay:
         """The relay thread."""
@@ -104,6 +112,7 @@
         # it ran nothing.
         self.may_have_run = False
         self.has_run = False  # Set with the first token.
+        self.progress_s = 0.0  # When the scheduler was told of tokens last.
         self._end_s = end_s
 
     def remaining_s(self) -> float:
@@ -145,6 +154,31 @@
         return (errors.RunState.UNKNOWN
                 if self.may_have_run else errors.RunState.NOT_RUN)
 
+    def report_tokens(self, target: str, is_first: bool, tokens: int,
+                      now_s: float, interval_s: float) -> None:
+        """Tells of the first token, and of progress at an interval.
+
+        Args:
+            target: Where the request runs.
+            is_first: Whether these are its first tokens.
+            tokens: Tokens given to the caller so far.
+            now_s: Time.
+            interval_s: Time between two reports of progress.
+        """
+        context = self.context
+        request_id = self.call.request_id
+        if is_first:
+            self.has_run = True
+            self.progress_s = now_s
+            context.relay.report(context.metrics.first_token.observe,
+                                 now_s - self.call.arrived_s)
+            context.relay.report(context.scheduler.tell,
+                                 events.FirstToken(request_id, target))
+        elif now_s - self.progress_s >= interval_s:
+            self.progress_s = now_s
+            context.relay.report(context.scheduler.tell,
+                                 events.Progressed(request_id, target, tokens))
+
     def end_attempt(self,
                     target: str,
                     outcome: events.Outcome,
