Send targets only when they change, and one sum of the loads for all daemons

Five times a second it sent each daemon all registered targets and a sum of loads that was composed and encoded for this daemon alone, and again at each request that it started itself. When a slow store made its news older than a fixed 0.7 s, all daemons read the store at once, and did so every 0.2 s. Each daemon also took an eighth of the retry budget for its own, and ages of what was read were taken from a clock that stands still in a suspended VM: what was withdrawn meanwhile was used again after it.

Change: daemons report an id of the targets that they hold, and get the targets only if it differs; the hub encodes one sum, from which each receiver subtracts the part of its own that was counted; a hub sends at its interval only; ages follow drainMs and configApplyMs; daemons that read for themselves do so at 0.8 of the permitted age; the retry budget is divided by the daemons known; ages count suspension, and a request waits for a confirmation of what is older than the bounds unless the store does not answer.

Ruled out: fewer digests or deltas of loads. Nearly all loads change between two digests, and older loads place worse.

Figures: an unchanged digest of a hub of 18 daemons with 64 targets is below 1,500 bytes (test).

--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -19,6 +19,8 @@
     # The platform's contract defines all of them; a deployment may omit some.
     graceS: float = 8.0
     stabilityMs: float = 3000.0
+    drainMs: float = 2000.0
+    configApplyMs: float = 2000.0
     retryBudgetRatio: float = 0.2
     retryWindowS: float = 10.0
     retryBurst: float = 50.0
@@ -79,4 +81,6 @@
         retry=edge_settings.RetryBudget(ratio=bounds.retryBudgetRatio,
                                         window_s=bounds.retryWindowS,
                                         burst=bounds.retryBurst),
-        memory_mb=document.limits.memoryMb)
+        memory_mb=document.limits.memoryMb,
+        drain_s=bounds.drainMs / _MS_PER_S,
+        configuration_apply_s=bounds.configApplyMs / _MS_PER_S)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -25,6 +25,7 @@
 from persimmonspan import errors
 from persimmonspan.connection import forwarding_listener
 from persimmonspan.connection import relay
+from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
@@ -56,12 +57,16 @@
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _FIXED_SETTINGS = ("name", "failure_domain", "listen_address",
                    "readiness_address", "peer_address", "store_address")
-# Assumed number of daemons that share the retry budget, since the platform does
-# not report it.
-_RETRY_DAEMONS = 8
+# Number of daemons that share the retry budget until their rows were read.
+_MIN_RETRY_DAEMONS = 8
+# A daemon keeps at least this many tokens: with less it would never retry.
+_MIN_RETRY_CAP = 1.0
 # The daemons together use this part of the budget, so that an uneven spread of
 # requests over them does not exceed it.
 _RETRY_BUDGET_SHARE = 0.6
+# How long a request waits for a daemon that was paused to read the store again.
+_CONFIRMATION_TIMEOUT_S = 2.0
+_CONFIRMATION_CHECK_INTERVAL_S = 0.02
 
 _logger = logging.getLogger(__name__)
 
@@ -90,6 +95,8 @@
             limits=retry_limits(options.retry),
             notify_peers=self._notify_peers)
         self._peers: peering.Peering | None = None
+        self._follower: followers.Followers | None = None
+        self._retry_daemons = _MIN_RETRY_DAEMONS
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
@@ -122,6 +129,8 @@
                 errors.Code.CONFIG_UNVERIFIED,
                 "the configuration or the targets have "
                 "not been read yet", _NOT_READY_RETRY_S)
+        if self._await_confirmation():
+            configuration = self._configuration
         route = routes.find_route(configuration, call.host, call.path)
         workspace = routes.authorize(configuration, route, call.key)
         limits = configuration.limits
@@ -142,6 +151,41 @@
                                          self._relay, self.wire)
             return forwarding.serve(routed_call, context, responder)
 
+    def _await_confirmation(self) -> bool:
+        """Waits until what this daemon read from the store is current.
+
+        A daemon that was paused or suspended still holds keys and targets that
+        may have been withdrawn meanwhile. During an outage of the store, what
+        was read last stays in force.
+
+        Returns:
+            Whether it was not current at first.
+
+        Raises:
+            errors.RefusalError: The store neither confirmed it nor failed to
+                answer in time.
+        """
+        follower = self._follower
+        if follower is None:
+            return False
+        max_age_s = min(self._options.drain_s,
+                        self._options.configuration_apply_s)
+        began_s = now_s = clock.now_s()
+        age_s = now_s - follower.last_checked_s()
+        if age_s <= max_age_s:
+            return False
+        _logger.info("waiting for the store to confirm what is in force",
+                     extra={"age_s": round(age_s, 2)})
+        while now_s - began_s < _CONFIRMATION_TIMEOUT_S:
+            time.sleep(_CONFIRMATION_CHECK_INTERVAL_S)
+            now_s = clock.now_s()
+            if now_s - follower.last_checked_s() <= max_age_s:
+                return True
+        raise errors.RefusalError(
+            errors.Code.CONFIG_UNVERIFIED,
+            "the configuration and the targets could not be confirmed",
+            _NOT_READY_RETRY_S)
+
     def is_ready(self) -> bool:
         """Returns whether the balancer may send new callers here."""
         return (not self.is_stopping() and self._configuration is not None and
@@ -280,16 +324,32 @@
             for name in _FIXED_SETTINGS
             if getattr(self._options, name) != getattr(options, name)
         }
-        limits = retry_limits(options.retry)
-        self.scheduler.tell(
-            events.RetryLimitsChanged(limits.deposit, limits.cap))
         self._options = options._replace(**kept)
+        self._send_retry_limits()
         _logger.info("settings reloaded",
                      extra={
                          "settings": self._options._asdict(),
                          "kept_until_restart": sorted(kept)
                      })
 
+    def share_retry_budget(self) -> None:
+        """Divides the retry budget by the number of daemons that share it."""
+        count = max(_MIN_RETRY_DAEMONS, self._peers.count_daemons())
+        if count != self._retry_daemons:
+            self._retry_daemons = count
+            self._send_retry_limits()
+
+    def _send_retry_limits(self) -> None:
+        limits = retry_limits(self._options.retry, self._retry_daemons)
+        _logger.info("retry limits",
+                     extra={
+                         "daemons": self._retry_daemons,
+                         "deposit": limits.deposit,
+                         "cap": limits.cap
+                     })
+        self.scheduler.tell(
+            events.RetryLimitsChanged(limits.deposit, limits.cap))
+
     # Methods that start and stop the process.
 
     @contextlib.contextmanager
@@ -311,11 +371,13 @@
             follower = followers.Followers(self._platform.open_store,
                                            self._options.store_address,
                                            self._platform.formats, self)
-            self._peers = peering.Peering(self._options.name,
-                                          self._options.peer_address,
-                                          self.scheduler,
-                                          follower.apply_store_snapshot)
+            self._peers = peering.Peering(
+                self._options.name, self._options.peer_address, self.scheduler,
+                follower.apply_store_snapshot,
+                peering.Limits(self._options.drain_s,
+                               self._options.configuration_apply_s))
             follower.peers = self._peers
+            self._follower = follower
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
             for server in (self._server, readiness):
@@ -335,13 +397,16 @@
         _logger.info("stopped", extra={"in_flight": self._in_flight})
 
 
-def retry_limits(budget: edge_settings.RetryBudget) -> retry.Limits:
+def retry_limits(budget: edge_settings.RetryBudget,
+                 daemons: int = _MIN_RETRY_DAEMONS) -> retry.Limits:
     """Returns this daemon's share of the retry budget of all daemons.
 
     >>> retry_limits(edge_settings.RetryBudget(0.2, 10.0, 80.0))
     Limits(deposit=0.12, cap=6.0, initial=6.0)
+    >>> retry_limits(edge_settings.RetryBudget(0.2, 10.0, 430.0), 195).cap
+    1.323076923076923
     """
-    cap = _RETRY_BUDGET_SHARE * budget.burst / _RETRY_DAEMONS
+    cap = max(_MIN_RETRY_CAP, _RETRY_BUDGET_SHARE * budget.burst / daemons)
     return retry.Limits(_RETRY_BUDGET_SHARE * budget.ratio, cap, cap)
 
 
@@ -391,6 +456,7 @@
                 wakeup.clear()
             if not stopping.is_set():
                 _reload(edge, platform)
+                edge.share_retry_budget()
         edge.stop()
     return 0
 
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -9,12 +9,18 @@
 reports an older version of the configuration is sent the newer one with the
 snapshot.
 
+Targets change far less often than digests are sent. A digest therefore holds
+the registered targets only for daemons that report another id of them than the
+reader's; the others learn from the id that what they hold is still current.
+
 If there are few daemons, each sends its digests to all others. If there are
-many, the reader is also the hub: all send to it, and it sends each the sum of
-the others' loads, so that the messages grow with the number of daemons and not
-with its square. A daemon that receives nothing from a hub sends to the first by
-name of the recorded daemons. The longer it receives nothing, the more of them
-it sends to; it acts as the hub itself once these would be all before it.
+many, the reader is also the hub: all send to it, and it sends all the same sum
+of the loads, encoded once, so that its work for each daemon is small. The sum
+contains the receiver's own loads, which the receiver subtracts: the digest says
+which of the receiver's digests was counted. A daemon that receives nothing from
+a hub sends to the first by name of the recorded daemons. The longer it receives
+nothing, the more of them it sends to; it acts as the hub itself once these
+would be all before it.
 
 Daemons find each other through rows of the store: each writes one at its start,
 and reads all rows then and at intervals. A digest from an unrecorded daemon
@@ -23,8 +29,10 @@
 `State` and the functions on it are pure.
 """
 
+import hashlib
 import math
 import typing
+import zlib
 
 import immutables
 import msgspec
@@ -52,20 +60,26 @@
 # Interval at which an unchanged digest is sent again.
 _UNCHANGED_DIGEST_INTERVAL_S = 0.5
 
+# A fast level: sums are small, and the hub compresses one at each interval.
+_COMPRESSION_LEVEL = 1
+# Limit after decompression; hundreds of targets need less.
+_MAX_TOTALS_BYTES = 1024 * 1024
+
 
 class StoreSnapshot(msgspec.Struct, array_like=True):
     """Targets and configuration as the reader read them from the store.
 
-    `age_s` is the time since the read of `entries` began;
+    `age_s` is the time since the read of the entries began;
     `configuration_age_s` is the time since the read of the configuration's
-    version began.
+    version began. `entries` is None for a daemon that reported `entries_id`.
     """
 
     age_s: float
-    entries: tuple[directory.Registration, ...]
+    entries: tuple[directory.Registration, ...] | None
     configuration_version: int
     configuration_age_s: float
     configuration: bytes = b""  # Compressed; empty for daemons that have it.
+    entries_id: int = 0
 
 
 class Digest(msgspec.Struct, array_like=True):
@@ -76,9 +90,13 @@
     can_read: bool
     loads: tuple[events.TargetLoad, ...]
     news: StoreSnapshot | None = None
-    is_sum: bool = False  # Whether the loads are those of all other daemons.
+    is_sum: bool = False  # Whether a hub sent it, with `totals`.
     version: int = 0  # Of the configuration in force at the daemon.
     demands: tuple[events.Demand, ...] = ()
+    number: int = 0  # Increases with each digest of a daemon.
+    entries_id: int = 0  # Of the targets in force at the daemon.
+    totals: bytes = b""  # Loads and demands of all daemons, encoded.
+    counted_number: int = 0  # The receiver's digest that the totals contain.
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -94,6 +112,8 @@
     can_read: bool
     loads: tuple[events.TargetLoad, ...] = ()
     demands: tuple[events.Demand, ...] = ()
+    number: int = 0
+    entries_id: int = 0
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
@@ -126,8 +146,23 @@
     return _decoder.decode(data)
 
 
-def merge_digest(state: State, digest: Digest, now_s: float,
-                 read_s: float) -> tuple[State, bool]:
+def identify_entries(entries: typing.Iterable[directory.Registration]) -> int:
+    """Returns an id that differs for different registered targets.
+
+    >>> one = directory.Registration("a", "s", "10.0.0.1:80", "d", 1)
+    >>> other = one._replace(is_leaving=True)
+    >>> identify_entries([one]) == identify_entries([other])
+    False
+    """
+    data = _encoder.encode(sorted(entries))
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+
+
+def merge_digest(state: State,
+                 digest: Digest,
+                 now_s: float,
+                 read_s: float,
+                 entries_id: int = 0) -> tuple[State, bool]:
     """Records a digest of a peer.
 
     Args:
@@ -135,6 +170,7 @@
         digest: The digest.
         now_s: Time.
         read_s: When this daemon itself read the registered targets last.
+        entries_id: Id of the registered targets in force at this daemon.
 
     Returns:
         The next state, and whether the digest holds registered targets that
@@ -148,19 +184,25 @@
                              can_read=digest.can_read,
                              loads=loads,
                              demands=() if digest.is_sum else digest.demands,
+                             number=digest.number,
+                             entries_id=digest.entries_id,
                              version=digest.version)
     is_usable_hub = digest.is_sum and digest.can_read
     state = state._replace(
         peers=state.peers.set(digest.name, peer),
         hub_received_s=now_s if is_usable_hub else state.hub_received_s)
-    if digest.news is None:
+    news = digest.news
+    if news is None:
+        return state, False
+    state = state._replace(configuration_s=max(state.configuration_s, now_s -
+                                               news.configuration_age_s))
+    snapshot_s = now_s - news.age_s
+    if snapshot_s <= max(state.snapshot_s, read_s):
         return state, False
-    snapshot_s = now_s - digest.news.age_s
-    is_newer = snapshot_s > max(state.snapshot_s, read_s)
-    return state._replace(
-        snapshot_s=max(state.snapshot_s, snapshot_s),
-        configuration_s=max(state.configuration_s,
-                            now_s - digest.news.configuration_age_s)), is_newer
+    if news.entries is None and news.entries_id != entries_id:
+        # The targets in force changed after this daemon reported them.
+        return state, False
+    return state._replace(snapshot_s=snapshot_s), news.entries is not None
 
 
 def add_peer_address(state: State, name: str, address: str,
@@ -246,6 +288,12 @@
     return tuple(before[:count]) if len(before) > count or not silences else ()
 
 
+def peers_without_entries(state: State, entries_id: int) -> frozenset[str]:
+    """Returns the daemons that need to be sent the registered targets."""
+    return frozenset(name for name, peer in state.peers.items()
+                     if peer.entries_id != entries_id)
+
+
 def outdated_peers(state: State, version: int, now_s: float) -> list[str]:
     """Returns the daemons that need to be sent a version of the configuration.
 
@@ -303,28 +351,61 @@
     return sums
 
 
-def loads_of_others(
-    state: State, sums: Totals, receiver: str, now_s: float
+def without_part(
+    sums: Totals, loads: typing.Iterable[events.TargetLoad],
+    demands: typing.Iterable[events.Demand]
 ) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...]]:
-    """Returns the sums without one daemon's part, as a hub sends them to it."""
-    peer = state.peers[receiver]
-    is_counted = now_s - peer.last_received_s <= _PEER_SILENCE_TIMEOUT_S
-    own_loads = peer.loads if is_counted else ()
-    own_demands = peer.demands if is_counted else ()
-    loads = dict(sums.loads)
-    for load in own_loads:
-        rest = load_view.subtract_loads(loads[load.target], load)
+    """Returns sums without one daemon's part, which must be in them."""
+    rest_loads = dict(sums.loads)
+    for load in loads:
+        rest = load_view.subtract_loads(rest_loads[load.target], load)
         if rest.outstanding or rest.copy_tokens:
-            loads[load.target] = rest
+            rest_loads[load.target] = rest
         else:
-            del loads[load.target]
-    demands = dict(sums.demands)
-    for demand in own_demands:
-        total = demands[demand.service]
-        demands[demand.service] = events.Demand(
+            del rest_loads[load.target]
+    rest_demands = dict(sums.demands)
+    for demand in demands:
+        total = rest_demands[demand.service]
+        rest_demands[demand.service] = events.Demand(
             demand.service, round(total.starts_per_s - demand.starts_per_s, 1),
             total.waiting - demand.waiting)
-    return tuple(loads.values()), tuple(demands.values())
+    return tuple(rest_loads.values()), tuple(rest_demands.values())
+
+
+def counted_number(state: State, receiver: str, now_s: float) -> int:
+    """Returns which digest of a daemon is in the sums, or 0 if none is."""
+    peer = state.peers[receiver]
+    is_counted = now_s - peer.last_received_s <= _PEER_SILENCE_TIMEOUT_S
+    return peer.number if is_counted else 0
+
+
+class _EncodedTotals(msgspec.Struct, array_like=True):
+    loads: tuple[events.TargetLoad, ...]
+    demands: tuple[events.Demand, ...]
+
+
+_totals_decoder = msgspec.msgpack.Decoder(_EncodedTotals)
+
+
+def encode_totals(sums: Totals) -> bytes:
+    """Returns sums as a hub sends them to all daemons."""
+    data = _encoder.encode(
+        _EncodedTotals(tuple(sums.loads.values()),
+                       tuple(sums.demands.values())))
+    return zlib.compress(data, _COMPRESSION_LEVEL)
+
+
+def decode_totals(data: bytes) -> Totals:
+    """Returns the sums that a hub sent.
+
+    Raises:
+        msgspec.DecodeError: The bytes are not sums.
+        zlib.error: The bytes are not compressed.
+    """
+    totals = _totals_decoder.decode(zlib.decompressobj().decompress(
+        data, _MAX_TOTALS_BYTES))
+    return Totals({load.target: load for load in totals.loads},
+                  {demand.service: demand for demand in totals.demands})
 
 
 def interval_s(state: State) -> float:
@@ -337,7 +418,28 @@
     return is_changed or now_s - sent_s >= _UNCHANGED_DIGEST_INTERVAL_S
 
 
-def to_peer_load(digest: Digest) -> events.PeerLoad:
-    """Returns the load of a peer on the targets, for the scheduler."""
-    return events.PeerLoad(OTHERS if digest.is_sum else digest.name,
-                           digest.loads, digest.demands, digest.is_sum)
+def to_peer_load(
+    digest: Digest, own_parts: typing.Mapping[int,
+                                              tuple[tuple[events.TargetLoad,
+                                                          ...],
+                                                    tuple[events.Demand, ...]]]
+) -> events.PeerLoad:
+    """Returns the load of peers on the targets, for the scheduler.
+
+    Args:
+        digest: Digest of one peer or of a hub.
+        own_parts: Loads and demands of this daemon by the number of the digest
+            in which it sent them.
+
+    Raises:
+        msgspec.DecodeError: The totals of a hub cannot be decoded.
+        zlib.error: The totals of a hub cannot be decompressed.
+    """
+    if not digest.is_sum:
+        return events.PeerLoad(digest.name, digest.loads, digest.demands)
+    # A digest that is not remembered was sent before a restart of this daemon:
+    # its work ended with the process.
+    own_loads, own_demands = own_parts.get(digest.counted_number, ((), ()))
+    loads, demands = without_part(decode_totals(digest.totals), own_loads,
+                                  own_demands)
+    return events.PeerLoad(OTHERS, loads, demands, True)
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -8,13 +8,14 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import threading
-import time
 import typing
 
 import immutables
 
 from persimmonspan import errors
+from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
@@ -27,8 +28,6 @@
 # Once a peer has reported a newer version, the daemon waits this long for a
 # peer to send it; after that it reads the version itself.
 _CONFIGURATION_DELIVERY_TIMEOUT_S = 0.6
-# Time between two reads of the targets by the daemon that reads for all.
-_TARGETS_READ_INTERVAL_S = 0.2
 _ROLE_CHECK_INTERVAL_S = 0.1
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
@@ -79,6 +78,7 @@
         self._receiver = receiver
         self._stopped = threading.Event()
         self._failures: dict[str, int] = {}
+        self._failed_s = -math.inf  # Last failed call to the store.
         self._undecoded: frozenset[str] = frozenset()
         self._directory = directory.State()
         self._directory_lock = threading.Lock()
@@ -109,7 +109,7 @@
         """
         if configuration_version > self._peer_version:
             self._peer_version = configuration_version
-            self._peer_version_s = time.monotonic()
+            self._peer_version_s = clock.now_s()
         if configuration and configuration_version > self._version:
             self._adopt(configuration, configuration_version)
         if registrations is None:
@@ -120,8 +120,18 @@
             state = self._directory._replace(is_lost=False,
                                              lapsed=immutables.Map())
             self._directory, change = directory.apply_rows(
-                state, registrations, time.monotonic())
+                state, registrations, clock.now_s())
             self._receiver.apply_directory(self._directory, change)
+            self.peers.record_entries(directory.all_targets(self._directory))
+
+    def last_checked_s(self) -> float:
+        """Returns when what is in force was last confirmed or uncheckable.
+
+        The time, on `clock`, is that of the last confirmation or of the last
+        call that the store did not answer: through an outage, what was read
+        last stays in force.
+        """
+        return max(self.peers.last_confirmed_s(), self._failed_s)
 
     def _follow_configuration(self) -> None:
         store = self._open_store(self._address)
@@ -129,14 +139,14 @@
         since_version: int | None = None
         while not self._stopped.is_set():
             can_rely_on_peers = (self._peer_version <= self._version or
-                                 time.monotonic() - self._peer_version_s
+                                 clock.now_s() - self._peer_version_s
                                  < _CONFIGURATION_DELIVERY_TIMEOUT_S)
             if (self._version and can_rely_on_peers and
                     not self.peers.must_read_configuration()):
                 since_version = None
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
-            began_s = time.monotonic()
+            began_s = clock.now_s()
             try:
                 if since_version is None:
                     rows = store.read(table)
@@ -186,7 +196,7 @@
         store = self._open_store(self._address)
         addresses_s: float | None = None
         while not self._stopped.is_set():
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             if (addresses_s is None or
                     now_s - addresses_s > _ADDRESSES_READ_INTERVAL_S):
                 with contextlib.suppress(errors.StoreError):
@@ -196,11 +206,11 @@
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
             if self._read_targets(store):
-                self._stopped.wait(_TARGETS_READ_INTERVAL_S)
+                self._stopped.wait(self.peers.targets_read_interval_s())
 
     def _read_targets(self, store: row_store.RowStore) -> bool:
         table = self._formats.targets_table
-        began_s = time.monotonic()
+        began_s = clock.now_s()
         try:
             rows = store.read(table)
         except errors.StoreError as error:
@@ -220,7 +230,7 @@
             frozenset(key for key, entry in decoded.items() if entry is None))
         with self._directory_lock:
             self._directory, change = directory.apply_rows(
-                self._directory, entries, time.monotonic())
+                self._directory, entries, clock.now_s())
             self._receiver.apply_directory(self._directory, change)
             self.peers.record_targets_read(self._directory, began_s)
         return True
@@ -236,6 +246,7 @@
     def _record_failure(self, table: str, error: errors.StoreError) -> None:
         failures = self._failures.get(table, 0)
         self._failures[table] = failures + 1
+        self._failed_s = clock.now_s()
         if not failures:
             _logger.warning("store lost",
                             extra={
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -5,12 +5,13 @@
     `persimmonspan.connection.digest_links`: the sockets.
 """
 
+import collections
 import collections.abc
 import contextlib
 import logging
 import math
+import random
 import threading
-import time
 import typing
 import zlib
 
@@ -18,6 +19,7 @@
 import pykka
 
 from persimmonspan.connection import digest_links
+from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import row_store
@@ -27,11 +29,17 @@
 
 # Table of the store in which each daemon has a row with its address.
 TABLE = "edge_daemons"
-# A daemon whose data from the store is older than this reads the store itself.
-# Two seconds after a change in the store, a leaving target must get no new work
-# and a new configuration must be in force.
-_MAX_TARGETS_AGE_S = 0.7
-_MAX_CONFIGURATION_AGE_S = 1.3
+# Share of the time in which a change in the store must take effect after which
+# a daemon reads the store itself.
+_MAX_TARGETS_AGE_SHARE = 0.35
+_MAX_CONFIGURATION_AGE_SHARE = 0.65
+# Time between two reads of the targets by the daemon that reads for all, and of
+# one that reads for itself because it receives nothing.
+_READ_INTERVAL_S = 0.2
+_OWN_READ_INTERVAL_SHARE = 0.8
+# A digest is counted in the next sums of the hub; older ones are not needed.
+_REMEMBERED_DIGESTS = 64
+_NUMBER_BITS = 48
 _MAX_ADDRESS_BYTES = 64
 # A fast level: rows of a store are small, but links to peers may be slow.
 _COMPRESSION_LEVEL = 1
@@ -41,6 +49,26 @@
 _logger = logging.getLogger(__name__)
 
 
+class Limits(typing.NamedTuple):
+    """Times in which changes in the store must take effect.
+
+    The defaults are those of the smallest deployments.
+    """
+
+    drain_s: float = 2.0  # A leaving target gets no new work.
+    configuration_apply_s: float = 2.0
+
+    @property
+    def max_targets_age_s(self) -> float:
+        """Age of the targets at which a daemon reads them itself."""
+        return _MAX_TARGETS_AGE_SHARE * self.drain_s
+
+    @property
+    def max_configuration_age_s(self) -> float:
+        """Age of the version at which a daemon reads it itself."""
+        return _MAX_CONFIGURATION_AGE_SHARE * self.configuration_apply_s
+
+
 class OwnRead(typing.NamedTuple):
     """Data that this daemon itself read from the store.
 
@@ -66,25 +94,38 @@
             None if they are older than the recorded ones, with the version of
             the configuration in the store, and with the configuration if this
             daemon reported an older version.
+        limits: Times in which changes in the store must take effect.
     """
 
     def __init__(
-        self, name: str, address: str,
+        self,
+        name: str,
+        address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes], None]
+            [tuple[directory.Registration, ...] | None, int, bytes], None],
+        limits: Limits = Limits()
     ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
-        self._state = edge_peers.State(hub_received_s=time.monotonic())
+        self._limits = limits
+        self._state = edge_peers.State(hub_received_s=clock.now_s())
         # Guards `_state` and `_own_read`, which three threads replace.
         self._lock = threading.Lock()
         self._can_read = False
         self._is_hub = False
         self._own_read = OwnRead()
         self._own_version = 0
+        # Id of the registered targets in force.
+        self._entries_id = 0
+        # Starts at random: after a restart, a hub may still count a digest of
+        # the process before.
+        self._number = random.getrandbits(_NUMBER_BITS)
+        self._sent_parts: collections.OrderedDict[int, tuple[tuple[
+            events.TargetLoad, ...], tuple[events.Demand,
+                                           ...]]] = collections.OrderedDict()
         self._last_sent_content: tuple[typing.Any, ...] = ()
         self._last_sent_s = 0.0
         self._links = digest_links.Links(address, self._receive,
@@ -95,8 +136,16 @@
         return self._links.running()
 
     def wake(self) -> None:
-        """Sends a digest at once; may be called from any thread."""
-        self._links.wake()
+        """Sends a digest at once; may be called from any thread.
+
+        A hub sends to all daemons, so it does so at its interval only.
+        """
+        if not self._is_hub:
+            self._links.wake()
+
+    def count_daemons(self) -> int:
+        """Returns the number of daemons, with this one."""
+        return len(self._state.peers) + 1
 
     def interval_s(self) -> float:
         """Returns the time between two digests, in seconds."""
@@ -104,16 +153,34 @@
 
     def must_read_targets(self) -> bool:
         """Returns whether this daemon should read the registered targets."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         last_read_s = max(self._state.snapshot_s, self._own_read.entries_s)
-        return (now_s - last_read_s > _MAX_TARGETS_AGE_S or
+        return (now_s - last_read_s > self._limits.max_targets_age_s or
                 edge_peers.is_reader(self._state, self._name, now_s))
 
+    def targets_read_interval_s(self) -> float:
+        """Returns the time between two own reads of the targets."""
+        if edge_peers.is_reader(self._state, self._name, clock.now_s()):
+            return _READ_INTERVAL_S
+        return max(_READ_INTERVAL_S,
+                   _OWN_READ_INTERVAL_SHARE * self._limits.max_targets_age_s)
+
+    def last_confirmed_s(self) -> float:
+        """Returns when targets and configuration were both last current.
+
+        The time is on `clock`. A read by this daemon counts from its start, a
+        peer's from the time that its digest gives.
+        """
+        state, own_read = self._state, self._own_read
+        return min(max(state.snapshot_s, own_read.entries_s),
+                   max(state.configuration_s, own_read.version_s))
+
     def must_read_configuration(self) -> bool:
         """Returns whether this daemon should read configurations itself."""
-        now_s = time.monotonic()
-        return (now_s - self._state.configuration_s > _MAX_CONFIGURATION_AGE_S
-                or edge_peers.is_reader(self._state, self._name, now_s))
+        now_s = clock.now_s()
+        return (now_s - self._state.configuration_s
+                > self._limits.max_configuration_age_s or
+                edge_peers.is_reader(self._state, self._name, now_s))
 
     def record_targets_read(self, state: directory.State,
                             began_s: float) -> None:
@@ -123,6 +190,13 @@
         with self._lock:
             self._own_read = self._own_read._replace(entries=entries,
                                                      entries_s=began_s)
+        self.record_entries(entries)
+
+    def record_entries(
+            self,
+            entries: collections.abc.Iterable[directory.Registration]) -> None:
+        """Records the registered targets that are now in force."""
+        self._entries_id = edge_peers.identify_entries(entries)
 
     def record_version_read(self, version: int, at_s: float) -> None:
         """Records the version that was in force in the store at a time."""
@@ -130,7 +204,7 @@
             self._own_read = self._own_read._replace(version=version,
                                                      version_s=at_s)
         if edge_peers.outdated_peers(self._state, version, at_s):
-            self.wake()
+            self._links.wake()
 
     def record_configuration(self, version: int, configuration: bytes) -> None:
         """Records the configuration in force, to send it to peers."""
@@ -156,7 +230,7 @@
         """
         if is_first:
             store.put(TABLE, self._name, self._address.encode())
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         for row in store.read(TABLE).rows:
             if (row.value and row.key != self._name and
                     len(row.value) <= _MAX_ADDRESS_BYTES):
@@ -172,7 +246,7 @@
             _logger.warning("digest of a peer could not be decoded",
                             extra={"reason": str(error)})
             return
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         with self._lock:
             if digest.name not in self._state.peers:
                 _logger.info("peer found",
@@ -181,8 +255,9 @@
                                  "address": digest.address
                              })
             self._state, is_newer = edge_peers.merge_digest(
-                self._state, digest, now_s, self._own_read.entries_s)
-        self._scheduler.tell(edge_peers.to_peer_load(digest))
+                self._state, digest, now_s, self._own_read.entries_s,
+                self._entries_id)
+        self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         snapshot = digest.news
         if is_newer or (snapshot is not None and snapshot.configuration):
             self._apply_store_snapshot(snapshot.entries if is_newer else None,
@@ -191,7 +266,7 @@
 
     def _compose_digests(self) -> dict[str, bytes]:
         """Returns the digest that is due now, by receiver's address."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         with self._lock:
             state = edge_peers.expire_peers(self._state, now_s)
             for name in set(self._state.peers) - set(state.peers):
@@ -208,29 +283,52 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         content = (loads, self._can_read, self._own_version, own_read.version,
-                   snapshot and own_read.entries_s)
+                   self._entries_id)
         is_changed = is_hub or content != self._last_sent_content
         if not edge_peers.is_digest_due(is_changed, self._last_sent_s, now_s):
             return {}
         self._last_sent_content, self._last_sent_s = content, now_s
-        digest = edge_peers.Digest(self._name, self._address, self._can_read,
-                                   loads, snapshot, is_hub, self._own_version,
-                                   demands)
-        outdated = self._select_outdated_peers(snapshot, receivers, now_s)
-        if not is_hub and not outdated:
-            data = edge_peers.encode(digest)
-            return {address: data for address in receivers.values()}
-        totals = None
+        digest = edge_peers.Digest(self._name,
+                                   self._address,
+                                   self._can_read,
+                                   loads,
+                                   snapshot,
+                                   is_hub,
+                                   self._own_version,
+                                   demands,
+                                   number=self._remember_part(loads, demands),
+                                   entries_id=self._entries_id)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
+            digest = msgspec.structs.replace(
+                digest,
+                loads=(),
+                demands=(),
+                totals=edge_peers.encode_totals(totals))
+        elif snapshot is None:
+            data = edge_peers.encode(digest)
+            return {address: data for address in receivers.values()}
+        outdated = self._select_outdated_peers(snapshot, receivers, now_s)
+        entries_id = snapshot.entries_id if snapshot is not None else 0
+        without_entries = edge_peers.peers_without_entries(state, entries_id)
         return {
             address:
                 edge_peers.encode(
-                    self._digest_for_peer(digest, name, name in outdated,
-                                          totals, now_s))
+                    self._digest_for_peer(
+                        digest, name in outdated, name in without_entries,
+                        edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
 
+    def _remember_part(self, loads: tuple[events.TargetLoad, ...],
+                       demands: tuple[events.Demand, ...]) -> int:
+        """Records what the next digest tells; returns the digest's number."""
+        self._number += 1
+        self._sent_parts[self._number] = loads, demands
+        if len(self._sent_parts) > _REMEMBERED_DIGESTS:
+            self._sent_parts.popitem(last=False)
+        return self._number
+
     def _select_outdated_peers(self, snapshot: edge_peers.StoreSnapshot | None,
                                receivers: collections.abc.Iterable[str],
                                now_s: float) -> frozenset[str]:
@@ -245,20 +343,20 @@
                 self._state, names, version, now_s)
         return names
 
-    def _digest_for_peer(self, digest: edge_peers.Digest, name: str,
-                         is_outdated: bool, totals: edge_peers.Totals | None,
-                         now_s: float) -> edge_peers.Digest:
-        if totals is not None:
-            loads, demands = edge_peers.loads_of_others(self._state, totals,
-                                                        name, now_s)
-            digest = msgspec.structs.replace(digest,
-                                             loads=loads,
-                                             demands=demands)
-        if is_outdated:
+    def _digest_for_peer(self, digest: edge_peers.Digest, is_outdated: bool,
+                         needs_entries: bool,
+                         counted_number: int) -> edge_peers.Digest:
+        """Returns a digest with only what one daemon does not have yet."""
+        snapshot = digest.news
+        if snapshot is not None:
             snapshot = msgspec.structs.replace(
-                digest.news, configuration=self._own_read.configuration)
-            digest = msgspec.structs.replace(digest, news=snapshot)
-        return digest
+                snapshot,
+                entries=snapshot.entries if needs_entries else None,
+                configuration=self._own_read.configuration
+                if is_outdated else b"")
+        return msgspec.structs.replace(digest,
+                                       news=snapshot,
+                                       counted_number=counted_number)
 
     def _drop_loads_on_role_change(self, state: edge_peers.State,
                                    is_hub: bool) -> None:
@@ -280,12 +378,15 @@
         own_read = self._own_read
         # The last read of a daemon that has just become the reader may be old.
         if (not self._can_read or
-                now_s - own_read.entries_s > _MAX_TARGETS_AGE_S or
+                now_s - own_read.entries_s > self._limits.max_targets_age_s or
                 not edge_peers.is_reader(state, self._name, now_s)):
             return None
         return edge_peers.StoreSnapshot(now_s - own_read.entries_s,
-                                        own_read.entries, own_read.version,
-                                        now_s - own_read.version_s)
+                                        own_read.entries,
+                                        own_read.version,
+                                        now_s - own_read.version_s,
+                                        entries_id=edge_peers.identify_entries(
+                                            own_read.entries))
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -148,13 +148,18 @@
     assert not edge_peers.outdated_peers(state, 5, 5.0)  # Silent by now.
 
 
-def _others(state, own, receiver, now_s):
+def _part(number):
+    """Returns the loads that daemon d<number> of `_many` sent."""
+    return _load("i-1", 1), _load(f"i-{number}", 2)
+
+
+def _others(state, own, part, now_s):
     sums = edge_peers.sum_loads(state, own, (), now_s)
-    return list(edge_peers.loads_of_others(state, sums, receiver, now_s)[0])
+    return list(edge_peers.without_part(sums, part, ())[0])
 
 
-def test_hub_sends_the_sum_of_the_others_loads():
-    sums = _others(_many(4), [_load("i-9", 5)], "d02", 0.1)
+def test_receiver_gets_the_sum_of_the_others_loads():
+    sums = _others(_many(4), [_load("i-9", 5)], _part(2), 0.1)
     assert {
         load.target: load.outstanding for load in sums
     } == {
@@ -165,10 +170,12 @@
 
 
 def test_load_of_a_silent_daemon_is_not_in_the_sum():
-    assert not _others(_many(4), [], "d02", 5.0)
+    state = _many(4)
+    assert not _others(state, [], (), 5.0)
+    assert edge_peers.counted_number(state, "d02", 5.0) == 0
 
 
-def test_hub_sends_the_sum_of_the_others_demands():
+def test_receiver_gets_the_sum_of_the_others_demands():
     state = edge_peers.State()
     for name, waiting in (("a", 1), ("b", 2)):
         digest = edge_peers.Digest(name,
@@ -177,5 +184,63 @@
                                    demands=(events.Demand("s", 0.5, waiting),))
         state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
     sums = edge_peers.sum_loads(state, [], (events.Demand("s", 1.0, 4),), 0.1)
-    _, demands = edge_peers.loads_of_others(state, sums, "b", 0.1)
-    assert demands == (events.Demand("s", 1.5, 5),)
+    own = (events.Demand("s", 0.5, 2),)
+    assert edge_peers.without_part(sums, (),
+                                   own)[1] == (events.Demand("s", 1.5, 5),)
+
+
+def _sum_digest(state, counted_number):
+    sums = edge_peers.sum_loads(state, (), (), 0.1)
+    return edge_peers.decode(
+        edge_peers.encode(
+            edge_peers.Digest("d00",
+                              "",
+                              True, (),
+                              is_sum=True,
+                              totals=edge_peers.encode_totals(sums),
+                              counted_number=counted_number)))
+
+
+def test_receiver_subtracts_the_part_that_was_counted_not_its_newest():
+    # The hub encodes one sum for all. What a receiver started since the digest
+    # that was counted is not in the sum.
+    parts = {7: (_part(2), ()), 8: ((_load("i-1", 9),), ())}
+    load = edge_peers.to_peer_load(_sum_digest(_many(4), 7), parts)
+    assert load.daemon == edge_peers.OTHERS and load.is_sum
+    assert {
+        item.target: item.outstanding for item in load.loads
+    } == {
+        "i-1": 4,
+        "i-3": 2
+    }
+
+
+def test_restarted_daemon_takes_work_of_its_former_process_for_others():
+    load = edge_peers.to_peer_load(_sum_digest(_many(4), 7), {})
+    assert {item.target: item.outstanding for item in load.loads}["i-2"] == 2
+
+
+def test_digest_without_entries_confirms_those_in_force():
+    # 195 daemons were sent all targets five times a second: 191 MB between
+    # failure domains on a quiet day.
+    entries_id = edge_peers.identify_entries([_ONE])
+    news = edge_peers.StoreSnapshot(0.1, None, 7, 0.1, entries_id=entries_id)
+    state, is_newer = edge_peers.merge_digest(edge_peers.State(),
+                                              _digest(news=news), 100.0, 0.0,
+                                              entries_id)
+    assert state.snapshot_s == 99.9 and not is_newer
+
+
+def test_digest_without_entries_confirms_no_others():
+    news = edge_peers.StoreSnapshot(0.1, None, 7, 0.1, entries_id=5)
+    state, is_newer = edge_peers.merge_digest(edge_peers.State(),
+                                              _digest(news=news), 100.0, 0.0, 6)
+    assert state.snapshot_s == float("-inf") and not is_newer
+
+
+def test_entries_go_to_daemons_that_report_another_id():
+    state = edge_peers.State()
+    for name, entries_id in (("a", 5), ("b", 6)):
+        digest = edge_peers.Digest(name, "", True, (), entries_id=entries_id)
+        state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
+    assert edge_peers.peers_without_entries(state, 5) == {"b"}
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import followers
 from persimmonspan.process import row_store
@@ -51,9 +52,20 @@
 
     must_read_configuration = must_read_targets
 
+    def targets_read_interval_s(self):
+        """Returns a short interval."""
+        return 0.1
+
+    def last_confirmed_s(self):
+        """Returns that nothing was confirmed."""
+        return float("-inf")
+
+    def record_entries(self, entries):
+        """Ignores targets of peers."""
+
     def record_version_read(self, version, at_s):
         """Records a version and its time."""
-        self.reported.append((version, at_s, time.monotonic()))
+        self.reported.append((version, at_s, clock.now_s()))
 
     def record_configuration(self, version, configuration):
         """Ignores the configuration in force."""
--- /dev/null
+++ b/persimmonspan/process/tests/test_peering.py
@@ -0,0 +1,195 @@
+"""Tests digests between many daemons over real sockets.
+
+Each daemon is a `peering.Peering` without a relay or listener; its scheduler is
+a stub that reports a fixed load and records what it is told.
+"""
+
+import contextlib
+import time
+
+from persimmonspan.process import clock
+from persimmonspan.process import directory
+from persimmonspan.process import edge_peers
+from persimmonspan.process import peering
+from persimmonspan.process import row_store
+from persimmonspan.request import events
+from testbed import edge_world
+
+# More than exchange digests directly.
+_DAEMONS = 18
+_TARGETS = 64
+_INTERVAL_S = 0.2
+# The sums of 18 daemons and the id of 64 targets; the targets alone need more.
+_MAX_UNCHANGED_DIGEST_BYTES = 1500
+
+
+class _Scheduler:
+    """Reports one request on a target of its own and one on a common target."""
+
+    def __init__(self, name):
+        self.loads = (events.TargetLoad("common", 1, 10),
+                      events.TargetLoad(f"target-{name}", 1, 10))
+        self.told = []
+
+    def ask(self, message):
+        """Returns the load and no demands."""
+        del message
+        return self.loads, ()
+
+    def tell(self, event):
+        """Records an event."""
+        self.told.append(event)
+
+
+class _Daemon:
+    """The peering of one daemon and the targets that it has in force."""
+
+    def __init__(self, number, limits=peering.Limits()):
+        self.name = f"d{number:02}"
+        self.scheduler = _Scheduler(self.name)
+        self.entries = None
+        self.applied = 0
+        self.peering = peering.Peering(self.name, edge_world.free_address(),
+                                       self.scheduler, self._apply, limits)
+
+    def _apply(self, entries, version, configuration):
+        del version, configuration
+        if entries is not None:
+            self.entries = entries
+            self.applied += 1
+            self.peering.record_entries(entries)
+
+    def read(self, entries):
+        """Acts as if this daemon had read the store."""
+        state, _ = directory.apply_rows(directory.State(), entries, 0.0)
+        self.peering.record_version_read(0, clock.now_s())
+        self.peering.record_targets_read(state, clock.now_s())
+
+    def others(self):
+        """Returns the outstanding requests of others by target, or None."""
+        for event in reversed(self.scheduler.told):
+            if event.daemon == edge_peers.OTHERS and event.loads:
+                return {load.target: load.outstanding for load in event.loads}
+        return None
+
+    def count_sums(self):
+        """Returns how many sums of a hub arrived."""
+        return sum(event.is_sum for event in self.scheduler.told)
+
+
+class _Rows:
+    """Store with the addresses of all daemons."""
+
+    def __init__(self, daemons):
+        self._rows = tuple(
+            row_store.Row(
+                daemon.name,
+                daemon.peering._address.encode(),  # pylint: disable=protected-access
+                1) for daemon in daemons)
+
+    def read(self, table):
+        """Returns the rows."""
+        del table
+        return row_store.Rows(self._rows, 1)
+
+
+def _entry(number, is_leaving=False):
+    return directory.Registration(f"i-{number}", "engines",
+                                  f"10.0.0.{number}:8080", "a", 24, is_leaving)
+
+
+@contextlib.contextmanager
+def _running(limits=peering.Limits()):
+    daemons = [_Daemon(number, limits) for number in range(_DAEMONS)]
+    rows = _Rows(daemons)
+    for daemon in daemons:
+        daemon.peering.exchange_addresses(rows, False)
+    with contextlib.ExitStack() as stack:
+        for daemon in daemons:
+            stack.enter_context(daemon.peering.running())
+        yield daemons
+
+
+def _read_until(daemons, entries, condition):
+    """Lets the first daemon read the store until a condition holds."""
+
+    def holds():
+        daemons[0].read(entries)
+        return condition()
+
+    edge_world.wait_until(holds)
+
+
+def test_member_of_a_hub_learns_the_work_of_the_others_only():
+    entries = [_entry(number) for number in range(_TARGETS)]
+    with _running() as daemons:
+        _read_until(
+            daemons, entries, lambda: all(
+                len(daemon.others() or ()) == _DAEMONS
+                for daemon in daemons[1:]))
+        others = {daemon.name: daemon.others() for daemon in daemons[1:]}
+    for name, loads in others.items():
+        assert loads["common"] == _DAEMONS - 1
+        assert f"target-{name}" not in loads
+
+
+def test_unchanged_targets_are_sent_once_and_changes_reach_all():
+    entries = [_entry(number) for number in range(_TARGETS)]
+    leaving = [_entry(0, True), *entries[1:]]
+    sizes = []
+    with _running() as daemons:
+        members = daemons[1:]
+        _read_until(daemons, entries,
+                    lambda: all(daemon.entries for daemon in members))
+        daemons[0].read(entries)
+        time.sleep(2 * _INTERVAL_S)
+        before = [daemon.applied for daemon in members]
+        # pylint: disable=protected-access
+        sizes = [
+            len(data)
+            for data in daemons[0].peering._compose_digests().values()
+        ]
+        _read_until(daemons, entries,
+                    lambda: daemons[5].scheduler.told is not None)
+        assert [daemon.applied for daemon in members] == before
+        _read_until(
+            daemons, leaving, lambda: all(
+                any(entry.is_leaving
+                    for entry in daemon.entries)
+                for daemon in members))
+    assert max(sizes) < _MAX_UNCHANGED_DIGEST_BYTES
+
+
+def test_hub_sends_at_its_interval_however_often_it_starts_requests():
+    # Each request that the hub itself started sent digests to all daemons.
+    entries = [_entry(0)]
+    with _running() as daemons:
+        _read_until(daemons, entries,
+                    lambda: all(daemon.others() for daemon in daemons[1:]))
+        before = daemons[1].count_sums()
+        end_s = time.monotonic() + 1.0
+        while time.monotonic() < end_s:
+            daemons[0].read(entries)
+            daemons[0].peering.wake()
+            time.sleep(0.005)
+        received = daemons[1].count_sums() - before
+    assert received <= 1.0 / _INTERVAL_S + 1
+
+
+def _must_read(limits):
+    """Returns what a daemon reads when its news is 1 s and 1.5 s old."""
+    daemon = _Daemon(1, limits)
+    now_s = clock.now_s()
+    with daemon.peering.running():
+        daemon.peering._state = edge_peers.State(  # pylint: disable=protected-access
+            edge_peers.State().peers.set(
+                "d00", edge_peers.Peer("", now_s, now_s, True)),
+            snapshot_s=now_s - 1.0,
+            configuration_s=now_s - 1.5)
+        return (daemon.peering.must_read_targets(),
+                daemon.peering.must_read_configuration())
+
+
+def test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds():
+    assert _must_read(peering.Limits()) == (True, True)
+    assert _must_read(peering.Limits(4.0, 4.0)) == (False, False)
--- a/persimmonspan/request/retry.py
+++ b/persimmonspan/request/retry.py
@@ -169,6 +169,14 @@
     return state.balances.get(group, state.limits.initial)
 
 
+def set_limits(state: State, limits: Limits) -> State:
+    """Replaces the limits; balances above the new cap fall to it."""
+    balances = {
+        group: min(limits.cap, value) for group, value in state.balances.items()
+    }
+    return state._replace(limits=limits, balances=immutables.Map(balances))
+
+
 def admit_request(state: State, request: Request, now_s: float) -> Result:
     """Admits a caller's request; a repeat spends from the budget.
 
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -291,7 +291,7 @@
       rng: random.Random) -> Result:
     del now_s, rng
     limits = retry.Limits(event.deposit, event.cap, event.cap)
-    return state._replace(budget=state.budget._replace(limits=limits)), []
+    return state._replace(budget=retry.set_limits(state.budget, limits)), []
 
 
 @_handle_event.register
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -308,8 +308,9 @@
             peers, _ = edge_peers.merge_digest(peers, digest, now_s, now_s)
         sums = edge_peers.sum_loads(peers, (), (), now_s)
         for daemon in range(self._scenario.daemons):
-            loads, demands = edge_peers.loads_of_others(peers, sums,
-                                                        f"d{daemon}", now_s)
+            peer = peers.peers[f"d{daemon}"]
+            loads, demands = edge_peers.without_part(sums, peer.loads,
+                                                     peer.demands)
             event = events.PeerLoad(edge_peers.OTHERS, loads, demands, True)
             self._after(
                 _LINK_DELAY_S,
