Keep the hub through an outage of the store

Cause: a daemon that could not read the store was no hub for the others. In an outage each daemon that heard of no reader took its place: played in virtual time with 195 daemons, all 195 were hubs after 9 s, each sent its sums to all at every interval, and the sums were empty, since nobody sent to the old hub any more. All daemons also read the store for themselves at once, and one lost response made another daemon the hub.

Change: a hub that cannot read goes on until a daemon that can read takes its place; daemons send to it meanwhile, and to two that may replace it. A daemon counts as unable to read once what it read is too old, not at one failed read.

--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -50,11 +50,15 @@
 # Number of daemons that one without a hub sends to at first; it doubles after
 # each `_PEER_SILENCE_TIMEOUT_S` without a digest of a hub.
 _INITIAL_HUB_CANDIDATES = 2
+# So many daemons, the first by name, try at once to take the place of a hub
+# that cannot read; the others wait for one of them before they read themselves.
+_EARLY_DAEMONS = 8
 # The configuration is sent again to a daemon that still reports an older one; a
 # digest's round trip takes less than this.
 _CONFIGURATION_RESEND_S = 0.5
 # With more peers, digests go through a hub.
 _MAX_DIRECT_PEERS = 15
+_LAST_NAME = "\U0010ffff"  # Comes after all names of daemons.
 # Name under which the sum of the loads of all other daemons is recorded.
 OTHERS = "others"
 # Interval at which an unchanged digest is sent again.
@@ -117,19 +121,23 @@
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
+    sums_received_s: float = -math.inf  # Last digest that it sent as the hub.
 
 
 class State(typing.NamedTuple):
     """Daemons by name, and the times of the last snapshot and hub digest.
 
     `snapshot_s` and `configuration_s` are the times of the reads, not of the
-    arrivals.
+    arrivals. `can_read` says whether this daemon's last read succeeded, `name`
+    is its name.
     """
 
     peers: immutables.Map[str, Peer] = immutables.Map()
     snapshot_s: float = -math.inf  # Age subtracted.
     configuration_s: float = -math.inf
     hub_received_s: float = 0.0  # Last digest of a hub, or the start.
+    can_read: bool = True
+    name: str = ""
 
 
 def encode(digest: Digest) -> bytes:
@@ -178,16 +186,21 @@
     """
     loads = () if digest.is_sum else digest.loads
     previous = state.peers.get(digest.name, Peer("", now_s, now_s, False))
-    peer = previous._replace(address=digest.address,
-                             last_received_s=now_s,
-                             last_seen_s=now_s,
-                             can_read=digest.can_read,
-                             loads=loads,
-                             demands=() if digest.is_sum else digest.demands,
-                             number=digest.number,
-                             entries_id=digest.entries_id,
-                             version=digest.version)
-    is_usable_hub = digest.is_sum and digest.can_read
+    peer = previous._replace(
+        address=digest.address,
+        last_received_s=now_s,
+        last_seen_s=now_s,
+        can_read=digest.can_read,
+        loads=loads,
+        demands=() if digest.is_sum else digest.demands,
+        number=digest.number,
+        entries_id=digest.entries_id,
+        version=digest.version,
+        sums_received_s=now_s if digest.is_sum else previous.sums_received_s)
+    # A hub is to be replaced by a daemon of a better rank, such as one that can
+    # read in place of one that cannot.
+    is_usable_hub = digest.is_sum and _hub_rank(
+        peer, digest.name) < (not state.can_read, state.name or _LAST_NAME)
     state = state._replace(
         peers=state.peers.set(digest.name, peer),
         hub_received_s=now_s if is_usable_hub else state.hub_received_s)
@@ -247,8 +260,9 @@
 
 def is_reader(state: State, name: str, now_s: float) -> bool:
     """Returns whether a daemon, which can read the store, reads for all."""
-    return (select_reader(state, name, now_s) == name and
-            not (has_hub(state) and _hub_candidates(state, name, now_s)))
+    if has_hub(state):
+        return is_hub(state, name, now_s)
+    return select_reader(state, name, now_s) == name
 
 
 def has_hub(state: State) -> bool:
@@ -257,19 +271,53 @@
 
 
 def is_hub(state: State, name: str, now_s: float) -> bool:
-    """Returns whether a daemon sends the others the sums of their loads."""
-    return has_hub(state) and is_reader(state, name, now_s)
+    """Returns whether a daemon sends the others the sums of their loads.
+
+    Through an outage of the store the hub stays, though it cannot read. If each
+    daemon that hears of no reader took its place, all would send to all.
+    """
+    if not has_hub(state) or select_reader(state, name, now_s) != name:
+        return False
+    other = find_hub(state, now_s)
+    if other is not None and _hub_rank(state.peers[other],
+                                       other) < (not state.can_read, name):
+        return False
+    return not _hub_candidates(state, name, now_s)
+
+
+def find_hub(state: State, now_s: float) -> str | None:
+    """Returns the daemon that sends sums, the best if several do."""
+    ranked = [
+        _hub_rank(peer, other)
+        for other, peer in state.peers.items()
+        if now_s - peer.sums_received_s <= _PEER_SILENCE_TIMEOUT_S
+    ]
+    return min(ranked)[1] if ranked else None
+
+
+def _hub_rank(peer: Peer, name: str) -> tuple[bool, str]:
+    """Returns the rank of a hub; one that can read comes first."""
+    return not peer.can_read, name
+
+
+def is_early(state: State, name: str) -> bool:
+    """Returns whether a daemon is among the first to take the hub's place."""
+    return sum(other < name for other in state.peers) < _EARLY_DAEMONS
 
 
 def select_receivers(state: State, name: str, now_s: float) -> dict[str, str]:
     """Returns the addresses of the daemons to send digests to, by name."""
     hub = select_reader(state, name, now_s)
-    if not has_hub(state):
+    if not has_hub(state) or is_hub(state, name, now_s):
         names: typing.Iterable[str] = state.peers
     elif hub != name:
         names = (hub,)
     else:
-        names = _hub_candidates(state, name, now_s) or state.peers
+        names = _hub_candidates(state, name, now_s)
+        other = find_hub(state, now_s)
+        if other is not None:
+            # It cannot read, but it still tells the loads of all.
+            names = {other, *names[:_INITIAL_HUB_CANDIDATES]}
     return {other: state.peers[other].address for other in names}
 
 
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -193,3 +193,16 @@
 def test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds():
     assert _must_read(peering.Limits()) == (True, True)
     assert _must_read(peering.Limits(4.0, 4.0)) == (False, False)
+
+
+def test_one_lost_response_of_the_store_does_not_change_the_reader():
+    # With a third of the responses lost, the hub changed several times a
+    # second, and the loads were dropped at each change.
+    daemon = _Daemon(1)
+    with daemon.peering.running():
+        daemon.read([_entry(0)])
+        daemon.peering.record_read_failure()
+        assert daemon.peering._state.can_read  # pylint: disable=protected-access
+        time.sleep(peering.Limits().max_targets_age_s)
+        daemon.peering.record_read_failure()
+        assert not daemon.peering._state.can_read  # pylint: disable=protected-access
