Ask engines whether they leave while the store is silent

Cause: engines announce that they leave through the store. In an outage of eight seconds two or three waves of engines left unheard, and drafts on them were cut unless they had a copy from their start, which only little memory is for.

Change: a daemon whose targets are old asks the engines on which it runs drafts, and copies these drafts as after a notice from the store. A target that restarts under its name may get work again.

Ruled out: asking all engines from the hub. It would need the store's targets to be told on without the store, and load the hub; a daemon runs few drafts.

--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses, for callers and for replicas."""
 
+import http
 import math
 import typing
 
@@ -135,6 +136,31 @@
                             ((b"Host", b"replica"),))
 
 
+class _Report(msgspec.Struct):
+    state: str | None = None
+    leaves_ms: float | None = None
+
+
+_report_decoder = msgspec.json.Decoder(_Report)
+_DRAINING = "draining"
+
+
+def encode_report_query() -> exchange.Request:
+    """Encodes a call that asks a replica about its state."""
+    return exchange.Request("GET", "/report", ((b"Host", b"replica"),))
+
+
+def decode_leaving(head: exchange.RawResponseHead, body: bytes) -> bool:
+    """Decodes from a replica's report whether it leaves."""
+    if head.status != http.HTTPStatus.OK:
+        return False
+    try:
+        report = _report_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return report.state == _DRAINING or report.leaves_ms is not None
+
+
 def copy_location(address: str, name: str) -> str:
     """Returns the location of a run's copy.
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -32,6 +32,7 @@
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
+from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
@@ -286,6 +287,10 @@
             self.scheduler.tell(events.TargetLeaving(entry.name))
         for entry in (*change.restarted, *change.joined):
             self._moved_targets.discard(entry.name)
+        for entry in change.restarted:
+            if not entry.is_leaving:
+                # The notice of its former process holds no longer.
+                self.scheduler.tell(events.TargetReturned(entry.name))
         if is_first or not change.is_empty:
             self._send_targets()
 
@@ -386,8 +391,14 @@
                                self._options.configuration_apply_s))
             follower.peers = self._peers
             self._follower = follower
+            poller = notice_poller.NoticePoller(
+                self.scheduler, self._find_target, self.wire, self._peers,
+                peering.Limits(self._options.drain_s).max_targets_age_s)
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
+            stack.enter_context(
+                threads.calling_periodically(poller.poll,
+                                             notice_poller.INTERVAL_S))
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
             yield
--- /dev/null
+++ b/persimmonspan/process/notice_poller.py
@@ -0,0 +1,102 @@
+"""Asks engines themselves whether they leave while the store is silent.
+
+Engines announce that they leave through the store. In an outage of the store
+their notices reach nobody, and the streams on them would be cut without a copy.
+Each daemon therefore asks the engines on which it runs streams, and only while
+what it read from the store is old.
+
+See Also:
+    `persimmonspan.request.evacuation`: what follows from a notice.
+"""
+
+import collections.abc
+import logging
+import typing
+
+import pykka
+
+from persimmonspan import errors
+from persimmonspan.connection import exchange
+from persimmonspan.process import clock
+from persimmonspan.process import scheduler_actor
+from persimmonspan.request import events
+from persimmonspan.request import forwarded
+from persimmonspan.request import scheduler
+
+INTERVAL_S = 0.5
+_RESPONSE_TIMEOUT_S = 0.3
+
+_logger = logging.getLogger(__name__)
+
+
+class Peers(typing.Protocol):
+    """Tells how old the targets are."""
+
+    def targets_confirmed_s(self) -> float:
+        """Returns when the targets were last current, on `clock`."""
+
+
+class NoticePoller:
+    """Asks the engines with own streams, and reports those that leave.
+
+    Args:
+        scheduler_ref: Says which engines run streams; receives the notices.
+        find_target: Returns the target of a name, or None.
+        wire: The formats of the platform.
+        peers: Tells how old the targets are.
+        max_age_s: Age of the targets from which engines are asked.
+    """
+
+    def __init__(self,
+                 scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+                 find_target: collections.abc.Callable[[str],
+                                                       events.Target | None],
+                 wire: forwarded.Wire, peers: Peers, max_age_s: float) -> None:
+        self._scheduler = scheduler_ref
+        self._find_target = find_target
+        self._wire = wire
+        self._peers = peers
+        self._max_age_s = max_age_s
+
+    def poll(self) -> None:
+        """Asks all engines with own streams once, if the targets are old."""
+        age_s = clock.now_s() - self._peers.targets_confirmed_s()
+        if age_s <= self._max_age_s:
+            return
+        for name in self._scheduler.ask(
+                scheduler_actor.Evaluate(_engines_with_streams)):
+            target = self._find_target(name)
+            if target is not None and self._is_leaving(target):
+                _logger.info("engine leaves while the store is silent",
+                             extra={
+                                 "target": name,
+                                 "age_s": round(age_s, 2)
+                             })
+                self._scheduler.tell(events.TargetLeaving(name))
+
+    def _is_leaving(self, target: events.Target) -> bool:
+        try:
+            return self._wire.decode_leaving(
+                *exchange.call(target.address, self._wire.encode_report_query(),
+                               _RESPONSE_TIMEOUT_S))
+        except errors.TargetError as error:
+            # Its streams tell themselves if the engine is gone.
+            _logger.info("engine did not answer whether it leaves",
+                         extra={
+                             "target": target.name,
+                             "reason": str(error)
+                         })
+            return False
+
+
+def _engines_with_streams(state: scheduler.State,
+                          now_s: float) -> tuple[str, ...]:
+    """Returns the engines that run requests which may not run again."""
+    del now_s
+    return tuple(
+        sorted({
+            running.target
+            for running in state.running.values()
+            if running.item.arrived.wants_backup and
+            running.target not in state.leaving
+        }))
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -163,9 +163,9 @@
     def must_read_targets(self) -> bool:
         """Returns whether this daemon should read the registered targets."""
         now_s = clock.now_s()
-        last_read_s = max(self._state.snapshot_s, self._own_read.entries_s)
         factor = 1.0 if self._is_early() else _LATE_TARGETS_AGE_FACTOR
-        return (now_s - last_read_s > factor * self._limits.max_targets_age_s or
+        return (now_s - self.targets_confirmed_s()
+                > factor * self._limits.max_targets_age_s or
                 edge_peers.is_reader(self._state, self._name, now_s))
 
     def targets_read_interval_s(self) -> float:
@@ -175,6 +175,10 @@
         return max(_READ_INTERVAL_S,
                    _OWN_READ_INTERVAL_SHARE * self._limits.max_targets_age_s)
 
+    def targets_confirmed_s(self) -> float:
+        """Returns when the registered targets were last current, on `clock`."""
+        return max(self._state.snapshot_s, self._own_read.entries_s)
+
     def last_confirmed_s(self) -> float:
         """Returns when targets and configuration were both last current.
 
@@ -182,7 +186,7 @@
         peer's from the time that its digest gives.
         """
         state, own_read = self._state, self._own_read
-        return min(max(state.snapshot_s, own_read.entries_s),
+        return min(self.targets_confirmed_s(),
                    max(state.configuration_s, own_read.version_s))
 
     def must_read_configuration(self) -> bool:
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -119,6 +119,13 @@
     def encode_drop(self, handle: str) -> exchange.Request:
         """Encodes a call that frees the memory that was copied."""
 
+    def encode_report_query(self) -> exchange.Request:
+        """Encodes a call that asks a target about its state."""
+
+    def decode_leaving(self, head: exchange.RawResponseHead,
+                       body: bytes) -> bool:
+        """Decodes from the response to this call whether a target leaves."""
+
     def copy_location(self, address: str, name: str) -> str:
         """Returns the location of a copy, named by request id or by handle."""
 
