Tell each read of the store to few daemons, and read less at a start

Change: the time of the read counts as a change again; daemons that are not among the first eight by name pause between own reads of the configuration.

--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -187,6 +187,7 @@
             # The version counts as read at the start of the call: a busy daemon
             # may process a response long after the store sent it.
             self.peers.record_version_read(self._version, began_s)
+            self._stopped.wait(self.peers.configuration_pause_s())
 
     def _adopt(self, value: bytes, version: int) -> None:
         try:
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -179,6 +179,17 @@
         """Returns when the registered targets were last current, on `clock`."""
         return max(self._state.snapshot_s, self._own_read.entries_s)
 
+    def configuration_pause_s(self) -> float:
+        """Returns the pause after an own read of the configuration.
+
+        A daemon that reads for all waits for changes at the store without a
+        pause. Others hear of a reader soon, and until then need no more than
+        the permitted age.
+        """
+        if self._is_early():
+            return 0.0
+        return _OWN_READ_INTERVAL_SHARE * self._limits.max_configuration_age_s
+
     def last_confirmed_s(self) -> float:
         """Returns when targets and configuration were both last current.
 
@@ -316,8 +327,8 @@
         own_read = self._own_read
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
-        content = (loads, self._state.can_read, self._own_version,
-                   own_read.version, self._entries_id)
+        content = (loads, state.can_read, self._own_version, own_read.version,
+                   self._entries_id, snapshot and own_read.entries_s)
         is_changed = is_hub or content != self._last_sent_content
         if not edge_peers.is_digest_due(is_changed, self._last_sent_s, now_s):
             return {}
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -56,6 +56,10 @@
         """Returns a short interval."""
         return 0.1
 
+    def configuration_pause_s(self):
+        """Returns no pause."""
+        return 0.0
+
     def retry_pause_range_s(self):
         """Returns short pauses."""
         return 0.1, 0.2
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -206,3 +206,34 @@
         time.sleep(peering.Limits().max_targets_age_s)
         daemon.peering.record_read_failure()
         assert not daemon.peering._state.can_read  # pylint: disable=protected-access
+
+
+def test_late_daemon_reads_at_the_permitted_age_until_it_hears_of_a_reader():
+    # At a start of 195 daemons each read the store eleven times.
+    with _running() as daemons:
+        early, late = daemons[0].peering, daemons[-1].peering
+        assert early.configuration_pause_s() == 0.0
+        assert late.configuration_pause_s() > 1.0
+        assert early.targets_read_interval_s() == 0.2
+        assert late.targets_read_interval_s() > 0.5
+
+
+def test_reader_tells_each_read_to_few_daemons_too():
+    # Its digests did not change with the reads: news was told every 0.5 s only,
+    # and daemons at the edge of the permitted age read the store themselves.
+    daemons = [_Daemon(0), _Daemon(1)]
+    rows = _Rows(daemons)
+    ages_s = []
+    with daemons[0].peering.running(), daemons[1].peering.running():
+        for daemon in daemons:
+            daemon.peering.exchange_addresses(rows, False)
+        _read_until(daemons, [_entry(0)], lambda: daemons[1].entries)
+        end_s = time.monotonic() + 2.0
+        while time.monotonic() < end_s:
+            daemons[0].read([_entry(0)])
+            for _ in range(10):
+                time.sleep(_INTERVAL_S / 10)
+                ages_s.append(clock.now_s() -
+                              daemons[1].peering.targets_confirmed_s())
+    # An interval between reads and one between digests, twice for a busy VM.
+    assert max(ages_s) < 2 * (_INTERVAL_S + 0.1)
