Let a failed call to the store count until the next one has ended

Cause: a request waits for a confirmation if the last one, or the last failed call, is older than the bounds. In an outage the pause between two failed calls of a late daemon plus the time of a silent one is up to 4 s, more than the bounds of some deployments, so that requests would wait though the store was known not to answer. Change: a failed call counts until the call after it has ended at the latest. Ruled out: longer bounds, which would let a paused daemon use withdrawn keys. Figures: test_failed_call_holds_until_the_next_one_has_ended fails without the change.

--- a/persimmonspan/platform/tests/test_reported_faults.py
+++ b/persimmonspan/platform/tests/test_reported_faults.py
@@ -372,5 +372,6 @@
             lambda: world.send_request("/idempotent/1")[0] == 200)
         follower = world.edge._follower  # pylint: disable=protected-access
         later_s = 30.0
-        follower._failed_s = clock.now_s()  # pylint: disable=protected-access
+        # pylint: disable=protected-access
+        follower._failure_valid_until_s = clock.now_s() + 1.0
         assert world.send_request("/idempotent/1")[0] == 200
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -32,6 +32,8 @@
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
 _ADDRESSES_READ_INTERVAL_S = 45.0
+# Longest time of a call to the store that is not answered.
+_CALL_TIMEOUT_S = 2.0
 # Pause after an unexpected error.
 _ERROR_PAUSE_S = 1.0
 
@@ -77,7 +79,8 @@
         self._receiver = receiver
         self._stopped = threading.Event()
         self._failures: dict[str, int] = {}
-        self._failed_s = -math.inf  # Last failed call to the store.
+        # Until when the last failed call shows that the store does not answer.
+        self._failure_valid_until_s = -math.inf
         self._undecoded: frozenset[str] = frozenset()
         self._directory = directory.State()
         self._directory_lock = threading.Lock()
@@ -140,11 +143,12 @@
     def last_checked_s(self) -> float:
         """Returns when what is in force was last confirmed or uncheckable.
 
-        The time, on `clock`, is that of the last confirmation or of the last
-        call that the store did not answer: through an outage, what was read
-        last stays in force.
+        The time, on `clock`, is that of the last confirmation, or the last at
+        which the store was known not to answer: through an outage, what was
+        read last stays in force.
         """
-        return max(self.peers.last_confirmed_s(), self._failed_s)
+        return max(self.peers.last_confirmed_s(),
+                   min(clock.now_s(), self._failure_valid_until_s))
 
     def _follow_configuration(self) -> None:
         store = self._open_store(self._address)
@@ -260,7 +264,6 @@
     def _record_failure(self, table: str, error: errors.StoreError) -> None:
         failures = self._failures.get(table, 0)
         self._failures[table] = failures + 1
-        self._failed_s = clock.now_s()
         if not failures:
             _logger.warning("store lost",
                             extra={
@@ -269,7 +272,9 @@
                                 "reason": str(error)
                             })
         min_s, max_s = self.peers.retry_pause_range_s()
-        self._stopped.wait(min(max_s, min_s * 2**min(failures, 8)))
+        pause_s = min(max_s, min_s * 2**min(failures, 8))
+        self._failure_valid_until_s = clock.now_s() + pause_s + _CALL_TIMEOUT_S
+        self._stopped.wait(pause_s)
 
     def _record_success(self, table: str) -> None:
         failures = self._failures.pop(table, 0)
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from persimmonspan import errors
 from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import followers
@@ -161,3 +162,41 @@
         if record.message == "target entries not understood"
     ]
     assert logged == [["i-2", "i-3"], ["i-4"]]
+
+
+class _SilentStore(_Store):
+    """A store that answers no call."""
+
+    def read(self, table):
+        """Fails after the time of a call."""
+        time.sleep(_RESPONSE_DELAY_S)
+        raise errors.StoreError(errors.Code.STORE_UNAVAILABLE, "no response")
+
+    def changes(self, table, since, wait_s):
+        """Fails likewise."""
+        del since, wait_s
+        return self.read(table)
+
+
+class _PatientPeers(_Peers):
+    """Peers for which failed calls are repeated after a long pause."""
+
+    def retry_pause_range_s(self):
+        """Returns a pause longer than the test."""
+        return 2.0, 2.0
+
+
+def test_failed_call_holds_until_the_next_one_has_ended():
+    # Requests waited for a confirmation in an outage whenever the pause
+    # between two failed calls was longer than the bounds.
+    formats = followers.Formats("configuration", "key", int, "targets",
+                                lambda key, value: None)
+    follower = followers.Followers(lambda address: _SilentStore(), "", formats,
+                                   _Receiver())
+    follower.peers = _PatientPeers()
+    with follower.running():
+        time.sleep(_RESPONSE_DELAY_S + 0.2)
+        end_s = clock.now_s() + 1.0
+        while clock.now_s() < end_s:
+            assert clock.now_s() - follower.last_checked_s() < 0.1
+            time.sleep(0.05)
