--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -227,7 +227,8 @@
                              "target": target.name,
                              "outcome": outcome,
                              "reason": str(self._target_error),
-                             "events": self.event_count
+                             "events": self.event_count,
+                             "prompt_parts": self._prompt_part_names()
                          })
             handover = None
             if has_progressed and outcome is events.Outcome.INTERRUPTED:
@@ -242,6 +243,9 @@
             backup = self._wait_for_backup()
         return self._end_failed_attempt(outcome)
 
+    def _prompt_part_names(self) -> list[str]:
+        return [name for name, _ in self._routed_call.call.prefix_parts]
+
     def _wait_for_backup(self) -> str | None:
         """Waits until the scheduler names the target of the next copy."""
         while True:
