--- /dev/null
+++ b/persimmonspan/platform/tests/test_crashing_requests.py
@@ -0,0 +1,119 @@
+"""Tests that requests which crash engines are refused by all daemons.
+
+Two daemons share engines. An engine that crashes closes its connections, and a
+new one takes its place under another name.
+"""
+
+import contextlib
+import itertools
+import logging
+import time
+
+import pytest
+
+from testbed import edge_world
+from testbed import replica
+
+_PATH = "/draft/1"
+_CRASHING_PART = "bad0"
+# An engine may crash five times before requests with the part must be refused,
+# and three more may follow.
+_MAX_CRASHES_BY_A_PART = 5 + 3
+# A request may crash three engines, and three repeats may follow.
+_MAX_CRASHES_BY_A_REQUEST = 3 + 3
+_REQUESTS = 24
+_CALLER_ATTEMPTS = 5
+_CALLER_PAUSE_S = 0.2
+
+
+class _Engines:
+    """Engines that crash when they begin to answer some requests."""
+
+    def __init__(self, world, is_crashing):
+        self._world = world
+        self._is_crashing = is_crashing
+        self._names = (f"i-{number}" for number in itertools.count())
+        self.crashes = 0
+
+    def add(self, count):
+        """Starts engines and registers them."""
+        for _ in range(count):
+            name = next(self._names)
+            stub = self._world.add_replica(name, "engines", None)
+            stub.script = self._make_script(name, stub)
+
+    def _make_script(self, name, stub):
+
+        def answer(request):
+            if self._is_crashing(request):
+                self.crashes += 1
+                stub.stop()
+                self._world.rows.write("servers", name, None)
+                self.add(1)
+                yield replica.stream_head(request)
+                yield replica.ConnectionReset()
+            else:
+                yield replica.stream_head(request)
+                yield replica.event_chunk(0) + replica.STREAM_END
+
+        return answer
+
+
+@pytest.fixture(name="daemons")
+def _daemons(caplog):
+    caplog.set_level(logging.INFO)
+    first = edge_world.EdgeEnvironment("edge-1")
+    first.rows.write("op", "config", edge_world.configuration())
+    second = edge_world.EdgeEnvironment("edge-2", first.rows)
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(first.running())
+        stack.enter_context(second.running())
+        edge_world.wait_until(lambda: "peer found" in caplog.text)
+        yield first, second
+
+
+def _send(daemon, request_id, parts, body):
+    return daemon.send_request(_PATH,
+                               body=body,
+                               X_Attempt_Id=request_id,
+                               X_Token_Usage="100,10",
+                               X_Prefix_Hash=",".join(
+                                   f"{part}:20" for part in parts))[0]
+
+
+def _send_until_run(daemon, request_id, parts, body):
+    """Repeats a request as long as it is said not to have run."""
+    for attempt in range(_CALLER_ATTEMPTS):
+        status = _send(daemon, f"{request_id}-{attempt}", parts, body)
+        if status != 503:
+            break
+        time.sleep(_CALLER_PAUSE_S)
+    return status
+
+
+def test_part_of_a_prompt_that_crashes_engines_is_refused_everywhere(daemons):
+    engines = _Engines(
+        daemons[0], lambda request: f"{_CRASHING_PART}:" in request.headers[
+            "x-prefix-hash"])
+    engines.add(4)
+    sound_statuses = []
+    for number in range(_REQUESTS):
+        daemon = daemons[number % 2]
+        _send(daemon, f"bad-{number}", ("a0", _CRASHING_PART, f"c{number}"),
+              b"bad%d" % number)
+        sound_statuses.append(
+            _send_until_run(daemon, f"sound-{number}",
+                            ("a0", "b0", f"d{number}"), b"sound%d" % number))
+    assert engines.crashes <= _MAX_CRASHES_BY_A_PART
+    assert sound_statuses == [200] * _REQUESTS
+
+
+def test_repeated_request_that_crashes_engines_is_refused_everywhere(daemons):
+    engines = _Engines(daemons[0], lambda request: request.body == b"bad")
+    engines.add(4)
+    for number in range(_REQUESTS):
+        daemon = daemons[number % 2]
+        _send(daemon, f"bad-{number}", ("a0", "b0", "c0"), b"bad")
+        assert _send_until_run(daemon, f"sound-{number}", ("a0", "b0", "c0"),
+                               b"sound%d" % number) == 200
+    assert engines.crashes <= _MAX_CRASHES_BY_A_REQUEST
