--- a/persimmonspan/connection/peer_messages.py
+++ b/persimmonspan/connection/peer_messages.py
@@ -103,8 +103,9 @@
     crashes: int
     ttl_s: float
     version: int = 0
-    isolated_on: str = ""
-    died_on: str = ""
+    crashes_alone: int = 0
+    requests: tuple[str, ...] = ()
+    is_refused: bool = False
 
 
 class LeavingNotice(typing.NamedTuple):
--- a/persimmonspan/process/gossip.py
+++ b/persimmonspan/process/gossip.py
@@ -337,8 +337,8 @@
     if message.crashes == 0:
         return events.QuarantineLifted(message.fingerprint)
     return events.QuarantineShared(message.fingerprint, message.crashes,
-                                   message.ttl_s, message.isolated_on,
-                                   message.died_on)
+                                   message.ttl_s, message.crashes_alone,
+                                   message.requests, message.is_refused)
 
 
 def _introduce(state: types.State, hellos: tuple[peer_messages.Hello, ...],
--- a/persimmonspan/process/peer_actor.py
+++ b/persimmonspan/process/peer_actor.py
@@ -199,8 +199,9 @@
                 peer_messages.Quarantine(command.fingerprint,
                                          command.crashes,
                                          command.ttl_s,
-                                         isolated_on=command.isolated_on,
-                                         died_on=command.died_on)))
+                                         crashes_alone=command.crashes_alone,
+                                         requests=command.requests,
+                                         is_refused=command.is_refused)))
 
     def publish_leaving(self, target: str) -> None:
         """Shares that a target is leaving."""
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -72,7 +72,7 @@
     max_output_tokens: int
     deadline_s: float
     fingerprint: str
-    prefix_hashes: tuple[int, ...] = ()
+    part_fingerprints: tuple[str, ...] = ()  # Of what other prompts share.
     is_idempotent: bool = True
     idempotency_key: str = ""  # Set by the caller, else empty.
     max_attempts: int = 3
@@ -211,18 +211,18 @@
 
 
 class QuarantineShared(typing.NamedTuple):
-    """A peer reports a fingerprint that crashed targets.
+    """A peer reports a fingerprint that crashed targets; none: it is cleared.
 
-    `isolated_on` names the target that the peer reserves to run the request
-    alone. `died_on` names the first target that the request crashed, once the
-    fingerprint is condemned.
+    `ttl_s` is the time for which the refusal, or else the suspicion, holds.
+    `requests` are the fingerprints of the requests whose crashes were counted.
     """
 
     fingerprint: str
     crashes: int
     ttl_s: float
-    isolated_on: str = ""
-    died_on: str = ""
+    crashes_alone: int = 0
+    requests: tuple[str, ...] = ()
+    is_refused: bool = False
 
 
 class QuarantineLifted(typing.NamedTuple):
@@ -277,6 +277,7 @@
     reason: errors.Code
     retry_after_s: float | None
     run_state: errors.RunState
+    fingerprint: str = ""  # The quarantined one, if that is the reason.
 
 
 class CancelAttempt(typing.NamedTuple):
@@ -292,8 +293,9 @@
     fingerprint: str
     crashes: int
     ttl_s: float
-    isolated_on: str = ""
-    died_on: str = ""
+    crashes_alone: int = 0
+    requests: tuple[str, ...] = ()
+    is_refused: bool = False
 
 
 class Count(typing.NamedTuple):
