--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -180,6 +180,18 @@
         sock.close()
 
 
+def is_refused(address: str, timeout_s: float) -> bool:
+    """Returns whether no process listens at an address.
+
+    The result is false if the host does not answer in time.
+    """
+    try:
+        with open_socket(address, timeout_s):
+            return False
+    except NotSentError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+
+
 def call(address: str, request: Request,
          timeout_s: float) -> tuple[RawResponseHead, bytes]:
     """Sends a request and returns the head and body of the response.
--- /dev/null
+++ b/persimmonspan/process/death_probe.py
@@ -0,0 +1,67 @@
+"""Finds out whether a target died when it broke off a response.
+
+The network breaks connections too, and some targets end responses early. The
+process of a target ended if its address refuses new connections.
+
+See Also:
+    `persimmonspan.request.quarantine`: what follows from a death.
+"""
+
+import collections.abc
+import contextlib
+import logging
+import queue
+
+from persimmonspan.connection import exchange
+from persimmonspan.process import threads
+from persimmonspan.request import events
+
+# A round trip between failure domains; a live host answers within it.
+_TIMEOUT_S = 0.3
+
+_logger = logging.getLogger(__name__)
+
+
+class DeathProbe:
+    """Connects to targets that broke off, and reports those that died.
+
+    Args:
+        report: Called with the name of each target that died.
+    """
+
+    def __init__(self, report: collections.abc.Callable[[str], None]) -> None:
+        self._report = report
+        self._targets: queue.SimpleQueue[events.Target |
+                                         None] = queue.SimpleQueue()
+        # Names of targets in the queue. Single operations are atomic.
+        self._pending: set[str] = set()
+
+    def check(self, target: events.Target) -> None:
+        """Checks a target soon; may be called from any thread."""
+        if target.name not in self._pending:
+            self._pending.add(target.name)
+            self._targets.put(target)
+
+    @contextlib.contextmanager
+    def running(self) -> collections.abc.Iterator[None]:
+        """Checks targets until the block ends."""
+        with threads.running(self._run, lambda: self._targets.put(None)):
+            yield
+
+    def _run(self) -> None:
+        while (target := self._targets.get()) is not None:
+            self._pending.discard(target.name)
+            try:
+                has_died = exchange.is_refused(target.address, _TIMEOUT_S)
+            except Exception:  # pylint: disable=broad-exception-caught
+                # One invalid address must not end the checks of other targets.
+                _logger.exception("probe of a target failed",
+                                  extra={"target": target.name})
+                continue
+            _logger.info("target died" if has_died else "target broke off",
+                         extra={
+                             "target": target.name,
+                             "address": target.address
+                         })
+            if has_died:
+                self._report(target.name)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -26,6 +26,7 @@
 from persimmonspan.connection import forwarding_listener
 from persimmonspan.connection import relay
 from persimmonspan.process import clock
+from persimmonspan.process import death_probe
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
@@ -94,8 +95,11 @@
         self.scheduler = scheduler_actor.SchedulerActor.start(
             self.metrics,
             secrets.randbits(_SEED_BITS),
+            share=self._share_quarantine,
             limits=retry_limits(options.retry),
             notify_peers=self._notify_peers)
+        self._death_probe = death_probe.DeathProbe(
+            lambda name: self.scheduler.tell(events.TargetDied(name)))
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
         self._retry_daemons = _MIN_RETRY_DAEMONS
@@ -155,7 +159,8 @@
             forwarded.compute_end_s(call, route, arrived_s))
         self._refuse_while_stopping(routed_call)
         context = forwarding.Context(configuration, self._find_target,
-                                     self._record_moved_target, self.scheduler,
+                                     self._record_moved_target,
+                                     self._death_probe.check, self.scheduler,
                                      self.metrics, self._relay, self.wire,
                                      self._response_budget)
         return forwarding.serve(routed_call, context, responder)
@@ -243,6 +248,10 @@
         if self._peers is not None:
             self._peers.wake()
 
+    def _share_quarantine(self, command: events.ShareQuarantine) -> None:
+        if self._peers is not None:
+            self._peers.publish_quarantine(events.QuarantineShared(*command))
+
     def _record_moved_target(self, target: str) -> None:
         """Excludes a target at whose address another process responds."""
         _logger.warning("another process responds at the target's address",
@@ -394,6 +403,7 @@
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
                 peering.Limits(self._options.drain_s).max_targets_age_s)
+            stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
             stack.enter_context(
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -39,6 +39,7 @@
 
 from persimmonspan.process import directory
 from persimmonspan.process import load_view
+from persimmonspan.process import quarantine_reports
 from persimmonspan.request import events
 
 # Several digests may be lost or late before a daemon counts as gone.
@@ -101,6 +102,7 @@
     entries_id: int = 0  # Of the targets in force at the daemon.
     totals: bytes = b""  # Loads and demands of all daemons, encoded.
     counted_number: int = 0  # The receiver's digest that the totals contain.
+    reports: tuple[quarantine_reports.NumberedReport, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,9 +22,11 @@
 from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.process import quarantine_reports
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.request import events
+from persimmonspan.request import quarantine
 from persimmonspan.request import scheduler
 
 # Table of the store in which each daemon has a row with its address.
@@ -135,6 +137,8 @@
         self._sent_parts: collections.OrderedDict[int, tuple[tuple[
             events.TargetLoad, ...], tuple[events.Demand,
                                            ...]]] = collections.OrderedDict()
+        self._reports = quarantine_reports.State()
+        self._refused: frozenset[str] = frozenset()
         self._last_sent_content: tuple[typing.Any, ...] = ()
         self._last_sent_s = 0.0
         self._links = digest_links.Links(address, self._receive,
@@ -152,6 +156,14 @@
         if not self._is_hub:
             self._links.wake()
 
+    def publish_quarantine(self, report: events.QuarantineShared) -> None:
+        """Sends a report of this daemon's quarantine to all daemons."""
+        with self._lock:
+            self._reports = quarantine_reports.publish(
+                self._reports, random.getrandbits(_NUMBER_BITS), report,
+                clock.now_s())
+        self.wake()
+
     def count_daemons(self) -> int:
         """Returns the number of daemons, with this one."""
         return len(self._state.peers) + 1
@@ -302,6 +314,11 @@
             self._state, is_newer = edge_peers.merge_digest(
                 self._state, digest, now_s, self._own_read.entries_s,
                 self._entries_id)
+            self._reports, reports = quarantine_reports.receive(
+                self._reports, digest.reports, self._refused, self._is_hub,
+                now_s)
+        for report in reports:
+            self._scheduler.tell(report)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         snapshot = digest.news
         if is_newer or (snapshot is not None and snapshot.configuration):
@@ -321,18 +338,18 @@
         self._links.set_peers(receivers.values())
         if not receivers:
             return {}
-        loads, demands = self._scheduler.ask(
-            scheduler_actor.Evaluate(_loads_and_demands))
+        loads, demands, refusals = self._scheduler.ask(
+            scheduler_actor.Evaluate(_shared_state))
+        reports = self._select_reports(refusals, now_s)
         snapshot = self._store_snapshot(state, now_s)
-        own_read = self._own_read
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
-        content = (loads, state.can_read, self._own_version, own_read.version,
-                   self._entries_id, snapshot and own_read.entries_s)
-        is_changed = is_hub or content != self._last_sent_content
-        if not edge_peers.is_digest_due(is_changed, self._last_sent_s, now_s):
+        content = (loads, state.can_read, self._own_version,
+                   self._own_read.version, self._entries_id, snapshot and
+                   self._own_read.entries_s,
+                   [(number, report.fingerprint) for number, report in reports])
+        if not self._is_digest_due(content, is_hub, now_s):
             return {}
-        self._last_sent_content, self._last_sent_s = content, now_s
         digest = edge_peers.Digest(self._name,
                                    self._address,
                                    self._state.can_read,
@@ -342,7 +359,8 @@
                                    self._own_version,
                                    demands,
                                    number=self._remember_part(loads, demands),
-                                   entries_id=self._entries_id)
+                                   entries_id=self._entries_id,
+                                   reports=reports)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
             digest = msgspec.structs.replace(
@@ -365,6 +383,24 @@
             for name, address in receivers.items()
         }
 
+    def _is_digest_due(self, content: tuple[typing.Any, ...], is_hub: bool,
+                       now_s: float) -> bool:
+        """Returns whether to send a digest; records its content if so."""
+        is_changed = is_hub or content != self._last_sent_content
+        if not edge_peers.is_digest_due(is_changed, self._last_sent_s, now_s):
+            return False
+        self._last_sent_content, self._last_sent_s = content, now_s
+        return True
+
+    def _select_reports(
+            self, refusals: tuple[events.QuarantineShared, ...],
+            now_s: float) -> tuple[quarantine_reports.NumberedReport, ...]:
+        with self._lock:
+            self._refused = frozenset(item.fingerprint for item in refusals)
+            self._reports, reports = quarantine_reports.select(
+                self._reports, refusals, now_s)
+        return reports
+
     def _remember_part(self, loads: tuple[events.TargetLoad, ...],
                        demands: tuple[events.Demand, ...]) -> int:
         """Records what the next digest tells; returns the digest's number."""
@@ -445,7 +481,9 @@
     return zlib.decompressobj().decompress(data, _MAX_CONFIGURATION_BYTES)
 
 
-def _loads_and_demands(
+def _shared_state(
     state: scheduler.State, now_s: float
-) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...]]:
-    return scheduler.own_loads(state), scheduler.own_demands(state, now_s)
+) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...], tuple[
+        events.QuarantineShared, ...]]:
+    return (scheduler.own_loads(state), scheduler.own_demands(state, now_s),
+            quarantine.list_refusals(state.suspects, now_s))
--- a/persimmonspan/request/arrival.py
+++ b/persimmonspan/request/arrival.py
@@ -7,6 +7,9 @@
 from persimmonspan.version import routes
 
 _MAX_REPORTED_PRIORITY = 9
+_FINGERPRINT_DIGITS = 32
+# Parts of a prompt against which evidence is kept; the first ones are shared.
+_MAX_PARTS = 16
 
 
 def build(routed_call: forwarded.RoutedCall,
@@ -16,7 +19,7 @@
     service = configuration.services.get(routed_call.service)
     engine = service.engine if service is not None else None
     digest = hashlib.sha256(f"{call.target}\n{call.key}\n".encode() +
-                            call.body).hexdigest()
+                            call.body).hexdigest()[:_FINGERPRINT_DIGITS]
     return events.Arrived(
         request_id=routed_call.request_id,
         workspace=routed_call.workspace.name if routed_call.workspace else "",
@@ -26,6 +29,9 @@
         max_output_tokens=call.max_output_tokens,
         deadline_s=routed_call.end_s,
         fingerprint=digest,
+        # The last part belongs to the request itself or to its session.
+        part_fingerprints=tuple(
+            f"part:{name}" for name, _ in call.prefix_parts[:-1][:_MAX_PARTS]),
         is_idempotent=route.is_idempotent,
         idempotency_key=routed_call.request_id,
         max_attempts=route.max_attempts,
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -54,6 +54,8 @@
 # passed on for a request that may have run.
 _NOT_RUN_STATUSES = frozenset({503})
 
+_LOST_CONNECTION_SIGNALS = frozenset({relay.Signal.CLOSED, relay.Signal.RESET})
+
 _logger = logging.getLogger(__name__)
 
 
@@ -63,6 +65,7 @@
     configuration: routes.Configuration
     find_target: collections.abc.Callable[[str], events.Target | None]
     report_wrong_target: collections.abc.Callable[[str], None]
+    report_broken_target: collections.abc.Callable[[events.Target], None]
     scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
     metrics: metrics.Metrics
     relay: relay.Relay
@@ -141,6 +144,7 @@
         self._head: forwarded.ResponseHead | None = None
         self._body = response_body.HeldBody(context.response_budget)
         self._target_error: errors.TargetError | None = None
+        self._is_connection_lost = False  # It ended before the response.
         self._target: events.Target | None = None
         self._may_have_run_before = False
         self._copies = copies.Copies(routed_call, context)
@@ -222,6 +226,8 @@
             if outcome is events.Outcome.COMPLETED:
                 self._report_end(outcome)
                 return True
+            if self._is_connection_lost:
+                self._context.report_broken_target(target)
             _logger.info("attempt ended",
                          extra={
                              "target": target.name,
@@ -282,6 +288,7 @@
         self._reader = exchange.ResponseReader(self._routed_call.call.method)
         self._head = None
         self._target_error = None
+        self._is_connection_lost = False
         self._copies.reset()
         self._body.clear()
         self._stream = event_stream.prepare_resume(self._stream)
@@ -343,6 +350,7 @@
     def _handle_connection_end(self, signal: relay.Signal) -> None:
         if self._target_error is not None or self._reader.is_complete:
             return
+        self._is_connection_lost = signal in _LOST_CONNECTION_SIGNALS
         if signal is relay.Signal.CLOSED:
             # A response without a length ends with the connection.
             self._consume(b"", time.monotonic())
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -58,7 +58,11 @@
         state = state._replace(health_state=health_state)
     is_before_sweep = (isinstance(event, events.Tick) and
                        now_s - state.last_sweep_s < _SWEEP_INTERVAL_S)
-    if isinstance(event, _QUARANTINE_EVENTS) and not is_before_sweep:
+    # A target that leaves cuts what still runs there when it ends.
+    is_announced = (isinstance(event, events.TargetDied) and
+                    event.target in state.leaving)
+    if (isinstance(event, _QUARANTINE_EVENTS) and not is_before_sweep and
+            not is_announced):
         suspects, quarantine_commands = quarantine.step(state.suspects, event,
                                                         now_s)
         state = state._replace(suspects=suspects)
