--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -88,6 +88,13 @@
                         headers=[("Host", "target")]))
         self._decoder.send(h11.EndOfMessage())
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, and not just an end."""
+        return self.head is not None and (
+            self.head.get(b"content-length") is not None or
+            self.head.get(b"transfer-encoding") is not None)
+
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes of the body that the data contain.
 
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -143,6 +143,7 @@
         self._reader = exchange.ResponseReader(routed_call.call.method)
         self._head: forwarded.ResponseHead | None = None
         self._body = response_body.HeldBody(context.response_budget)
+        self._events_before_attempt = 0
         self._target_error: errors.TargetError | None = None
         self._is_connection_lost = False  # It ended before the response.
         self._target: events.Target | None = None
@@ -289,6 +290,7 @@
         self._head = None
         self._target_error = None
         self._is_connection_lost = False
+        self._events_before_attempt = self.event_count
         self._copies.reset()
         self._body.clear()
         self._stream = event_stream.prepare_resume(self._stream)
@@ -444,4 +446,14 @@
             self._target_error = exchange.BrokenResponseError(
                 errors.Code.TARGET_FAILED, "the stream ends within an event")
             return events.Outcome.INTERRUPTED
+        if self.event_count == self._events_before_attempt:
+            if not self._reader.is_framed:
+                # A target that crashes closes the connection alike.
+                self._target_error = exchange.BrokenResponseError(
+                    errors.Code.TARGET_FAILED,
+                    "the stream ends without an event")
+                return events.Outcome.INTERRUPTED
+            if not self.has_response_begun:
+                self.answer = forwarded.Response(self._head.status,
+                                                 self._head.headers, b"")
         return events.Outcome.COMPLETED
