--- a/persimmonspan/process/death_probe.py
+++ b/persimmonspan/process/death_probe.py
@@ -26,10 +26,13 @@
     """Connects to targets that broke off, and reports those that died.
 
     Args:
-        report: Called with the name of each target that died.
+        report: Called with the result.
     """
 
-    def __init__(self, report: collections.abc.Callable[[str], None]) -> None:
+    def __init__(
+        self, report: collections.abc.Callable[
+            [events.TargetDied | events.TargetAlive], object]
+    ) -> None:
         self._report = report
         self._targets: queue.SimpleQueue[events.Target |
                                          None] = queue.SimpleQueue()
@@ -63,5 +66,5 @@
                              "target": target.name,
                              "address": target.address
                          })
-            if has_died:
-                self._report(target.name)
+            result = events.TargetDied if has_died else events.TargetAlive
+            self._report(result(target.name))
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -145,14 +145,18 @@
 
 def place(state: State, item: queueing.QueuedRequest, allowed: tuple[str, ...],
           now_s: float, rng: random.Random) -> Result:
-    """Dispatches a request; returns no commands if no target admits it.
+    """Dispatches a request; returns no commands if it has to wait.
 
     `allowed`, if not empty, restricts the choice to these targets. A request
-    that the quarantine refuses gets no target.
+    that the quarantine refuses gets no target. One that may have crashed its
+    targets waits until this is known.
     """
     arrived = item.arrived
     if quarantine.find_refused(state.suspects, fingerprints(arrived), now_s):
         return refuse(state, item, errors.Code.QUARANTINED, now_s, rng)
+    if item.tried_targets and quarantine.must_wait(
+            state.suspects, arrived.request_id, arrived.fingerprint, now_s):
+        return state, []
     query = choice.TargetQuery(arrived.service, item.profile, item.is_long,
                                arrived.is_idempotent, item.tried_targets,
                                allowed)
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -43,7 +43,8 @@
 _HEALTH_EVENTS = (events.FirstToken, events.Progressed, events.AttemptEnded,
                   events.TargetDied, events.Tick)
 _QUARANTINE_EVENTS = (events.AttemptEnded, events.Progressed,
-                      events.RequestMoved, events.TargetDied, events.PeerLoad,
+                      events.RequestMoved, events.TargetDied,
+                      events.TargetAlive, events.LoadReported, events.PeerLoad,
                       events.QuarantineShared, events.QuarantineLifted,
                       events.Tick)
 
