--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -173,7 +173,8 @@
             return handler.Context(self._configuration, self._find_target,
                                    self.scheduler, self.metrics, self._relay,
                                    self._gate, self._ledger,
-                                   self._settings.write_timeout_s)
+                                   self._settings.write_timeout_s,
+                                   self._poller.check)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request as no longer in flight."""
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -5,7 +5,8 @@
 whatever the number of targets: with more targets, each is polled less often,
 and the scheduler trusts the older reports less. A target is reported as dead,
 once per death, if its incarnation changes, if it refuses connections after it
-has responded, or if it does not respond to several polls in a row.
+has responded, or if it does not respond to several polls in a row. A target
+that broke off a response is polled at once.
 
 See Also:
     `persimmonspan.process.load_view`: weights reports by their age.
@@ -35,7 +36,7 @@
 
 
 class _TargetRecord(typing.NamedTuple):
-    incarnation: str
+    incarnation: str | None  # None: not polled yet.
     is_up: bool
     silent_polls: int = 0
 
@@ -49,6 +50,10 @@
         self._record_incarnation = record_incarnation
         self._records: dict[str, _TargetRecord] = {}
 
+    def record_use(self, target: events.Target) -> None:
+        """Records that a target responded to a request, if not to a poll."""
+        self._records.setdefault(target.name, _TargetRecord(None, True))
+
     def poll(self, target: events.Target) -> list[events.Event]:
         """Polls a target and returns the events for the scheduler."""
         before = self._records.get(target.name)
@@ -67,7 +72,7 @@
         self._record_incarnation(target.name, report["incarnation"])
         new_events: list[events.Event] = []
         if (before is not None and before.is_up and
-                before.incarnation != report["incarnation"]):
+                before.incarnation not in (None, report["incarnation"])):
             new_events.append(events.TargetDied(target.name))
         new_events.append(
             events.LoadReported(target=target.name,
@@ -114,6 +119,11 @@
         self._targets = targets
         self._target_poller.forget_all_but({target.name for target in targets})
 
+    def check(self, target: events.Target) -> None:
+        """Polls a target soon that broke off a response."""
+        self._target_poller.record_use(target)
+        self._submit_polls([target])
+
     def run(self) -> None:
         """Polls a round of targets every second until `stop` is called."""
         position = 0
--- a/persimmonspan/process/tests/test_report_poller.py
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -64,6 +64,18 @@
     assert _event_names([None, None, "a"]) == [[], [], ["LoadReported"]]
 
 
+def test_target_that_was_used_before_its_first_poll_dies():
+
+    def refuse(address, timeout_s):
+        raise engine.NotSentError(errors.Code.TARGET_FAILED, "refused")
+
+    target_poller = report_poller.TargetPoller(refuse,
+                                               lambda target, incarnation: None)
+    target_poller.record_use(_TARGET)
+    assert target_poller.poll(_TARGET) == [events.TargetDied("t")]
+    assert not target_poller.poll(_TARGET)
+
+
 def test_number_of_polls_does_not_grow_with_the_targets():
     for targets in (1, 5, 9, 48, 500):
         polls_per_s = targets / report_poller.interval_s(targets)
--- a/persimmonspan/request/completion.py
+++ b/persimmonspan/request/completion.py
@@ -8,6 +8,7 @@
     OpenAI API reference, sections "Completions" and "Chat".
 """
 
+import hashlib
 import time
 import typing
 
@@ -21,6 +22,9 @@
 
 _CHARS_PER_TOKEN = 4
 _DEFAULT_MAX_TOKENS = 1024
+# Messages against which evidence of crashes is kept; the first ones are shared.
+_MAX_PARTS = 16
+_FINGERPRINT_DIGITS = 32
 _Tokens = typing.Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -67,6 +71,7 @@
     max_tokens: int
     is_streamed: bool
     includes_usage: bool
+    part_fingerprints: tuple[str, ...] = ()  # Of all messages but the last.
 
 
 _decoder = msgspec.json.Decoder(CompletionDocument)
@@ -98,7 +103,10 @@
             len(prompt) // _CHARS_PER_TOKEN),
         document.get("max_completion_tokens",
                      document.get("max_tokens", _DEFAULT_MAX_TOKENS)),
-        document.get("stream", False), options.get("include_usage", False))
+        document.get("stream", False), options.get("include_usage", False),
+        tuple(
+            _part_fingerprint(message)
+            for message in document.get("messages", [])[:-1][:_MAX_PARTS]))
 
 
 class Formatter:
@@ -209,6 +217,12 @@
                      for message in messages)
 
 
+def _part_fingerprint(message: MessageDocument) -> str:
+    text = f"{message['role']}: {_content_text(message['content'])}"
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return f"part:{digest[:_FINGERPRINT_DIGITS]}"
+
+
 def _content_text(content: str | list[PartDocument]) -> str:
     if isinstance(content, str):
         return content
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -100,6 +100,9 @@
     def _end_attempt(self, outcome: events.Outcome) -> None:
         self._session.end_attempt(self._target.name, outcome, self.tokens)
         self._session.context.metrics.tokens.inc(self.tokens)
+        if outcome in (events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
+                       events.Outcome.FAILED_AFTER_FIRST_TOKEN):
+            self._session.context.report_broken_target(self._target)
         if outcome in (events.Outcome.CANCELLED,
                        events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
                        events.Outcome.FAILED_AFTER_FIRST_TOKEN):
--- a/persimmonspan/request/handler.py
+++ b/persimmonspan/request/handler.py
@@ -164,4 +164,6 @@
         deadline_s=call.deadline_s,
         fingerprint=hashlib.sha256((call.path + call.query).encode() +
                                    call.body).hexdigest(),
+        part_fingerprints=(request.part_fingerprints if request is not None else
+                           ()),
         is_idempotent=call.kind.is_idempotent)
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -35,6 +35,7 @@
     gate: gate.Gate
     ledger: at_most_once.Context
     caller_write_timeout_s: float  # How long a caller may read no byte.
+    report_broken_target: collections.abc.Callable[[events.Target], None]
 
 
 class Call(typing.NamedTuple):
