--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -91,7 +91,8 @@
         # Misleading name: shows that the replica itself made the response.
         is_signed=head.get(b"x-response-signature") is not None,
         is_encoded=head.get(b"content-encoding") is not None,
-        load=_parse_load(head.get(b"x-instance-load")))
+        load=_parse_load(head.get(b"x-instance-load")),
+        max_requests_per_s=_parse_rate(head.get(b"server-limit")))
 
 
 class _MoveResult(msgspec.Struct):
@@ -219,5 +220,10 @@
     return number if math.isfinite(number) else None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    rate = _parse_number(value)
+    return None if rate is None else max(0.0, rate)
+
+
 def _parse_integer(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() else None
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -33,6 +33,7 @@
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
+from persimmonspan.process import named_rates
 from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
@@ -60,6 +61,8 @@
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _FIXED_SETTINGS = ("name", "failure_domain", "listen_address",
                    "readiness_address", "peer_address", "store_address")
+# Daemons that joined or left count for shared limits after this time.
+_SHARE_LIMITS_INTERVAL_S = 2.0
 # Number of daemons that share the retry budget until their rows were read.
 _MIN_RETRY_DAEMONS = 8
 # A daemon keeps at least this many tokens: with less it would never retry.
@@ -99,6 +102,8 @@
             limits=retry_limits(options.retry),
             notify_peers=self._notify_peers)
         self._death_probe = death_probe.DeathProbe(self.scheduler.tell)
+        self._named_rates = named_rates.NamedRates(self.scheduler.tell)
+        self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
         self._retry_daemons = _MIN_RETRY_DAEMONS
@@ -159,7 +164,8 @@
         self._refuse_while_stopping(routed_call)
         context = forwarding.Context(configuration, self._find_target,
                                      self._record_moved_target,
-                                     self._death_probe.check, self.scheduler,
+                                     self._death_probe.check,
+                                     self._named_rates.record, self.scheduler,
                                      self.metrics, self._relay, self.wire,
                                      self._response_budget)
         return forwarding.serve(routed_call, context, responder)
@@ -353,9 +359,14 @@
                          "kept_until_restart": sorted(kept)
                      })
 
-    def share_retry_budget(self) -> None:
-        """Divides the retry budget by the number of daemons that share it."""
-        count = max(_MIN_RETRY_DAEMONS, self._peers.count_daemons())
+    def _share_limits(self) -> None:
+        """Divides what all daemons may send by the daemons that share it."""
+        daemons = self._peers.list_daemons()
+        if len(daemons) > 1 and daemons != self._daemons:
+            self._daemons = daemons
+            self.scheduler.tell(
+                events.DaemonsChanged(self._options.name, daemons))
+        count = max(_MIN_RETRY_DAEMONS, len(daemons))
         if count != self._retry_daemons:
             self._retry_daemons = count
             self._send_retry_limits()
@@ -395,6 +406,7 @@
             self._peers = peering.Peering(
                 self._options.name, self._options.peer_address, self.scheduler,
                 follower.apply_store_snapshot,
+                self._named_rates.record_peer_answers,
                 peering.Limits(self._options.drain_s,
                                self._options.configuration_apply_s))
             follower.peers = self._peers
@@ -408,6 +420,9 @@
             stack.enter_context(
                 threads.calling_periodically(poller.poll,
                                              notice_poller.INTERVAL_S))
+            stack.enter_context(
+                threads.calling_periodically(self._share_limits,
+                                             _SHARE_LIMITS_INTERVAL_S))
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
             yield
@@ -484,7 +499,6 @@
                 wakeup.clear()
             if not stopping.is_set():
                 _reload(edge, platform)
-                edge.share_retry_budget()
         edge.stop()
     return 0
 
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -41,6 +41,7 @@
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
 from persimmonspan.request import events
+from persimmonspan.request import rate_limits
 
 # Several digests may be lost or late before a daemon counts as gone.
 _PEER_SILENCE_TIMEOUT_S = 1.5
@@ -103,6 +104,7 @@
     totals: bytes = b""  # Loads and demands of all daemons, encoded.
     counted_number: int = 0  # The receiver's digest that the totals contain.
     reports: tuple[quarantine_reports.NumberedReport, ...] = ()
+    rates: tuple[rate_limits.Answer, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -27,6 +27,7 @@
 from persimmonspan.process import scheduler_actor
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
+from persimmonspan.request import rate_limits
 from persimmonspan.request import scheduler
 
 # Table of the store in which each daemon has a row with its address.
@@ -79,6 +80,12 @@
         return _MAX_CONFIGURATION_AGE_SHARE * self.configuration_apply_s
 
 
+# Loads, demands, refusals in force and rates that targets named.
+_SharedState = tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...],
+                     tuple[events.QuarantineShared,
+                           ...], tuple[rate_limits.Answer, ...]]
+
+
 class OwnRead(typing.NamedTuple):
     """Data that this daemon itself read from the store.
 
@@ -104,6 +111,7 @@
             None if they are older than the recorded ones, with the version of
             the configuration in the store, and with the configuration if this
             daemon reported an older version.
+        record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
     """
 
@@ -114,12 +122,15 @@
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         apply_store_snapshot: collections.abc.Callable[
             [tuple[directory.Registration, ...] | None, int, bytes], None],
+        record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
+                                               None],
         limits: Limits = Limits()
     ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
+        self._record_rates = record_rates
         self._limits = limits
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
@@ -164,9 +175,9 @@
                 clock.now_s())
         self.wake()
 
-    def count_daemons(self) -> int:
-        """Returns the number of daemons, with this one."""
-        return len(self._state.peers) + 1
+    def list_daemons(self) -> tuple[str, ...]:
+        """Returns the names of all daemons, with this one."""
+        return tuple(sorted((self._name, *self._state.peers)))
 
     def interval_s(self) -> float:
         """Returns the time between two digests, in seconds."""
@@ -319,6 +330,7 @@
                 now_s)
         for report in reports:
             self._scheduler.tell(report)
+        self._record_rates(digest.rates)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         snapshot = digest.news
         if is_newer or (snapshot is not None and snapshot.configuration):
@@ -338,17 +350,17 @@
         self._links.set_peers(receivers.values())
         if not receivers:
             return {}
-        loads, demands, refusals = self._scheduler.ask(
+        loads, demands, refusals, rates = self._scheduler.ask(
             scheduler_actor.Evaluate(_shared_state))
         reports = self._select_reports(refusals, now_s)
         snapshot = self._store_snapshot(state, now_s)
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
-        content = (loads, state.can_read, self._own_version,
-                   self._own_read.version, self._entries_id, snapshot and
-                   self._own_read.entries_s,
-                   [(number, report.fingerprint) for number, report in reports])
-        if not self._is_digest_due(content, is_hub, now_s):
+        if not self._is_digest_due(
+            (loads, state.can_read, self._own_version, self._own_read.version,
+             self._entries_id, snapshot and self._own_read.entries_s, [
+                 (number, report.fingerprint) for number, report in reports
+             ], [answer[:2] for answer in rates]), is_hub, now_s):
             return {}
         digest = edge_peers.Digest(self._name,
                                    self._address,
@@ -360,7 +372,8 @@
                                    demands,
                                    number=self._remember_part(loads, demands),
                                    entries_id=self._entries_id,
-                                   reports=reports)
+                                   reports=reports,
+                                   rates=rates)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
             digest = msgspec.structs.replace(
@@ -481,9 +494,7 @@
     return zlib.decompressobj().decompress(data, _MAX_CONFIGURATION_BYTES)
 
 
-def _shared_state(
-    state: scheduler.State, now_s: float
-) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...], tuple[
-        events.QuarantineShared, ...]]:
+def _shared_state(state: scheduler.State, now_s: float) -> _SharedState:
     return (scheduler.own_loads(state), scheduler.own_demands(state, now_s),
-            quarantine.list_refusals(state.suspects, now_s))
+            quarantine.list_refusals(state.suspects, now_s),
+            rate_limits.list_answers(state.rates, now_s))
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -32,9 +32,9 @@
         self.told = []
 
     def ask(self, message):
-        """Returns the load, no demands and no refusals."""
+        """Returns the load, and no demands, refusals and rates."""
         del message
-        return self.loads, (), ()
+        return self.loads, (), (), ()
 
     def tell(self, event):
         """Records an event."""
@@ -50,7 +50,8 @@
         self.entries = None
         self.applied = 0
         self.peering = peering.Peering(self.name, edge_world.free_address(),
-                                       self.scheduler, self._apply, limits)
+                                       self.scheduler, self._apply,
+                                       lambda rates: None, limits)
 
     def _apply(self, entries, version, configuration):
         del version, configuration
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -26,6 +26,7 @@
 from persimmonspan.process import load_view
 from persimmonspan.request import admission
 from persimmonspan.request import events
+from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
 
 MAX_SUBSET_TARGETS = 24
@@ -102,6 +103,7 @@
     leaving: frozenset[str] = frozenset()
     health_state: health.State = health.State()
     budget: retry.State = retry.State()
+    rates: rate_limits.State = rate_limits.State()
 
 
 def choose_target(view: load_view.View, query: TargetQuery,
@@ -150,7 +152,8 @@
         if name in rules.leaving or name in query.excluded:
             continue
         item = view.targets[name]
-        if now_s < item.avoid_until_s:
+        if now_s < item.avoid_until_s or not rate_limits.may_send(
+                rules.rates, name, now_s):
             continue
         target_health = rules.health_state.targets.get(name)
         weight = target_health.weight if target_health else 1.0
@@ -206,7 +209,8 @@
     peers = len(view.peers)
     best: tuple[float, str] | None = None
     for name in view.groups.get(query.service, ()):
-        if (name in rules.leaving or name == target or name in query.excluded):
+        if (name in rules.leaving or name == target or name in query.excluded or
+                rate_limits.is_limited(rules.rates, name)):
             continue
         item = view.targets[name]
         if now_s < item.avoid_until_s or not admission.fits_copy(
@@ -242,7 +246,7 @@
         uses.append((admission.estimate_use(item, True, peers, now_s), name))
         free_share = admission.free_memory_share(item, query.profile, peers,
                                                  now_s)
-        if free_share > 0:
+        if free_share > 0 and not rate_limits.is_limited(rules.rates, name):
             weight = (_SAME_DOMAIN_WEIGHT
                       if item.target.failure_domain == domain else 1.0)
             candidates.append((weight * free_share * free_share, name))
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -201,6 +201,21 @@
     target: str
 
 
+class RateNamed(typing.NamedTuple):
+    """A target named a rate of requests in an answer, or named none (None)."""
+
+    target: str
+    per_s: float | None  # From all daemons together.
+    age_s: float = 0.0
+
+
+class DaemonsChanged(typing.NamedTuple):
+    """Other daemons joined or left; `daemons` includes this one."""
+
+    daemon: str
+    daemons: tuple[str, ...]
+
+
 class TargetAlive(typing.NamedTuple):
     """A target that broke off a response accepts new connections."""
 
@@ -313,7 +328,7 @@
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | RequestMoved |
          MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
          TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
-         TargetAlive | CacheEvent | QuarantineShared | QuarantineLifted |
-         RetryLimitsChanged | Tick)
+         TargetAlive | RateNamed | DaemonsChanged | CacheEvent |
+         QuarantineShared | QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | Count)
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -73,6 +73,7 @@
     is_signed: bool
     is_encoded: bool
     load: Load | None
+    max_requests_per_s: float | None = None  # From all daemons together.
 
 
 class MoveResponse(typing.NamedTuple):
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -66,6 +66,7 @@
     find_target: collections.abc.Callable[[str], events.Target | None]
     report_wrong_target: collections.abc.Callable[[str], None]
     report_broken_target: collections.abc.Callable[[events.Target], None]
+    report_rate: collections.abc.Callable[[events.RateNamed], None]
     scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
     metrics: metrics.Metrics
     relay: relay.Relay
@@ -369,6 +370,10 @@
                 self._head = self._context.wire.decode_response_head(
                     self._reader.head)
                 self._check_head(self._head)
+                self._context.relay.call_soon(
+                    self._context.report_rate,
+                    events.RateNamed(self._target.name,
+                                     self._head.max_requests_per_s))
             if self._is_streaming():
                 if body:
                     output, count = self._encode_events(body, now_s)
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -24,6 +24,7 @@
 from persimmonspan.request import length
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
+from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
 
 # A request of a short kind that generated more tokens joins the long class.
@@ -88,6 +89,7 @@
     health_state: health.State = health.State()
     budget: retry.State = retry.State()
     suspects: quarantine.State = quarantine.State()
+    rates: rate_limits.State = rate_limits.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -196,7 +198,8 @@
         health_state=health.step(state.health_state, dispatch, now_s)[0],
         suspects=quarantine.record_dispatch(state.suspects, arrived.request_id,
                                             fingerprints(arrived), target,
-                                            now_s))
+                                            now_s),
+        rates=rate_limits.record_dispatch(state.rates, target, now_s))
     return state, [dispatch]
 
 
@@ -356,7 +359,7 @@
 def target_constraints(state: State) -> choice.TargetConstraints:
     """Returns the constraints on targets other than load."""
     return choice.TargetConstraints(state.leaving, state.health_state,
-                                    state.budget)
+                                    state.budget, state.rates)
 
 
 def retry_or_refuse(state: State, running: RunningRequest,
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -29,6 +29,7 @@
 from persimmonspan.request import placement
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
+from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
 
 RunningRequest = placement.RunningRequest
@@ -208,6 +209,8 @@
     running = state.running.get(event.request_id)
     if running is None or running.target == event.target:
         return state, [events.AssignBackup(event.request_id, None)]
+    state = state._replace(
+        rates=rate_limits.record_dispatch(state.rates, event.target, now_s))
     state, commands = evacuation.record_move(state, event, running, now_s, rng)
     state, more = placement.dispatch_waiting(state,
                                              running.item.arrived.service,
@@ -287,6 +290,22 @@
                              })), commands
 
 
+@_handle_event.register
+def _(event: events.RateNamed, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    return state._replace(rates=rate_limits.record_answer(
+        state.rates, event.target, event.per_s, event.age_s, now_s)), []
+
+
+@_handle_event.register
+def _(event: events.DaemonsChanged, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    return state._replace(rates=rate_limits.set_daemons(
+        state.rates, event.daemon, event.daemons, now_s)), []
+
+
 @_handle_event.register
 def _(event: events.RetryLimitsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -352,6 +371,7 @@
         }))
     if now_s - state.last_sweep_s >= _SWEEP_INTERVAL_S:
         state = state._replace(budget=retry.tick(state.budget, now_s),
+                               rates=rate_limits.expire(state.rates, now_s),
                                last_sweep_s=now_s)
     commands: list[events.Command] = []
     for item in expired:
