--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -83,6 +83,7 @@
     def __init__(self, script: Script) -> None:
         self.requests: list[Request] = []
         self.script = script
+        self.is_stopped = False
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
 
@@ -99,6 +100,7 @@
 
     def stop(self) -> None:
         """Stops accepting connections."""
+        self.is_stopped = True
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -3,7 +3,9 @@
 Real daemons run as processes in front of stand-ins of the store and of
 replicas. While callers send requests, daemons are paused, killed, stopped and
 restarted, the store fails, and replicas interrupt responses, reset connections
-and leave. Afterwards the responses and the runs at replicas are checked.
+and leave. One part of a prompt crashes each engine that begins to answer it.
+Faults end before the callers do: the daemons must then refuse the part.
+Afterwards the responses and the runs at replicas are checked.
 
     python -m testbed.soak --seeds 50 --seconds 8
 """
@@ -13,6 +15,7 @@
 import collections.abc
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -31,17 +34,29 @@
 
 _HOST = "a.example"
 _DAEMON_COUNT = 3
+_DESKS = 3
+_ENGINES = 3
 _EVENTS_PER_STREAM = 12
 _CALLER_PAUSE_S = 0.05
 _CALLER_COUNT = 6
 _RESPONSE_TIMEOUT_S = 6.0
 _SHUTDOWN_GRACE_S = 2.0
-_PROMISES = ("answered_wrong", "ran_twice", "refused_but_ran", "stream_wrong",
-             "served_nothing")
+_RESTART_S = 1.0
+_CRASHING_PART = "bad0"
+_CRASHING_SHARE = 0.15  # Of the drafts.
+# After the faults, daemons have this time to be in touch, and are then checked.
+_SETTLE_S = 3.0
+_CHECK_S = 4.0
+# The bounds of the operators for the time of the check.
+_MAX_LATE_CRASHES = 3
 
 
 class Result(typing.NamedTuple):
-    """Response to one request; status 0 means no whole response."""
+    """Response to one request; status 0 means no whole response.
+
+    The kind is that of its route, or "crashing" for a draft with the part that
+    crashes engines.
+    """
 
     request_id: str
     kind: str
@@ -84,6 +99,20 @@
     return dict(broken)
 
 
+def find_exceeded_bounds(late_crashes: int) -> dict[str, list[str]]:
+    """Returns which bounds were exceeded after the faults had ended.
+
+    Args:
+        late_crashes: Engines that crashed.
+
+    >>> find_exceeded_bounds(3), find_exceeded_bounds(4)
+    ({}, {'part_not_refused': ['4 crashes']})
+    """
+    if late_crashes > _MAX_LATE_CRASHES:
+        return {"part_not_refused": [f"{late_crashes} crashes"]}
+    return {}
+
+
 def _stream_body() -> bytes:
     return b"".join(b"id: %d\ndata: t%d\n\n" % (number, number)
                     for number in range(1, _EVENTS_PER_STREAM + 1))
@@ -94,10 +123,18 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.runs: collections.Counter[str] = collections.Counter()
+        self.crashed_s: list[float] = []
+        self.on_crash: collections.abc.Callable[[replica.Replica], None]
         self.fault_share = 0.0
         self._rng = rng
         self._lock = threading.Lock()
 
+    def add_engine(self) -> replica.Replica:
+        """Returns an engine."""
+        engine = replica.Replica(
+            lambda request: self._run_engine(engine, request))
+        return engine
+
     def respond_plain(
         self, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
@@ -119,7 +156,23 @@
         else:
             yield answer
 
-    def stream_draft(
+    def _run_engine(
+        self, engine: replica.Replica, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
+        """Streams a draft until the engine crashes."""
+        if f"{_CRASHING_PART}:" in request.headers.get("x-prefix-hash", ""):
+            with self._lock:
+                self.runs[request.id] += 1
+                self.crashed_s.append(time.monotonic())
+            engine.stop()
+            self.on_crash(engine)
+            yield replica.stream_head(request)
+            yield replica.ConnectionReset()
+            return
+        for part in self._stream_draft(request):
+            yield replica.ConnectionReset() if engine.is_stopped else part
+
+    def _stream_draft(
         self, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Streams the remaining events, or breaks the stream off."""
@@ -195,6 +248,56 @@
             self.process.wait()
 
 
+class _Entry(typing.NamedTuple):
+    """A replica and its row in the store."""
+
+    server: replica.Replica
+    document: dict[str, typing.Any]
+
+
+def _start_replicas(stack: contextlib.ExitStack, replicas: _Replicas,
+                    store: edge_store.Store) -> dict[str, _Entry]:
+    """Starts replicas; engines that crash come back under another name."""
+    entries: dict[str, _Entry] = {}
+    numbers = itertools.count()
+    lock = threading.Lock()
+
+    def start(server: replica.Replica, service: str) -> None:
+        with lock:
+            name = f"i-{next(numbers)}"
+            stack.enter_context(server.running())
+            entries[name] = _Entry(
+                server, {
+                    "service": service,
+                    "address": server.address,
+                    "zone": "a",
+                    "slots": 6,
+                    "state": "ready"
+                })
+        store.write("servers", name, entries[name].document)
+
+    def replace(engine: replica.Replica) -> None:
+        time.sleep(_RESTART_S)
+        with lock:
+            gone = [
+                name for name, entry in entries.items()
+                if entry.server is engine
+            ]
+            for name in gone:
+                del entries[name]
+        for name in gone:
+            store.write("servers", name, None)
+        start(replicas.add_engine(), "engines")
+
+    replicas.on_crash = lambda engine: threading.Thread(
+        target=replace, args=(engine,), daemon=True).start()
+    for _ in range(_DESKS):
+        start(replica.Replica(replicas.respond_plain), "desk")
+    for _ in range(_ENGINES):
+        start(replicas.add_engine(), "engines")
+    return entries
+
+
 def _free_address() -> str:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return f"127.0.0.1:{listener.getsockname()[1]}"
@@ -230,17 +333,20 @@
 
 
 def _send_request(address: str, request_id: str, kind: str) -> Result:
+    part = _CRASHING_PART if kind == "crashing" else "b0"
+    route = "draft" if kind == "crashing" else kind
     host, port = address.rsplit(":", 1)
     connection = http.client.HTTPConnection(host,
                                             int(port),
                                             timeout=_RESPONSE_TIMEOUT_S)
     try:
         connection.request(
-            "POST", f"/{kind}/1", b"body", {
+            "POST", f"/{route}/1", request_id.encode(), {
                 "Host": _HOST,
                 "X-Attempt-Id": request_id,
                 "X-Deadline-Ms": "4000",
-                "X-Token-Usage": "100,48"
+                "X-Token-Usage": "100,48",
+                "X-Prefix-Hash": f"a0:20,{part}:20,{request_id}:20"
             })
         response = connection.getresponse()
         return Result(request_id, kind, response.status, response.read())
@@ -261,27 +367,14 @@
         self._seconds = seconds
         self._folder = folder
         self._callers_stopped = threading.Event()
+        self._settled_s = 0.0  # When the check of the bounds began.
 
     def run(self) -> dict[str, list[str]]:
         """Runs callers and injects faults; returns the broken promises."""
         replicas = _Replicas(random.Random(self._seed + 1))
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(edge_store.Store().running())
-            entries = {}
-            for number in range(6):
-                is_desk = number < 3
-                server = replica.Replica(replicas.respond_plain
-                                         if is_desk else replicas.stream_draft)
-                stack.enter_context(server.running())
-                entries[f"i-{number}"] = {
-                    "service": "desk" if is_desk else "engines",
-                    "address": server.address,
-                    "zone": "a",
-                    "slots": 6,
-                    "state": "ready"
-                }
-            for name, entry in entries.items():
-                store.write("servers", name, entry)
+            entries = _start_replicas(stack, replicas, store)
             store.write("op", "config", _configuration(1))
             daemons = [
                 _Daemon(number, store.address, self._folder)
@@ -293,11 +386,13 @@
                 for daemon in daemons:
                     daemon.process.kill()
                     daemon.process.wait()
-        return find_broken_promises(self.results, replicas.runs)
+        checked_s = self._settled_s
+        return find_broken_promises(
+            self.results, replicas.runs) | find_exceeded_bounds(
+                sum(at_s >= checked_s for at_s in replicas.crashed_s))
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
-                      replicas: _Replicas, entries: dict[str,
-                                                         typing.Any]) -> None:
+                      replicas: _Replicas, entries: dict[str, _Entry]) -> None:
         time.sleep(1.5)
         callers = [
             threading.Thread(target=self._run_caller, args=(daemons, number))
@@ -312,6 +407,11 @@
             self._inject_fault(daemons, store, replicas, entries, version)
             time.sleep(self._rng.uniform(0.1, 0.6))
         store.mode, replicas.fault_share = "ok", 0.0
+        for name, entry in entries.items():
+            store.write("servers", name, entry.document)
+        time.sleep(_SETTLE_S)
+        self._settled_s = time.monotonic()
+        time.sleep(_CHECK_S)
         self._callers_stopped.set()
         for caller in callers:
             caller.join()
@@ -322,13 +422,15 @@
             if self._callers_stopped.is_set():
                 return
             kind = rng.choice(["idempotent", "non_idempotent", "draft"])
+            if kind == "draft" and rng.random() < _CRASHING_SHARE:
+                kind = "crashing"
             self.results.append(
                 _send_request(
                     rng.choice(daemons).address, f"r{number}x{index}", kind))
             time.sleep(_CALLER_PAUSE_S)
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
-                      replicas: _Replicas, entries: dict[str, typing.Any],
+                      replicas: _Replicas, entries: dict[str, _Entry],
                       version: int) -> None:
         kind = self._rng.choice([
             "kill", "stop", "pause", "store", "replicas", "leave", "change",
@@ -353,7 +455,8 @@
         elif kind == "leave":
             name = self._rng.choice(sorted(entries))
             state = self._rng.choice(["ready", "draining"])
-            store.write("servers", name, entries[name] | {"state": state})
+            store.write("servers", name,
+                        entries[name].document | {"state": state})
         elif kind == "change":
             store.write("op", "config", _configuration(version))
         else:
