--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -4,8 +4,9 @@
 replicas. While callers send requests, daemons are paused, killed, stopped and
 restarted, the store fails, and replicas interrupt responses, reset connections
 and leave. One part of a prompt crashes each engine that begins to answer it.
-Faults end before the callers do: the daemons must then refuse the part.
-Afterwards the responses and the runs at replicas are checked.
+Faults end before the callers do: a replica then names a rate, and the daemons
+must keep to it and refuse the part. Afterwards the responses and the runs at
+replicas are checked.
 
     python -m testbed.soak --seeds 50 --seconds 8
 """
@@ -47,8 +48,10 @@
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
 _CHECK_S = 4.0
+_RATE_PER_S = 1.0
 # The bounds of the operators for the time of the check.
 _MAX_LATE_CRASHES = 3
+_MAX_LIMITED_REQUESTS = 1.5 * _RATE_PER_S * _CHECK_S + 5
 
 
 class Result(typing.NamedTuple):
@@ -99,18 +102,23 @@
     return dict(broken)
 
 
-def find_exceeded_bounds(late_crashes: int) -> dict[str, list[str]]:
+def find_exceeded_bounds(late_crashes: int,
+                         limited_requests: int) -> dict[str, list[str]]:
     """Returns which bounds were exceeded after the faults had ended.
 
     Args:
         late_crashes: Engines that crashed.
+        limited_requests: Requests to the replica that named a rate.
 
-    >>> find_exceeded_bounds(3), find_exceeded_bounds(4)
+    >>> find_exceeded_bounds(3, 11), find_exceeded_bounds(4, 0)
     ({}, {'part_not_refused': ['4 crashes']})
     """
+    broken = {}
     if late_crashes > _MAX_LATE_CRASHES:
-        return {"part_not_refused": [f"{late_crashes} crashes"]}
-    return {}
+        broken["part_not_refused"] = [f"{late_crashes} crashes"]
+    if limited_requests > _MAX_LIMITED_REQUESTS:
+        broken["rate_exceeded"] = [f"{limited_requests} requests"]
+    return broken
 
 
 def _stream_body() -> bytes:
@@ -124,21 +132,33 @@
     def __init__(self, rng: random.Random) -> None:
         self.runs: collections.Counter[str] = collections.Counter()
         self.crashed_s: list[float] = []
+        self.limited_s: list[float] = []  # Requests to the limited replica.
+        self.limited: replica.Replica | None = None
         self.on_crash: collections.abc.Callable[[replica.Replica], None]
         self.fault_share = 0.0
         self._rng = rng
         self._lock = threading.Lock()
 
+    def add_desk(self) -> replica.Replica:
+        """Returns a replica of a plain service."""
+        desk = replica.Replica(
+            lambda request: self._respond_plain(desk, request))
+        return desk
+
     def add_engine(self) -> replica.Replica:
         """Returns an engine."""
         engine = replica.Replica(
             lambda request: self._run_engine(engine, request))
         return engine
 
-    def respond_plain(
-        self, request: replica.Request
+    def _respond_plain(
+        self, desk: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Responds with the request's id, or with a fault."""
+        if desk is self.limited:
+            self.limited_s.append(time.monotonic())
+            yield from self._respond_limited(request)
+            return
         fault = self._choose_fault()
         if fault == "full":
             yield replica.not_run(request)
@@ -156,6 +176,14 @@
         else:
             yield answer
 
+    def _respond_limited(
+            self, request: replica.Request) -> collections.abc.Iterator[bytes]:
+        with self._lock:
+            self.runs[request.id] += 1
+        yield replica.complete_response(request,
+                                        request.id.encode(),
+                                        lines=(f"Server-Limit: {_RATE_PER_S}",))
+
     def _run_engine(
         self, engine: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
@@ -292,7 +320,7 @@
     replicas.on_crash = lambda engine: threading.Thread(
         target=replace, args=(engine,), daemon=True).start()
     for _ in range(_DESKS):
-        start(replica.Replica(replicas.respond_plain), "desk")
+        start(replicas.add_desk(), "desk")
     for _ in range(_ENGINES):
         start(replicas.add_engine(), "engines")
     return entries
@@ -389,7 +417,8 @@
         checked_s = self._settled_s
         return find_broken_promises(
             self.results, replicas.runs) | find_exceeded_bounds(
-                sum(at_s >= checked_s for at_s in replicas.crashed_s))
+                sum(at_s >= checked_s for at_s in replicas.crashed_s),
+                sum(at_s >= checked_s for at_s in replicas.limited_s))
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: _Replicas, entries: dict[str, _Entry]) -> None:
@@ -407,6 +436,7 @@
             self._inject_fault(daemons, store, replicas, entries, version)
             time.sleep(self._rng.uniform(0.1, 0.6))
         store.mode, replicas.fault_share = "ok", 0.0
+        replicas.limited = entries["i-0"].server
         for name, entry in entries.items():
             store.write("servers", name, entry.document)
         time.sleep(_SETTLE_S)
