--- a/persimmonspan/platform/tests/test_crashing_requests.py
+++ b/persimmonspan/platform/tests/test_crashing_requests.py
@@ -4,7 +4,6 @@
 new one takes its place under another name.
 """
 
-import contextlib
 import itertools
 import logging
 import time
@@ -62,14 +61,8 @@
 @pytest.fixture(name="daemons")
 def _daemons(caplog):
     caplog.set_level(logging.INFO)
-    first = edge_world.EdgeEnvironment("edge-1")
-    first.rows.write("op", "config", edge_world.configuration())
-    second = edge_world.EdgeEnvironment("edge-2", first.rows)
-    with contextlib.ExitStack() as stack:
-        stack.enter_context(first.running())
-        stack.enter_context(second.running())
-        edge_world.wait_until(lambda: "peer found" in caplog.text)
-        yield first, second
+    with edge_world.running_pair(lambda: caplog.text) as pair:
+        yield pair
 
 
 def _send(daemon, request_id, parts, body):
--- a/persimmonspan/platform/tests/test_limited_targets.py
+++ b/persimmonspan/platform/tests/test_limited_targets.py
@@ -1,6 +1,5 @@
 """Tests that daemons together keep to the rate that a replica names."""
 
-import contextlib
 import itertools
 import logging
 import threading
@@ -45,14 +44,8 @@
 @pytest.fixture(name="daemons")
 def _daemons(caplog):
     caplog.set_level(logging.INFO)
-    first = edge_world.EdgeEnvironment("edge-1")
-    first.rows.write("op", "config", edge_world.configuration())
-    second = edge_world.EdgeEnvironment("edge-2", first.rows)
-    with contextlib.ExitStack() as stack:
-        stack.enter_context(first.running())
-        stack.enter_context(second.running())
-        edge_world.wait_until(lambda: "peer found" in caplog.text)
-        yield first, second
+    with edge_world.running_pair(lambda: caplog.text) as pair:
+        yield pair
 
 
 def _send_for(daemons, time_s):
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -173,6 +173,20 @@
             return response.status, response.headers, response.read()
 
 
+@contextlib.contextmanager
+def running_pair(read_logs):
+    """Runs two daemons with a common store, until the block ends.
+
+    `read_logs` returns what was logged; in it, one daemon finds the other.
+    """
+    first = EdgeEnvironment("edge-1")
+    first.rows.write("op", "config", configuration())
+    second = EdgeEnvironment("edge-2", first.rows)
+    with first.running(), second.running():
+        wait_until(lambda: "peer found" in read_logs())
+        yield first, second
+
+
 def split_address(address):
     """Returns the host and the port of an address."""
     host, port = address.split(":")
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -16,7 +16,6 @@
 import collections.abc
 import contextlib
 import http.client
-import itertools
 import json
 import os
 import pathlib
@@ -31,27 +30,21 @@
 import typing
 
 from testbed import edge_store
-from testbed import replica
+from testbed import soak_replicas
 
 _HOST = "a.example"
 _DAEMON_COUNT = 3
-_DESKS = 3
-_ENGINES = 3
-_EVENTS_PER_STREAM = 12
 _CALLER_PAUSE_S = 0.05
 _CALLER_COUNT = 6
 _RESPONSE_TIMEOUT_S = 6.0
 _SHUTDOWN_GRACE_S = 2.0
-_RESTART_S = 1.0
-_CRASHING_PART = "bad0"
 _CRASHING_SHARE = 0.15  # Of the drafts.
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
 _CHECK_S = 4.0
-_RATE_PER_S = 1.0
 # The bounds of the operators for the time of the check.
 _MAX_LATE_CRASHES = 3
-_MAX_LIMITED_REQUESTS = 1.5 * _RATE_PER_S * _CHECK_S + 5
+_MAX_LIMITED_REQUESTS = 1.5 * soak_replicas.RATE_PER_S * _CHECK_S + 5
 
 
 class Result(typing.NamedTuple):
@@ -123,108 +116,7 @@
 
 def _stream_body() -> bytes:
     return b"".join(b"id: %d\ndata: t%d\n\n" % (number, number)
-                    for number in range(1, _EVENTS_PER_STREAM + 1))
-
-
-class _Replicas:
-    """Scripts of replicas that fail at random and count runs."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.runs: collections.Counter[str] = collections.Counter()
-        self.crashed_s: list[float] = []
-        self.limited_s: list[float] = []  # Requests to the limited replica.
-        self.limited: replica.Replica | None = None
-        self.on_crash: collections.abc.Callable[[replica.Replica], None]
-        self.fault_share = 0.0
-        self._rng = rng
-        self._lock = threading.Lock()
-
-    def add_desk(self) -> replica.Replica:
-        """Returns a replica of a plain service."""
-        desk = replica.Replica(
-            lambda request: self._respond_plain(desk, request))
-        return desk
-
-    def add_engine(self) -> replica.Replica:
-        """Returns an engine."""
-        engine = replica.Replica(
-            lambda request: self._run_engine(engine, request))
-        return engine
-
-    def _respond_plain(
-        self, desk: replica.Replica, request: replica.Request
-    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
-        """Responds with the request's id, or with a fault."""
-        if desk is self.limited:
-            self.limited_s.append(time.monotonic())
-            yield from self._respond_limited(request)
-            return
-        fault = self._choose_fault()
-        if fault == "full":
-            yield replica.not_run(request)
-            return
-        with self._lock:
-            self.runs[request.id] += 1
-        time.sleep(0.02)
-        answer = replica.complete_response(request, request.id.encode())
-        if fault == "cut":
-            yield answer[:-3]
-        elif fault == "reset":
-            yield replica.ConnectionReset()
-        elif fault == "error":
-            yield replica.complete_response(request, b"", 500)
-        else:
-            yield answer
-
-    def _respond_limited(
-            self, request: replica.Request) -> collections.abc.Iterator[bytes]:
-        with self._lock:
-            self.runs[request.id] += 1
-        yield replica.complete_response(request,
-                                        request.id.encode(),
-                                        lines=(f"Server-Limit: {_RATE_PER_S}",))
-
-    def _run_engine(
-        self, engine: replica.Replica, request: replica.Request
-    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
-        """Streams a draft until the engine crashes."""
-        if f"{_CRASHING_PART}:" in request.headers.get("x-prefix-hash", ""):
-            with self._lock:
-                self.runs[request.id] += 1
-                self.crashed_s.append(time.monotonic())
-            engine.stop()
-            self.on_crash(engine)
-            yield replica.stream_head(request)
-            yield replica.ConnectionReset()
-            return
-        for part in self._stream_draft(request):
-            yield replica.ConnectionReset() if engine.is_stopped else part
-
-    def _stream_draft(
-        self, request: replica.Request
-    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
-        """Streams the remaining events, or breaks the stream off."""
-        fault = self._choose_fault()
-        if "kv-from" not in request.headers:
-            with self._lock:
-                self.runs[request.id] += 1
-        yield replica.stream_head(request)
-        first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, _EVENTS_PER_STREAM + 1):
-            if fault in ("cut", "reset") and number == _EVENTS_PER_STREAM // 2:
-                yield replica.event_chunk(number)[:7]
-                if fault == "reset":
-                    yield replica.ConnectionReset()
-                return
-            yield replica.event_chunk(number)
-            time.sleep(0.03)
-        yield replica.STREAM_END
-
-    def _choose_fault(self) -> str:
-        with self._lock:
-            if self._rng.random() >= self.fault_share:
-                return ""
-            return self._rng.choice(["cut", "reset", "error", "full"])
+                    for number in range(1, soak_replicas.EVENTS_PER_STREAM + 1))
 
 
 class _Daemon:
@@ -276,56 +168,6 @@
             self.process.wait()
 
 
-class _Entry(typing.NamedTuple):
-    """A replica and its row in the store."""
-
-    server: replica.Replica
-    document: dict[str, typing.Any]
-
-
-def _start_replicas(stack: contextlib.ExitStack, replicas: _Replicas,
-                    store: edge_store.Store) -> dict[str, _Entry]:
-    """Starts replicas; engines that crash come back under another name."""
-    entries: dict[str, _Entry] = {}
-    numbers = itertools.count()
-    lock = threading.Lock()
-
-    def start(server: replica.Replica, service: str) -> None:
-        with lock:
-            name = f"i-{next(numbers)}"
-            stack.enter_context(server.running())
-            entries[name] = _Entry(
-                server, {
-                    "service": service,
-                    "address": server.address,
-                    "zone": "a",
-                    "slots": 6,
-                    "state": "ready"
-                })
-        store.write("servers", name, entries[name].document)
-
-    def replace(engine: replica.Replica) -> None:
-        time.sleep(_RESTART_S)
-        with lock:
-            gone = [
-                name for name, entry in entries.items()
-                if entry.server is engine
-            ]
-            for name in gone:
-                del entries[name]
-        for name in gone:
-            store.write("servers", name, None)
-        start(replicas.add_engine(), "engines")
-
-    replicas.on_crash = lambda engine: threading.Thread(
-        target=replace, args=(engine,), daemon=True).start()
-    for _ in range(_DESKS):
-        start(replicas.add_desk(), "desk")
-    for _ in range(_ENGINES):
-        start(replicas.add_engine(), "engines")
-    return entries
-
-
 def _free_address() -> str:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return f"127.0.0.1:{listener.getsockname()[1]}"
@@ -361,7 +203,7 @@
 
 
 def _send_request(address: str, request_id: str, kind: str) -> Result:
-    part = _CRASHING_PART if kind == "crashing" else "b0"
+    part = soak_replicas.CRASHING_PART if kind == "crashing" else "b0"
     route = "draft" if kind == "crashing" else kind
     host, port = address.rsplit(":", 1)
     connection = http.client.HTTPConnection(host,
@@ -399,10 +241,10 @@
 
     def run(self) -> dict[str, list[str]]:
         """Runs callers and injects faults; returns the broken promises."""
-        replicas = _Replicas(random.Random(self._seed + 1))
+        replicas = soak_replicas.Replicas(random.Random(self._seed + 1))
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(edge_store.Store().running())
-            entries = _start_replicas(stack, replicas, store)
+            entries = soak_replicas.start_replicas(stack, replicas, store)
             store.write("op", "config", _configuration(1))
             daemons = [
                 _Daemon(number, store.address, self._folder)
@@ -421,7 +263,8 @@
                 sum(at_s >= checked_s for at_s in replicas.limited_s))
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
-                      replicas: _Replicas, entries: dict[str, _Entry]) -> None:
+                      replicas: soak_replicas.Replicas,
+                      entries: dict[str, soak_replicas.Entry]) -> None:
         time.sleep(1.5)
         callers = [
             threading.Thread(target=self._run_caller, args=(daemons, number))
@@ -460,8 +303,9 @@
             time.sleep(_CALLER_PAUSE_S)
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
-                      replicas: _Replicas, entries: dict[str, _Entry],
-                      version: int) -> None:
+                      replicas: soak_replicas.Replicas,
+                      entries: dict[str,
+                                    soak_replicas.Entry], version: int) -> None:
         kind = self._rng.choice([
             "kill", "stop", "pause", "store", "replicas", "leave", "change",
             "reload"
--- /dev/null
+++ b/testbed/soak_replicas.py
@@ -0,0 +1,171 @@
+"""Replicas of the soak of edge daemons: they fail, crash and name a rate."""
+
+import collections
+import collections.abc
+import contextlib
+import itertools
+import random
+import threading
+import time
+import typing
+
+from testbed import edge_store
+from testbed import replica
+
+EVENTS_PER_STREAM = 12
+CRASHING_PART = "bad0"
+RATE_PER_S = 1.0  # Of the replica that names one.
+_DESKS = 3
+_ENGINES = 3
+_RESTART_S = 1.0
+
+
+class Replicas:
+    """Scripts of replicas that fail at random and count runs."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.crashed_s: list[float] = []
+        self.limited_s: list[float] = []  # Requests to the limited replica.
+        self.limited: replica.Replica | None = None
+        self.on_crash: collections.abc.Callable[[replica.Replica], None]
+        self.fault_share = 0.0
+        self._rng = rng
+        self._lock = threading.Lock()
+
+    def add_desk(self) -> replica.Replica:
+        """Returns a replica of a plain service."""
+        desk = replica.Replica(
+            lambda request: self._respond_plain(desk, request))
+        return desk
+
+    def add_engine(self) -> replica.Replica:
+        """Returns an engine."""
+        engine = replica.Replica(
+            lambda request: self._run_engine(engine, request))
+        return engine
+
+    def _respond_plain(
+        self, desk: replica.Replica, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
+        """Responds with the request's id, or with a fault."""
+        if desk is self.limited:
+            self.limited_s.append(time.monotonic())
+            yield from self._respond_limited(request)
+            return
+        fault = self._choose_fault()
+        if fault == "full":
+            yield replica.not_run(request)
+            return
+        with self._lock:
+            self.runs[request.id] += 1
+        time.sleep(0.02)
+        answer = replica.complete_response(request, request.id.encode())
+        if fault == "cut":
+            yield answer[:-3]
+        elif fault == "reset":
+            yield replica.ConnectionReset()
+        elif fault == "error":
+            yield replica.complete_response(request, b"", 500)
+        else:
+            yield answer
+
+    def _respond_limited(
+            self, request: replica.Request) -> collections.abc.Iterator[bytes]:
+        with self._lock:
+            self.runs[request.id] += 1
+        yield replica.complete_response(request,
+                                        request.id.encode(),
+                                        lines=(f"Server-Limit: {RATE_PER_S}",))
+
+    def _run_engine(
+        self, engine: replica.Replica, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
+        """Streams a draft until the engine crashes."""
+        if f"{CRASHING_PART}:" in request.headers.get("x-prefix-hash", ""):
+            with self._lock:
+                self.runs[request.id] += 1
+                self.crashed_s.append(time.monotonic())
+            engine.stop()
+            self.on_crash(engine)
+            yield replica.stream_head(request)
+            yield replica.ConnectionReset()
+            return
+        for part in self._stream_draft(request):
+            yield replica.ConnectionReset() if engine.is_stopped else part
+
+    def _stream_draft(
+        self, request: replica.Request
+    ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
+        """Streams the remaining events, or breaks the stream off."""
+        fault = self._choose_fault()
+        if "kv-from" not in request.headers:
+            with self._lock:
+                self.runs[request.id] += 1
+        yield replica.stream_head(request)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, EVENTS_PER_STREAM + 1):
+            if fault in ("cut", "reset") and number == EVENTS_PER_STREAM // 2:
+                yield replica.event_chunk(number)[:7]
+                if fault == "reset":
+                    yield replica.ConnectionReset()
+                return
+            yield replica.event_chunk(number)
+            time.sleep(0.03)
+        yield replica.STREAM_END
+
+    def _choose_fault(self) -> str:
+        with self._lock:
+            if self._rng.random() >= self.fault_share:
+                return ""
+            return self._rng.choice(["cut", "reset", "error", "full"])
+
+
+class Entry(typing.NamedTuple):
+    """A replica and its row in the store."""
+
+    server: replica.Replica
+    document: dict[str, typing.Any]
+
+
+def start_replicas(stack: contextlib.ExitStack, replicas: Replicas,
+                   store: edge_store.Store) -> dict[str, Entry]:
+    """Starts replicas; engines that crash come back under another name."""
+    entries: dict[str, Entry] = {}
+    numbers = itertools.count()
+    lock = threading.Lock()
+
+    def start(server: replica.Replica, service: str) -> None:
+        with lock:
+            name = f"i-{next(numbers)}"
+            stack.enter_context(server.running())
+            entries[name] = Entry(
+                server, {
+                    "service": service,
+                    "address": server.address,
+                    "zone": "a",
+                    "slots": 6,
+                    "state": "ready"
+                })
+        store.write("servers", name, entries[name].document)
+
+    def replace(engine: replica.Replica) -> None:
+        time.sleep(_RESTART_S)
+        with lock:
+            gone = [
+                name for name, entry in entries.items()
+                if entry.server is engine
+            ]
+            for name in gone:
+                del entries[name]
+        for name in gone:
+            store.write("servers", name, None)
+        start(replicas.add_engine(), "engines")
+
+    replicas.on_crash = lambda engine: threading.Thread(
+        target=replace, args=(engine,), daemon=True).start()
+    for _ in range(_DESKS):
+        start(replicas.add_desk(), "desk")
+    for _ in range(_ENGINES):
+        start(replicas.add_engine(), "engines")
+    return entries
