Forget the rate of a target that named one and vanished

Callers saw nothing; a daemon kept a few bytes for each target that named a rate and then vanished for good, until its restart.

Cause: only targets whose last answer named no rate were forgotten.

--- a/persimmonspan/process/named_rates.py
+++ b/persimmonspan/process/named_rates.py
@@ -18,6 +18,9 @@
 _CONFIRMATION_INTERVAL_S = 0.5
 # A target that named no rate for so long is forgotten.
 _FORGET_S = 30.0
+# So is one that named a rate and was not heard of for so long. The scheduler no
+# longer holds its rate by then.
+_FORGET_RATE_S = 90.0
 
 _logger = logging.getLogger(__name__)
 
@@ -73,5 +76,6 @@
 
     def _forget(self, now_s: float) -> None:
         for target, known in list(self._known.items()):
-            if known.per_s is None and now_s - known.answered_s > _FORGET_S:
+            ttl_s = _FORGET_S if known.per_s is None else _FORGET_RATE_S
+            if now_s - known.answered_s > ttl_s:
                 del self._known[target]
