Check idle connections on the monotonic clock

Callers: when the time of day was set ahead, all idle connections were closed at once; set back by an hour, none was closed for an hour. Cause: cheroot takes the age of connections, and the interval of its checks, from the time of day (hypothesis 2 of docs/incidents/idle-limit-cuts-requests.md). A failed wait is now logged.

--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -77,13 +77,46 @@
             self._selector.register(conn.socket.fileno(), selectors.EVENT_READ,
                                     conn)
 
-    def _expire(self, threshold: float) -> None:
+    def _run(self, expiration_interval: float) -> None:
+        """Serves connections until a stop is requested.
+
+        Checks for connections to close on the monotonic clock, as the time of
+        day may be set.
+
+        Args:
+            expiration_interval: Time between two checks, in seconds.
+        """
+        check_s = time.monotonic() + expiration_interval
+        while not self._stop_requested:
+            self._process_ready(expiration_interval)
+            if time.monotonic() >= check_s:
+                self._close_expired()
+                check_s = time.monotonic() + expiration_interval
+
+    def _process_ready(self, timeout_s: float) -> bool:
+        """Accepts and processes connections; returns whether there were any."""
+        try:
+            ready = [*self._selector.select(timeout=timeout_s)]
+        except OSError as error:
+            _logger.warning("waiting for connections failed",
+                            extra={"reason": str(error)})
+            self._remove_invalid_sockets()
+            return False
+        for fd, conn in ready:
+            if conn is self.server:
+                conn = self._from_server_socket(self.server.socket)
+            else:
+                self._selector.unregister(fd)
+            if conn is not None:
+                self.server.process_conn(conn)
+        return bool(ready)
+
+    def _close_expired(self) -> None:
         """Closes connections whose time is over and on which nothing arrived.
 
         The thread that waits for connections may have been busy, so that the
         time of a connection ended after its next request had arrived.
         """
-        del threshold  # The limits may have changed meanwhile.
         now_s = time.monotonic()
         limits = self.server.limits
         closed, kept, oldest_s = 0, 0, 0.0
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -178,3 +178,21 @@
             sock.sendall(_REQUEST)
 
             assert _read_status(sock) == 200
+
+
+@pytest.mark.parametrize("step_s", [3600.0, -3600.0])
+def test_step_of_the_time_of_day_closes_and_keeps_no_connection(
+        server, monkeypatch, step_s):
+    forwarding_listener.set_idle_timeout(server, _HIGH_LIMIT_S)
+    with _kept_connections(server, 5) as sockets:
+        time_of_day = time.time
+        monkeypatch.setattr(time, "time", lambda: time_of_day() + step_s)
+
+        time.sleep(1.2)
+
+        statuses = [_exchange(sock) for sock in sockets]
+        forwarding_listener.set_idle_timeout(server, _LOW_LIMIT_S)
+        assert _exchange(sockets[0]) == 200
+        time.sleep(_EXPIRED_AFTER_S)
+        assert _is_closed(sockets[0])
+    assert statuses == [200] * 5
