Serve what has arrived when a server stops

Callers around a planned stop: a request on a kept connection, or on one that was just established, got a reset instead of an answer if it arrived while the thread that waits for connections was busy and the server stopped. Cause: cheroot ends its loop and closes all connections that it holds, and the listening socket, without looking once more. Change: at a stop the server accepts and processes what has arrived, for half a second at most, and closes only connections on which nothing has arrived; the worker threads end after they have served the others. One log line tells how many. Evidence: test_idle_connections.py, a stop while worker threads are started, for a kept and a new connection: both reset before, both answered now.

--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -19,6 +19,9 @@
 
 from persimmonspan.connection import idle_limits
 
+# How long a stopping server goes on to accept connections.
+_MAX_STOP_S = 0.5
+
 _logger = logging.getLogger(__name__)
 
 
@@ -77,6 +80,37 @@
             self._selector.register(conn.socket.fileno(), selectors.EVENT_READ,
                                     conn)
 
+    def stop(self) -> None:
+        """Ends the loop, then processes what had arrived before its end."""
+        super().stop()
+        end_s = time.monotonic() + _MAX_STOP_S
+        while self._process_ready(0.0) and time.monotonic() < end_s:
+            pass
+
+    def close(self) -> None:
+        """Closes the connections on which nothing has arrived.
+
+        The worker threads end after they have served the others.
+        """
+        closed, kept = 0, 0
+        for fd, conn in [*self._selector.connections]:
+            if conn is self.server:
+                continue
+            self._selector.unregister(fd)
+            if _is_readable(fd):
+                kept += 1
+                self.server.process_conn(conn)
+            else:
+                closed += 1
+                conn.close()
+        self._selector.close()
+        if closed or kept:
+            _logger.info("connections closed by the stop",
+                         extra={
+                             "connections": closed,
+                             "with_request": kept
+                         })
+
     def _run(self, expiration_interval: float) -> None:
         """Serves connections until a stop is requested.
 
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -196,3 +196,31 @@
         time.sleep(_EXPIRED_AFTER_S)
         assert _is_closed(sockets[0])
     assert statuses == [200] * 5
+
+
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_request_that_arrives_as_the_server_stops_is_served(
+        server, monkeypatch, is_kept):
+    with contextlib.ExitStack() as stack:
+        (kept,) = stack.enter_context(_kept_connections(server, 1))
+        is_growing = threading.Event()
+        process = server.process_conn
+
+        def process_slowly(conn):
+            if not is_growing.is_set():
+                is_growing.set()
+                time.sleep(0.8)
+            process(conn)
+
+        monkeypatch.setattr(server, "process_conn", process_slowly)
+        stack.enter_context(socket.create_connection(server.bind_addr))
+        assert is_growing.wait(_RESPONSE_TIMEOUT_S)
+        stopping = threading.Thread(target=server.stop)
+        stopping.start()
+        stack.callback(stopping.join)
+        time.sleep(0.1)
+        sock = kept if is_kept else stack.enter_context(
+            socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
+
+        assert _exchange(sock) == 200
+        assert _is_closed(sock)
