Give requests after the wait of a planned stop the rest of the grace period

Callers around a planned stop: a request that was passed on got no answer (LOST), if it arrived between the end of the wait for requests in flight and the close of the listener, and needed longer than 5 s. Cause: such a request is admitted if its route's timeout ends within the grace period, but the worker threads got cheroot's default of 5 s to end; then their callers' sockets are shut down, which counts as a caller that left. Change: the worker threads get the rest of the grace period, 5 s at least. Evidence: test_planned_stop.py, with the times scaled down: no answer before, 200 with "Connection: close" now. Ruled out: a kept connection that waits for a worker thread, which no counter of requests in flight knows: the queue is worked off before the threads end.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -437,6 +437,11 @@
             if has_waited_min and not self._in_flight:
                 break
             time.sleep(_STOP_CHECK_INTERVAL_S)
+        # Requests are still admitted until the listener closes, if they end
+        # within the grace period.
+        self._server.shutdown_timeout = max(
+            self._server.shutdown_timeout,
+            self._stop_s + self._options.grace_s - time.monotonic())
         _logger.info("stopped", extra={"in_flight": self._in_flight})
 
 
