Move the verdict on a response into a module without a network

classification.classify takes the head, the counts and the framing of a complete response and returns the outcome, the use of the response and the error.

--- /dev/null
+++ b/persimmonspan/request/classification.py
@@ -0,0 +1,97 @@
+"""Decides what the complete response of a target means for its request.
+
+Interface: `classify(received) -> Verdict`. It uses no network and no clock.
+
+See Also:
+    `persimmonspan.request.forwarding`: reads the responses and applies the
+    verdicts.
+"""
+
+import enum
+import typing
+
+from persimmonspan import errors
+from persimmonspan.connection import exchange
+from persimmonspan.request import events
+from persimmonspan.request import forwarded
+
+OK = 200
+_MIN_SERVER_ERROR_STATUS = 500
+# Callers conclude from these that the request was not run, so they are not
+# passed on for a request that may have run.
+_NOT_RUN_STATUSES = frozenset({503})
+
+
+class Use(enum.Enum):
+    """What a response is to the caller."""
+
+    NOTHING = enum.auto()
+    RESPONSE = enum.auto()  # The response to the request.
+    # The response to the request if no other target sends a better one.
+    ERROR = enum.auto()
+
+
+class Received(typing.NamedTuple):
+    """A complete response.
+
+    Attributes:
+        head: Its head.
+        is_stream: Whether its body was relayed event by event.
+        is_framed: Whether its body has a length or chunks.
+        is_within_event: Whether its body ends within an event.
+        event_count: Number of events that it added to the stream.
+        caller_event_count: Number of events that the caller has, with these.
+    """
+
+    head: forwarded.ResponseHead
+    is_stream: bool = False
+    is_framed: bool = True
+    is_within_event: bool = False
+    event_count: int = 0
+    caller_event_count: int = 0
+
+
+class Verdict(typing.NamedTuple):
+    """Outcome of an attempt, use of its response, and error if it failed."""
+
+    outcome: events.Outcome
+    use: Use = Use.NOTHING
+    error: errors.TargetError | None = None
+
+
+def classify(received: Received) -> Verdict:
+    """Returns the verdict on a complete response."""
+    status = received.head.status
+    if received.head.is_not_run:
+        error = errors.TargetError(errors.Code.OVERLOADED, f"status {status}",
+                                   errors.RunState.NOT_RUN)
+        return Verdict(events.Outcome.REFUSED if not received.caller_event_count
+                       else events.Outcome.INTERRUPTED,
+                       error=error)
+    if received.is_stream:
+        return _classify_stream(received)
+    if status >= _MIN_SERVER_ERROR_STATUS:
+        return Verdict(
+            events.Outcome.ANSWERED_ERROR,
+            Use.NOTHING if status in _NOT_RUN_STATUSES else Use.ERROR,
+            errors.TargetError(errors.Code.TARGET_FAILED, f"status {status}",
+                               errors.RunState.RAN))
+    return Verdict(events.Outcome.COMPLETED, Use.RESPONSE)
+
+
+def _classify_stream(received: Received) -> Verdict:
+    if received.is_within_event:
+        return _interrupted("the stream ends within an event")
+    if received.event_count:
+        return Verdict(events.Outcome.COMPLETED)
+    if not received.is_framed:
+        # A target that crashes closes the connection alike.
+        return _interrupted("the stream ends without an event")
+    return Verdict(events.Outcome.COMPLETED,
+                   Use.NOTHING if received.caller_event_count else Use.RESPONSE)
+
+
+def _interrupted(problem: str) -> Verdict:
+    return Verdict(events.Outcome.INTERRUPTED,
+                   error=exchange.BrokenResponseError(errors.Code.TARGET_FAILED,
+                                                      problem))
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -27,6 +27,7 @@
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
 from persimmonspan.request import arrival
+from persimmonspan.request import classification
 from persimmonspan.request import copies
 from persimmonspan.request import event_stream
 from persimmonspan.request import events
@@ -48,12 +49,6 @@
 _PROGRESS_INTERVAL_S = 0.25
 _TOKENS_PER_EVENT = 4
 _MIN_TIME_LEFT_S = 0.02
-_OK = 200
-_MIN_SERVER_ERROR_STATUS = 500
-# Callers conclude from these that the request was not run, so they are not
-# passed on for a request that may have run.
-_NOT_RUN_STATUSES = frozenset({503})
-
 _LOST_CONNECTION_SIGNALS = frozenset({relay.Signal.CLOSED, relay.Signal.RESET})
 
 _logger = logging.getLogger(__name__)
@@ -389,7 +384,7 @@
 
     def _is_streaming(self) -> bool:
         return (self._is_stream and self._head is not None and
-                self._head.status == _OK)
+                self._head.status == classification.OK)
 
     def _check_head(self, head: forwarded.ResponseHead) -> None:
         if (head.request_id is not None and
@@ -423,42 +418,22 @@
         head = self._head
         if self._target_error is not None or not self._reader.is_complete:
             return events.Outcome.INTERRUPTED
+        is_stream = self._is_streaming()
+        verdict = classification.classify(
+            classification.Received(
+                head, is_stream, self._reader.is_framed,
+                bool(self._stream.partial_event.strip()),
+                self.event_count - self._events_before_attempt,
+                self.event_count))
+        self._target_error = verdict.error
         if head.is_not_run:
             self._session.may_have_run = self._may_have_run_before
             if head.is_other_target:
                 self._context.report_wrong_target(self._target.name)
-            self._target_error = errors.TargetError(errors.Code.OVERLOADED,
-                                                    f"status {head.status}",
-                                                    errors.RunState.NOT_RUN)
-            return (events.Outcome.REFUSED
-                    if not self.event_count else events.Outcome.INTERRUPTED)
-        if self._is_streaming():
-            return self._classify_stream()
         answer = forwarded.Response(head.status, head.headers,
                                     self._body.join())
-        if head.status >= _MIN_SERVER_ERROR_STATUS:
-            if head.status not in _NOT_RUN_STATUSES:
-                self.error_response = answer
-            self._target_error = errors.TargetError(errors.Code.TARGET_FAILED,
-                                                    f"status {head.status}",
-                                                    errors.RunState.RAN)
-            return events.Outcome.ANSWERED_ERROR
-        self.answer = answer
-        return events.Outcome.COMPLETED
-
-    def _classify_stream(self) -> events.Outcome:
-        if self._stream.partial_event.strip():
-            self._target_error = exchange.BrokenResponseError(
-                errors.Code.TARGET_FAILED, "the stream ends within an event")
-            return events.Outcome.INTERRUPTED
-        if self.event_count == self._events_before_attempt:
-            if not self._reader.is_framed:
-                # A target that crashes closes the connection alike.
-                self._target_error = exchange.BrokenResponseError(
-                    errors.Code.TARGET_FAILED,
-                    "the stream ends without an event")
-                return events.Outcome.INTERRUPTED
-            if not self.has_response_begun:
-                self.answer = forwarded.Response(self._head.status,
-                                                 self._head.headers, b"")
-        return events.Outcome.COMPLETED
+        if verdict.use is classification.Use.RESPONSE:
+            self.answer = answer
+        elif verdict.use is classification.Use.ERROR:
+            self.error_response = answer
+        return verdict.outcome
