Use no answer but a continuation after a stream has begun

Callers saw: after a stream had begun and broken off, the body of the next target's answer (204, 3xx, 4xx, another 2xx) as a part of their stream, which then ended as complete; or a stream that ended as complete after an empty answer of another content type; or events of a 200 that said it had not run the request. After a refusal or a 421 by the next target, a resumable stream was held back as one that may crash its targets, and cut.

Cause: the verdict on a response did not ask whether the caller already had a part of a stream, and a refusal after it counted as an interruption.

Ruled out: heads of answers never went into a stream; 5xx, answers to other requests, unsigned ones and bodies without events were not passed on before either.

Change: any whole answer that is not a continuation counts as an error of its target, so that the next one is tried, else the stream is cut without its end. A continuation must have the media type of the stream that the caller receives. A success that says it was not run is broken.

--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -92,7 +92,8 @@
         is_signed=head.get(b"x-response-signature") is not None,
         is_encoded=head.get(b"content-encoding") is not None,
         load=_parse_load(head.get(b"x-instance-load")),
-        max_requests_per_s=_parse_rate(head.get(b"server-limit")))
+        max_requests_per_s=_parse_rate(head.get(b"server-limit")),
+        media_type=_parse_media_type(head.get(b"content-type")))
 
 
 class _MoveResult(msgspec.Struct):
@@ -207,6 +208,11 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_media_type(value: bytes | None) -> str | None:
+    text = _decode_text(value)
+    return None if text is None else text.partition(";")[0].strip().lower()
+
+
 def _decode_text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
 
--- a/persimmonspan/request/classification.py
+++ b/persimmonspan/request/classification.py
@@ -1,6 +1,7 @@
 """Decides what the complete response of a target means for its request.
 
-Interface: `classify(received) -> Verdict`. It uses no network and no clock.
+Interface: `check_head(head, ...)` and `classify(received) -> Verdict`. They use
+no network and no clock.
 
 See Also:
     `persimmonspan.request.forwarding`: reads the responses and applies the
@@ -16,6 +17,7 @@
 from persimmonspan.request import forwarded
 
 OK = 200
+_MIN_FAILURE_STATUS = 300
 _MIN_SERVER_ERROR_STATUS = 500
 # Callers conclude from these that the request was not run, so they are not
 # passed on for a request that may have run.
@@ -59,6 +61,32 @@
     error: errors.TargetError | None = None
 
 
+def check_head(head: forwarded.ResponseHead, request_id: str,
+               begun_head: forwarded.ResponseHead | None) -> None:
+    """Checks whether a head can belong to a response to the request.
+
+    Args:
+        head: The head.
+        request_id: Id of the request as its caller sent it.
+        begun_head: Head of the stream that the caller receives, or None if it
+            has received nothing.
+
+    Raises:
+        BrokenResponseError: The response must not be used.
+    """
+    if head.request_id is not None and head.request_id != request_id:
+        raise _broken("the response belongs to another request")
+    if head.status >= _MIN_FAILURE_STATUS:
+        return
+    if not head.is_signed or head.is_encoded:
+        raise _broken("the response is unsigned or encoded")
+    if head.is_not_run:
+        raise _broken("the response is a success that was not run")
+    if (begun_head is not None and head.status == OK and
+            head.media_type != begun_head.media_type):
+        raise _broken(f"the stream continues as {head.media_type}")
+
+
 def classify(received: Received) -> Verdict:
     """Returns the verdict on a complete response."""
     status = received.head.status
@@ -66,10 +94,17 @@
         error = errors.TargetError(errors.Code.OVERLOADED, f"status {status}",
                                    errors.RunState.NOT_RUN)
         return Verdict(events.Outcome.REFUSED if not received.caller_event_count
-                       else events.Outcome.INTERRUPTED,
+                       else events.Outcome.ANSWERED_ERROR,
                        error=error)
     if received.is_stream:
         return _classify_stream(received)
+    if received.caller_event_count:
+        # The caller has the head and the first events of a stream.
+        return Verdict(events.Outcome.ANSWERED_ERROR,
+                       error=errors.TargetError(
+                           errors.Code.TARGET_FAILED,
+                           f"status {status} after a stream began",
+                           errors.RunState.RAN))
     if status >= _MIN_SERVER_ERROR_STATUS:
         return Verdict(
             events.Outcome.ANSWERED_ERROR,
@@ -92,6 +127,8 @@
 
 
 def _interrupted(problem: str) -> Verdict:
-    return Verdict(events.Outcome.INTERRUPTED,
-                   error=exchange.BrokenResponseError(errors.Code.TARGET_FAILED,
-                                                      problem))
+    return Verdict(events.Outcome.INTERRUPTED, error=_broken(problem))
+
+
+def _broken(problem: str) -> exchange.BrokenResponseError:
+    return exchange.BrokenResponseError(errors.Code.TARGET_FAILED, problem)
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -74,6 +74,7 @@
     is_encoded: bool
     load: Load | None
     max_requests_per_s: float | None = None  # From all daemons together.
+    media_type: str | None = None  # In lower case, without parameters.
 
 
 class MoveResponse(typing.NamedTuple):
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -147,7 +147,13 @@
         self._copies = copies.Copies(routed_call, context)
         self._timing = pauses.Pauses()
         self._handover_times_s: list[float] = []
-        self.has_response_begun = False
+        # Head of the stream that the caller receives, once it has begun.
+        self._begun_head: forwarded.ResponseHead | None = None
+
+    @property
+    def has_response_begun(self) -> bool:
+        """Whether the caller received a part of a stream."""
+        return self._begun_head is not None
 
     @property
     def event_count(self) -> int:
@@ -364,7 +370,9 @@
             if self._head is None and self._reader.head is not None:
                 self._head = self._context.wire.decode_response_head(
                     self._reader.head)
-                self._check_head(self._head)
+                classification.check_head(self._head,
+                                          self._routed_call.call.request_id,
+                                          self._begun_head)
                 self._context.relay.call_soon(
                     self._context.report_rate,
                     events.RateNamed(self._target.name,
@@ -386,18 +394,6 @@
         return (self._is_stream and self._head is not None and
                 self._head.status == classification.OK)
 
-    def _check_head(self, head: forwarded.ResponseHead) -> None:
-        if (head.request_id is not None and
-                head.request_id != self._routed_call.call.request_id):
-            raise exchange.BrokenResponseError(
-                errors.Code.TARGET_FAILED,
-                "the response belongs to another request")
-        is_success = head.status < 300
-        if is_success and (not head.is_signed or head.is_encoded):
-            raise exchange.BrokenResponseError(
-                errors.Code.TARGET_FAILED,
-                "the response is unsigned or encoded")
-
     def _encode_events(self, body: bytes, now_s: float) -> tuple[bytes, int]:
         is_first = self.event_count == 0
         self._stream, output, count = event_stream.feed(self._stream, body)
@@ -405,7 +401,7 @@
             return b"", 0
         output = self._responder.frame(output)
         if not self.has_response_begun:
-            self.has_response_begun = True
+            self._begun_head = self._head
             output = self._responder.stream_head(self._head.status,
                                                  self._head.headers) + output
         self._timing = self._timing.after(now_s)
