Reset the connection of a cut stream to a caller of HTTP/1.0

Callers saw: a stream that had been cut ended like a complete one, as the end of the connection is the end of a body without chunks.

Cause: cheroot shuts a connection down in order before it closes it. Change: an aborted response without chunks ends with a reset. Streams in chunks end without their last chunk, as before.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -4,9 +4,11 @@
 in the selector of the server and uses no thread.
 """
 
+import contextlib
 import http
 import logging
 import socket
+import struct
 import typing
 
 from cheroot import errors as cheroot_errors
@@ -34,6 +36,7 @@
 _READINESS_THREADS = 2
 _READINESS_TIMEOUT_S = 10.0
 _MAX_HEADER_BYTES = 64 * 1024
+_LINGER_RESET = struct.pack("ii", 1, 0)
 _STATUS_BY_CODE = {
     errors.Code.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
     errors.Code.UNAUTHORIZED: http.HTTPStatus.UNAUTHORIZED,
@@ -119,14 +122,36 @@
         self._request.close_connection = True
         self._request.chunked_write = False
         self._request.sent_headers = True
+        # The end of the connection would be the end of a body without chunks.
+        self._request.conn.is_reset = not self._is_chunked()
 
     def _is_chunked(self) -> bool:
         return self._request.response_protocol == "HTTP/1.1"
 
 
+class _Connection(server.HTTPConnection):
+    """A connection that may end with a reset."""
+
+    is_reset = False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if not self.is_reset:
+            super().close()
+            return
+        self.rfile.close()
+        # The caller may have closed it.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                   _LINGER_RESET)
+        self.socket.close()
+
+
 class _Server(server.HTTPServer):
     """A server whose new connections use no thread until they send bytes."""
 
+    ConnectionClass = _Connection
+
     def process_conn(self, conn: server.HTTPConnection) -> None:
         """Processes a connection, or lets a new one wait in the selector."""
         if conn.last_used is None:
--- a/persimmonspan/platform/tests/test_faulty_answers.py
+++ b/persimmonspan/platform/tests/test_faulty_answers.py
@@ -275,3 +275,16 @@
     assert _is_complete(data, is_reset)
     assert _chunks(data.partition(b"\r\n\r\n")[2]) == (_events_until(_EVENTS),
                                                        replica.STREAM_END)
+
+
+@pytest.mark.parametrize("answer", [
+    _whole(404),
+    _whole(500),
+    _whole(503, "X-Not-Executed: 1"),
+])
+def test_cut_stream_to_a_caller_of_http_1_0_ends_with_a_reset(world, answer):
+    # The end of the connection is the end of the body there.
+    _add_engines(world, _cut_stream, answer)
+    with world.running():
+        data, is_reset = _exchange(world, "/draft/1", version="1.0")
+    assert is_reset and data.count(b"HTTP/1.") == 1
