Serve what has arrived on expired connections of the own interface, too

Callers of the product's own interface: a request that arrived on a connection whose idle time had passed was reset, if the thread that waits for connections was busy; after the time of day was set back, no idle connection was closed. Cause: the same as for the edge (docs/incidents/idle-limit-cuts-requests.md); this listener used cheroot's server as it is. Its limit never changes. Change: it uses idle_connections.Server; its closes are logged and counted. Evidence: the two tests of the own interface in test_idle_connections.py failed before and pass now.

--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -28,13 +28,9 @@
 class Server(server.HTTPServer):
     """A server whose connections are idle for a time that may change."""
 
-    def __init__(self,
-                 address: tuple[str, int],
-                 gateway: type[server.Gateway],
-                 count: collections.abc.Callable[[str], None],
-                 idle_s: float,
-                 threads: tuple[int, int],
-                 server_name: str = "") -> None:
+    def __init__(self, address: tuple[str, int], gateway: type[server.Gateway],
+                 count: collections.abc.Callable[[str], None], idle_s: float,
+                 threads: tuple[int, int], server_name: str) -> None:
         """Creates a server that is not started yet.
 
         Args:
--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -18,6 +18,7 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import deadlines
+from persimmonspan.connection import idle_connections
 from persimmonspan.connection import unread_body
 from persimmonspan.process import access
 from persimmonspan.process import admin
@@ -139,7 +140,7 @@
 
 
 def make_server(address: tuple[str, int], application: Application,
-                options: Options) -> server.HTTPServer:
+                options: Options) -> idle_connections.Server:
     """Returns a server that is not started yet."""
     watchdog = deadlines.Watchdog()
 
@@ -161,6 +162,9 @@
     class _Connection(server.HTTPConnection):
         RequestHandlerClass = _Request
 
+    class _Server(idle_connections.Server):
+        ConnectionClass = _Connection
+
     class _Gateway(server.Gateway):
 
         def respond(self) -> None:
@@ -168,14 +172,10 @@
             _respond(self.req, application, options, watchdog)
 
     threads = options.max_streams + _SPARE_THREADS
-    http_server = server.HTTPServer(address,
-                                    _Gateway,
-                                    minthreads=threads,
-                                    maxthreads=threads,
-                                    server_name=_SERVER_NAME)
+    http_server = _Server(address, _Gateway, application.metrics.count,
+                          options.request_read_timeout_s, (threads, threads),
+                          _SERVER_NAME)
     http_server.request_queue_size = _BACKLOG
-    http_server.timeout = options.request_read_timeout_s
-    http_server.ConnectionClass = _Connection
     http_server.max_request_header_size = _MAX_HEADER_BYTES
     return http_server
 
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -1,4 +1,4 @@
-"""Tests of when the listener of an edge daemon closes idle connections."""
+"""Tests of when listeners close idle connections."""
 
 import contextlib
 import http.client
@@ -10,7 +10,9 @@
 import pytest
 
 from persimmonspan.connection import forwarding_listener
+from persimmonspan.connection import listener
 from persimmonspan.platform import program
+from persimmonspan.process import metrics
 from persimmonspan.process import threads
 from persimmonspan.request import forwarded
 from testbed import edge_world
@@ -223,4 +225,57 @@
             socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
 
         assert _exchange(sock) == 200
+        assert sock.recv(1) == b""
+
+
+class _OwnApplication:
+    """Responds to health checks only."""
+
+    def __init__(self):
+        self.metrics = metrics.Metrics()
+
+
+@pytest.fixture(name="own_server")
+def _own_server():
+    address = edge_world.split_address(edge_world.free_address())
+    server = listener.make_server(address, _OwnApplication(),
+                                  listener.Options(2, 1000, _LOW_LIMIT_S))
+    server.prepare()
+    with threads.running(server.serve, server.stop):
+        yield server
+
+
+def test_own_interface_serves_a_request_that_waits(own_server, monkeypatch):
+    health_check = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+    with socket.create_connection(own_server.bind_addr,
+                                  _RESPONSE_TIMEOUT_S) as sock:
+        sock.sendall(health_check)
+        assert _read_status(sock) == 200
+        is_busy = threading.Event()
+        process = own_server.process_conn
+
+        def process_slowly(conn):
+            if not is_busy.is_set():
+                is_busy.set()
+                time.sleep(_EXPIRED_AFTER_S)
+            process(conn)
+
+        monkeypatch.setattr(own_server, "process_conn", process_slowly)
+        with socket.create_connection(own_server.bind_addr):
+            assert is_busy.wait(_RESPONSE_TIMEOUT_S)
+            sock.sendall(health_check)
+
+            assert _read_status(sock) == 200
+
+
+def test_own_interface_ignores_the_time_of_day(own_server, monkeypatch):
+    with socket.create_connection(own_server.bind_addr,
+                                  _RESPONSE_TIMEOUT_S) as sock:
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert _read_status(sock) == 200
+        time_of_day = time.time
+        monkeypatch.setattr(time, "time", lambda: time_of_day() - 3600.0)
+
+        time.sleep(_EXPIRED_AFTER_S)
+
         assert _is_closed(sock)
