Read in which era of its history the store answers

The store may come back from a copy some seconds old, and names the era of its history in each answer. No line of the code read it. The client passes it on with the rows; a read of several pages is of one era or begins again, and fails after three attempts. An absent or unreadable era is 0. Both stand-ins of the store can come back from a copy: rows lost, versions given out again, 410 from a version that they do not have.

--- a/persimmonspan/platform/store.py
+++ b/persimmonspan/platform/store.py
@@ -8,6 +8,7 @@
 import collections.abc
 import http
 import logging
+import typing
 import urllib.parse
 
 import msgspec
@@ -21,6 +22,10 @@
 # Responses usually take a few ms; one that takes 60 times as long still arrives
 # in time.
 _RESPONSE_TIMEOUT_S = 1.0
+_ERA_HEADER = "Store-Era"
+# A store that comes back from a copy more often than this during one read of
+# several pages counts as unavailable.
+_MAX_READS = 3
 
 
 class _Row(msgspec.Struct):
@@ -38,6 +43,11 @@
     hasMore: bool = False
 
 
+class _Response(typing.NamedTuple):
+    body: bytes
+    era: int
+
+
 _logger = logging.getLogger(__name__)
 _rows_decoder = msgspec.json.Decoder(_Rows)
 
@@ -51,36 +61,56 @@
                                                 int(port),
                                                 maxsize=1,
                                                 retries=False)
+        self._unreadable_era = ""
 
     def read(self, table: str) -> row_store.Rows:
         """Returns all rows of a table.
 
-        The rows are of one version only if they fit into one page.
+        The rows are of one version only if they fit into one page, but always
+        of one era.
         """
+        for _ in range(_MAX_READS):
+            rows = self._read_pages(table)
+            if rows is not None:
+                return rows
+            _logger.warning("the era of the store changed between pages",
+                            extra={"table": table})
+        raise errors.StoreError(
+            errors.Code.STORE_UNAVAILABLE,
+            f"the era changed during each of {_MAX_READS} reads")
+
+    def _read_pages(self, table: str) -> row_store.Rows | None:
+        """Returns all rows of a table, or None if they are of several eras."""
         rows: list[row_store.Row] = []
         start_key = ""
+        first_era: int | None = None
         while True:
             query = {"tableName": table, "part": ""}
             if start_key:
                 query["startKey"] = start_key
-            page = self._fetch_page("/rows-get", query, _RESPONSE_TIMEOUT_S)
+            page, era = self._fetch_page("/rows-get", query,
+                                         _RESPONSE_TIMEOUT_S)
+            if first_era is None:
+                first_era = era
+            elif era != first_era:
+                return None
             rows += map(_decode_row, page.rows)
             if not page.hasMore or not page.rows:
-                return row_store.Rows(tuple(rows), page.schemaVersion)
+                return row_store.Rows(tuple(rows), page.schemaVersion, era)
             # `startKey` is inclusive, so the next page starts at the least key
             # after the last one.
             start_key = page.rows[-1].key + "\0"
 
     def changes(self, table: str, since: int, wait_s: float) -> row_store.Rows:
         """Waits for and returns the rows that changed after a version."""
-        page = self._fetch_page(
+        page, era = self._fetch_page(
             "/rows-feed", {
                 "tableName": table,
                 "sinceRevision": since,
                 "waitMs": int(wait_s * _MS_PER_S)
             }, wait_s + _RESPONSE_TIMEOUT_S)
         return row_store.Rows(tuple(map(_decode_row, page.rows)),
-                              page.schemaVersion)
+                              page.schemaVersion, era)
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row unconditionally."""
@@ -98,12 +128,12 @@
 
     def _fetch_page(self, path: str, query: collections.abc.Mapping[str,
                                                                     object],
-                    response_timeout_s: float) -> _Rows:
-        data = self._send_request("GET",
-                                  f"{path}?{urllib.parse.urlencode(query)}",
-                                  response_timeout_s)
+                    response_timeout_s: float) -> tuple[_Rows, int]:
+        response = self._send_request(
+            "GET", f"{path}?{urllib.parse.urlencode(query)}",
+            response_timeout_s)
         try:
-            return _rows_decoder.decode(data)
+            return _rows_decoder.decode(response.body), response.era
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise errors.StoreError(errors.Code.STORE_UNAVAILABLE,
                                     f"malformed response: {error}") from error
@@ -112,7 +142,7 @@
                       method: str,
                       target: str,
                       response_timeout_s: float,
-                      body: bytes | None = None) -> bytes:
+                      body: bytes | None = None) -> _Response:
         try:
             response = self._pool.request(
                 method,
@@ -126,7 +156,7 @@
                 errors.Code.STORE_UNAVAILABLE,
                 f"no response: {type(error).__name__}") from error
         if response.status == http.HTTPStatus.OK:
-            return response.data
+            return _Response(response.data, self._decode_era(response.headers))
         if response.status == http.HTTPStatus.GONE:
             raise row_store.HistoryLostError(
                 errors.Code.STORE_UNAVAILABLE,
@@ -136,6 +166,20 @@
                 errors.Code.STORE_UNAVAILABLE)
         raise errors.StoreError(code, f"status {response.status}")
 
+    def _decode_era(self, headers: collections.abc.Mapping[str, str]) -> int:
+        """Returns the era of a response, or 0 if it has none that is a number.
+
+        The versions of such a store are taken for those of one history.
+        """
+        value = headers.get(_ERA_HEADER, "")
+        if value.isascii() and value.isdecimal():
+            return int(value)
+        if value and value != self._unreadable_era:
+            self._unreadable_era = value
+            _logger.warning("era of the store not understood",
+                            extra={"era": value})
+        return 0
+
 
 def _decode_row(row: _Row) -> row_store.Row:
     if row.deleted:
--- a/persimmonspan/platform/tests/test_store.py
+++ b/persimmonspan/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import base64
 import contextlib
 import http.server
+import itertools
 import json
 import threading
 import urllib.parse
@@ -26,7 +27,10 @@
 
 @contextlib.contextmanager
 def _serve_store(respond):
-    """Serves `respond(method, path, query, body) -> (status, document)`."""
+    """Serves `respond(method, path, query, body) -> (status, document)`.
+
+    A third item of the result, if any, is the era that the response names.
+    """
 
     class _Handler(http.server.BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -41,7 +45,7 @@
 
         def _respond(self, body):
             parts = urllib.parse.urlsplit(self.path)
-            status, document = respond(
+            status, document, *era = respond(
                 self.command, parts.path,
                 dict(urllib.parse.parse_qsl(parts.query)), body)
             if document is None:
@@ -50,6 +54,8 @@
             data = json.dumps(document).encode()
             self.send_response(status)
             self.send_header("Content-Length", str(len(data)))
+            for value in era:
+                self.send_header("Store-Era", value)
             self.end_headers()
             self.wfile.write(data)
 
@@ -144,3 +150,47 @@
         "key": "k",
         "data": "dg=="
     }]
+
+
+@pytest.mark.parametrize("header, era", [(("12",), 12), ((), 0), (("x",), 0),
+                                         (("-1",), 0), (("1.5",), 0)])
+def test_the_era_of_a_response_is_returned(header, era):
+    document = {"rows": [], "schemaVersion": 9}
+    with _serve_store(lambda *_: (200, document, *header)) as client:
+        assert client.read("t").era == era
+        assert client.changes("t", 5, 0.1).era == era
+
+
+def test_pages_of_different_eras_are_not_joined():
+    eras = iter(["1", "2", "2", "2"])
+
+    def respond(method, path, query, body):
+        del method, path, body
+        era = next(eras)
+        is_first = "startKey" not in query
+        key = "a" if is_first else "b"
+        return 200, {
+            "rows": [_row(key, era.encode(), 3)],
+            "hasMore": is_first,
+            "schemaVersion": 9
+        }, era
+
+    with _serve_store(respond) as client:
+        rows = client.read("t")
+    assert [row.value for row in rows.rows] == [b"2", b"2"] and rows.era == 2
+
+
+def test_read_fails_if_the_era_changes_during_each_attempt():
+    numbers = itertools.count(1)
+
+    def respond(method, path, query, body):
+        del method, path, query, body
+        return 200, {
+            "rows": [_row("a", b"", 3)],
+            "hasMore": True,
+            "schemaVersion": 9
+        }, str(next(numbers))
+
+    with _serve_store(respond) as client:
+        with pytest.raises(errors.StoreError):
+            client.read("t")
--- a/persimmonspan/process/row_store.py
+++ b/persimmonspan/process/row_store.py
@@ -14,10 +14,16 @@
 
 
 class Rows(typing.NamedTuple):
-    """Rows of a table at one version of the store."""
+    """Rows of a table at one version of the store.
+
+    `era` tells apart the histories of a store that comes back from a copy:
+    versions of different eras cannot be compared. It is 0 if the store does not
+    tell it.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    era: int = 0
 
 
 class HistoryLostError(errors.StoreError):
--- a/testbed/edge_store.py
+++ b/testbed/edge_store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's store: rows with versions, and faults."""
+"""Stand-in for the platform's store: rows with versions, eras and faults."""
 
 import base64
 import collections.abc
@@ -13,6 +13,19 @@
 _MS_PER_S = 1000.0
 _SILENT_RESPONSE_DELAY_S = 1.5
 
+_Tables = dict[str, dict[str, tuple[bytes | None, int]]]
+
+
+class Copy(typing.NamedTuple):
+    """All rows at a version."""
+
+    tables: _Tables
+    version: int
+
+
+class HistoryLostError(Exception):
+    """The store does not have the version from which changes were asked."""
+
 
 class _Server(http.server.ThreadingHTTPServer):
 
@@ -30,7 +43,8 @@
 
     def __init__(self) -> None:
         self.mode = "ok"
-        self._tables: dict[str, dict[str, tuple[bytes | None, int]]] = {}
+        self.era = 1
+        self._tables: _Tables = {}
         self._version = 1
         self._changed = threading.Condition()
         store = self
@@ -78,6 +92,27 @@
             self._tables.setdefault(table, {})[key] = value, self._version
             self._changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Returns a copy from which the store may come back."""
+        with self._changed:
+            return Copy(
+                {
+                    name: dict(table) for name, table in self._tables.items()
+                }, self._version)
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy: what was written since is lost.
+
+        The versions since are given out again, in the next era.
+        """
+        with self._changed:
+            self.era += 1
+            self._tables = {
+                name: dict(table) for name, table in copy.tables.items()
+            }
+            self._version = copy.version
+            self._changed.notify_all()
+
     def answer(self, handler: http.server.BaseHTTPRequestHandler,
                body: bytes) -> None:
         """Responds to one call according to `mode`."""
@@ -100,7 +135,12 @@
                 return
             self._send(handler, 200, {"schemaVersion": self._version})
             return
-        self._send(handler, 200, self._read_rows(parts.path, query))
+        try:
+            document = self._read_rows(parts.path, query)
+        except HistoryLostError:
+            self._send(handler, 410, {})
+            return
+        self._send(handler, 200, document)
 
     def _read_rows(self, path: str, query: dict[str,
                                                 str]) -> dict[str, typing.Any]:
@@ -117,8 +157,11 @@
 
         with self._changed:
             if is_feed:
-                self._changed.wait_for(changed,
-                                       int(query["waitMs"]) / _MS_PER_S)
+                self._changed.wait_for(
+                    lambda: changed() or since_version > self._version,
+                    int(query["waitMs"]) / _MS_PER_S)
+                if since_version > self._version:
+                    raise HistoryLostError
             rows = [{
                 "key": key,
                 "schemaVersion": version
@@ -133,11 +176,11 @@
                 "hasMore": False
             }
 
-    @staticmethod
-    def _send(handler: http.server.BaseHTTPRequestHandler, status: int,
+    def _send(self, handler: http.server.BaseHTTPRequestHandler, status: int,
               document: object) -> None:
         data = json.dumps(document).encode()
         handler.send_response(status)
+        handler.send_header("Store-Era", str(self.era))
         handler.send_header("Content-Length", str(len(data)))
         handler.end_headers()
         handler.wfile.write(data)
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -12,6 +12,7 @@
 import threading
 import time
 
+from persimmonspan import errors
 from persimmonspan.platform import program
 from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
@@ -36,6 +37,7 @@
     def __init__(self):
         self.tables = {"op": {}, "servers": {}}
         self.version = 1
+        self.era = 1
         self.row_changed = threading.Condition()
 
     def write(self, table, key, document):
@@ -50,6 +52,23 @@
             self.tables.setdefault(table, {})[key] = value, self.version
             self.row_changed.notify_all()
 
+    def copy(self):
+        """Returns a copy of all rows from which the store may come back."""
+        with self.row_changed:
+            return {
+                name: dict(rows) for name, rows in self.tables.items()
+            }, self.version
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is lost.
+
+        The versions since are given out again, in the next era.
+        """
+        with self.row_changed:
+            self.era += 1
+            self.tables, self.version = copy
+            self.row_changed.notify_all()
+
     def read(self, table):
         """Returns all rows of a table."""
         return self.changes(table, 0, 0.0)
@@ -59,6 +78,9 @@
 
         Returns the rows and the current version when the wait ends. Version 0
         asks for all rows that are not removed.
+
+        Raises:
+            row_store.HistoryLostError: The store does not have the version.
         """
 
         def rows():
@@ -68,8 +90,13 @@
                 if version > since and (value is not None or since))
 
         with self.row_changed:
-            self.row_changed.wait_for(rows, wait_s)
-            return row_store.Rows(rows(), self.version)
+            self.row_changed.wait_for(lambda: rows() or since > self.version,
+                                      wait_s)
+            if since > self.version:
+                raise row_store.HistoryLostError(
+                    errors.Code.STORE_UNAVAILABLE,
+                    "the store does not have the version")
+            return row_store.Rows(rows(), self.version, self.era)
 
     def put(self, table, key, value):
         """Writes a row with an arbitrary value."""
