Read the configuration in full once the store comes back from a copy

What callers saw: a route that had been added and confirmed got 404 for good.

Cause: versions of the store are given out again after it came back from a copy. A daemon that had read up to version 31, and noticed no failed call, asked for the changes since 31; a configuration at a reissued lower version is none.

Change: process/store_eras.py decides what the era of an answer says. Changes from another era than that of the version they were asked from are not used, and the table is read in full at once. An answer of an earlier era is left out if its call began before the present era was seen; otherwise another store has taken the former's place. Without an era there is one history, as before. A line 'store came back from a copy' and the counters store_era_changed and store_answer_late tell of it.

--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -3,6 +3,9 @@
 Each table has its own thread and connection, so that a call that waits for
 changes of one does not delay the other. If a peer has read a table recently,
 its store snapshot is used instead of another read.
+
+See Also:
+    `persimmonspan.process.store_eras`: a store that comes back from a copy.
 """
 
 import collections.abc
@@ -19,6 +22,7 @@
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
+from persimmonspan.process import store_eras
 from persimmonspan.process import threads
 from persimmonspan.version import routes
 
@@ -62,6 +66,9 @@
                         change: directory.Change) -> None:
         """Receives the registered targets and their changes."""
 
+    def count(self, reason: str) -> None:
+        """Increments the event counter of a reason."""
+
 
 class Followers:
     """Runs the threads that read the store.
@@ -85,6 +92,8 @@
         self._directory = directory.State()
         self._directory_lock = threading.Lock()
         self._adoption_lock = threading.Lock()
+        self._era = store_eras.State()
+        self._era_lock = threading.Lock()
         self._version = 0  # Of the last adopted configuration.
         self._peer_version = 0  # Newest version that a peer reported.
         self._peer_version_s = 0.0
@@ -153,33 +162,39 @@
     def _follow_configuration(self) -> None:
         store = self._open_store(self._address)
         table = self._formats.configuration_table
-        since_version: int | None = None
+        since: row_store.Rows | None = None  # The last answer.
         while not self._stopped.is_set():
             can_rely_on_peers = (self._peer_version <= self._version or
                                  clock.now_s() - self._peer_version_s
                                  < _CONFIGURATION_DELIVERY_TIMEOUT_S)
             if (self._version and can_rely_on_peers and
                     not self.peers.must_read_configuration()):
-                since_version = None
+                since = None
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
             began_s = clock.now_s()
             try:
-                if since_version is None:
+                if since is None:
                     rows = store.read(table)
                 else:
-                    rows = store.changes(table, since_version,
+                    rows = store.changes(table, since.version,
                                          _CONFIGURATION_WAIT_S)
             except row_store.HistoryLostError:
                 _logger.warning("history lost", extra={"table": table})
-                since_version = None
+                since = None
                 continue
             except errors.StoreError as error:
-                since_version = None
+                since = None
                 self._record_failure(table, error)
                 continue
             self._record_success(table)
-            since_version = rows.version
+            is_late = not self._accept_era(table, rows.era, rows.version,
+                                           began_s)
+            if is_late or (since is not None and rows.era != since.era):
+                # The changes are those since a version of another history.
+                since = None
+                continue
+            since = rows
             written = [
                 row for row in rows.rows
                 if row.key == self._formats.configuration_key and row.value
@@ -193,6 +208,35 @@
             self.peers.record_version_read(self._version, began_s)
             self._stopped.wait(self.peers.configuration_pause_s())
 
+    def _accept_era(self, table: str, era: int, version: int,
+                    began_s: float) -> bool:
+        """Applies the era of an answer; returns whether the answer holds."""
+        with self._era_lock:
+            before = self._era
+            self._era, verdict = store_eras.observe(before, era, version,
+                                                    began_s, clock.now_s())
+        if verdict is store_eras.Verdict.LATE:
+            self._receiver.count("store_answer_late")
+            _logger.warning("answer of an earlier era of the store left out",
+                            extra={
+                                "table": table,
+                                "era": era,
+                                "present_era": before.era
+                            })
+            return False
+        if verdict is store_eras.Verdict.CHANGED:
+            self._receiver.count("store_era_changed")
+            _logger.warning("store came back from a copy",
+                            extra={
+                                "era_before": before.era,
+                                "era": era,
+                                "version_before": before.version,
+                                "version": version,
+                                "source": table,
+                                "read_again": ["configuration", "targets"]
+                            })
+        return True
+
     def _adopt(self, value: bytes, version: int) -> None:
         try:
             configuration = self._formats.decode_configuration(value)
@@ -238,6 +282,8 @@
             self._record_failure(table, error)
             return False
         self._record_success(table)
+        if not self._accept_era(table, rows.era, rows.version, began_s):
+            return True
         decoded = {
             row.key: self._formats.decode_target(row.key, row.value)
             for row in rows.rows
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -105,6 +105,9 @@
     def apply_directory(self, state, change):
         """Ignores targets."""
 
+    def count(self, reason):
+        """Ignores counted events."""
+
 
 def _formats(decode_target):
     return followers.Formats(
