Do not take the entries of an older copy of the store for news

What callers saw: requests went to targets that had reported that they leave (DRAIN binds a daemon that has read this also while the store is in disruption), and were refused with 503 while sound targets had not registered again yet.

Cause: each read replaced all entries. After the store came back from a copy, a leaving or removed target was ready again, an older incarnation replaced the newer one as a restart, and targets that had registered after the copy were gone at once, since no read had failed.

Evidence: test_leaving_target_that_the_copy_shows_as_ready_gets_no_request and test_target_that_registered_after_the_copy_is_served_at_its_return failed before ({200, 503} in place of {503} and of {200}).

Change: directory.apply_rows takes the era. At another era, missing entries are lapsed for 2 s. In any era, leaving holds for an incarnation, and an older incarnation is not believed. An entry that was removed in an earlier era is believed once it has outlived the removal of entries that nobody renews (6 s); removed in the same era it is believed at once, as an entry that another writer made unreadable for a moment is missing, too. What is gone is remembered for 60 s, at most 4,096 entries. A line 'older entry of a target not believed' once for each entry and era, and the counter target_entry_doubted.

Ruled out: that a target stays unusable in the scheduler, as the next change of the targets forgets its marks of absent ones.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -10,19 +10,21 @@
 _LOST_WRITES = 20
 # The follower of the configuration has read what was written before.
 _READ_WAIT_S = 0.5
+_REQUEST_INTERVAL_S = 0.05
 
 
-@pytest.fixture(name="world")
-def _world():
-    """A daemon with a configuration and a replica of `desk`."""
+@pytest.fixture(name="desk_world")
+def _desk_world():
+    """A daemon with a configuration, and the address of a replica of `desk`."""
     world = edge_world.EdgeEnvironment()
     world.rows.write("op", "config", edge_world.configuration())
-    world.add_replica("i-1", "desk",
-                      lambda request: [replica.complete_response(request, b"")])
+    added = world.add_replica(
+        "i-1", "desk",
+        lambda request: [replica.complete_response(request, b"")])
     with world.running():
         edge_world.wait_until(
             lambda: world.send_request("/idempotent/1")[0] == 200)
-        yield world
+        yield world, added.address
 
 
 def _write_many(rows, count):
@@ -30,7 +32,8 @@
         rows.write("status", "note", number)
 
 
-def test_configuration_written_at_a_reissued_version_is_in_force(world):
+def test_configuration_written_at_a_reissued_version_is_in_force(desk_world):
+    world, _ = desk_world
     rows = world.rows
     copy = rows.copy()
     _write_many(rows, _LOST_WRITES)
@@ -43,3 +46,39 @@
                    edge_world.configuration(3, pathPrefix="/new/"))
         _write_many(rows, 2 * _LOST_WRITES)
     edge_world.wait_until(lambda: world.send_request("/new/1")[0] == 200)
+
+
+def _statuses(world, duration_s):
+    """Returns the statuses of requests during a time."""
+    end_s = time.monotonic() + duration_s
+    statuses = set()
+    while time.monotonic() < end_s:
+        statuses.add(world.send_request("/idempotent/1")[0])
+        time.sleep(_REQUEST_INTERVAL_S)
+    return statuses
+
+
+def test_leaving_target_that_the_copy_shows_as_ready_gets_no_request(
+        desk_world):
+    world, address = desk_world
+    copy = world.rows.copy()
+    world.register_replica("i-1", "desk", address, "draining")
+    edge_world.wait_until(lambda: world.send_request("/idempotent/1")[0] == 503)
+    world.rows.restore(copy)
+    # Another change makes the daemon tell its scheduler all targets.
+    world.register_replica("i-2", "engines", address)
+    assert _statuses(world, 1.0) == {503}
+
+
+def test_target_that_registered_after_the_copy_is_served_at_its_return(
+        desk_world):
+    world, address = desk_world
+    world.rows.write("servers", "i-1", None)
+    edge_world.wait_until(lambda: world.send_request("/idempotent/1")[0] == 503)
+    copy = world.rows.copy()
+    world.register_replica("i-1", "desk", address)
+    edge_world.wait_until(lambda: world.send_request("/idempotent/1")[0] == 200)
+    world.rows.restore(copy)
+    assert _statuses(world, 1.5) == {200}
+    world.register_replica("i-1", "desk", address)
+    assert _statuses(world, 1.5) == {200}
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -6,6 +6,13 @@
 A lapsed entry stays usable until `_REREGISTRATION_TIMEOUT_S` after the store is
 available again.
 
+The store may come back from a copy, in another era. Targets that registered
+after the copy are then missing, and count as lapsed. Entries of the copy may be
+older than what was read before; they are doubted. A target that was leaving
+still is. An older incarnation does not replace a newer one. A target whose
+entry was gone is not used until the entry has outlived the removal of those
+that nobody renews.
+
 `apply_rows` is pure: it takes the rows and the time of the read, and returns
 the next state with the changes.
 """
@@ -18,6 +25,13 @@
 # Live targets register again within this time after the store is available.
 # Source: contract of the platform.
 _REREGISTRATION_TIMEOUT_S = 2.0
+# Entries that nobody renews are removed within this time. Source: contract of
+# the platform, three heartbeats.
+_REMOVAL_TIMEOUT_S = 6.0
+# Entries that are gone are remembered for longer than a copy is old. The load:
+# a failure domain of 2,300 targets that restarts.
+_GONE_EXPIRY_S = 60.0
+_MAX_GONE = 4096
 
 
 class Registration(typing.NamedTuple):
@@ -33,12 +47,22 @@
     slow_start_s: float = 0.0
 
 
+class Gone(typing.NamedTuple):
+    """An entry that is gone, and when and in which era it was missed."""
+
+    entry: Registration
+    era: int
+    missed_s: float
+
+
 class State(typing.NamedTuple):
     """Targets as last read.
 
     `is_lost` holds while the store cannot be read; `regained_s` is the time of
     the first read after that. `lapsed` holds the entries that were missing
-    shortly after `regained_s`.
+    shortly after `regained_s` or `returned_s`, the time of the first read after
+    the store came back from a copy. `doubted` holds the rows that are not
+    believed as they are, `gone` recent entries by name.
     """
 
     present: immutables.Map[str, Registration] = immutables.Map()
@@ -46,20 +70,28 @@
     is_lost: bool = False
     regained_s: float = -math.inf
     read_s: float = -math.inf
+    era: int = 0
+    returned_s: float = -math.inf
+    doubted: immutables.Map[str, Registration] = immutables.Map()
+    gone: immutables.Map[str, Gone] = immutables.Map()
 
 
 class Change(typing.NamedTuple):
-    """Targets that joined, leave, are gone or have restarted at a read."""
+    """Targets that joined, leave, are gone or have restarted at a read.
+
+    `doubted` holds the rows that are not believed, once in an era.
+    """
 
     joined: tuple[Registration, ...] = ()
     leaving: tuple[Registration, ...] = ()
     gone: tuple[Registration, ...] = ()
     restarted: tuple[Registration, ...] = ()
+    doubted: tuple[Registration, ...] = ()
 
     @property
     def is_empty(self) -> bool:
-        """Whether nothing changed."""
-        return not any(self)
+        """Whether no target changed."""
+        return not (self.joined or self.leaving or self.gone or self.restarted)
 
 
 def failed(state: State) -> State:
@@ -67,10 +99,18 @@
     return state._replace(is_lost=True)
 
 
-def apply_rows(state: State, rows: typing.Iterable[Registration],
-               now_s: float) -> tuple[State, Change]:
+def apply_rows(state: State,
+               rows: typing.Iterable[Registration],
+               now_s: float,
+               era: int = 0) -> tuple[State, Change]:
     """Applies all entries as read at a time.
 
+    Args:
+        state: The state before the read.
+        rows: The entries.
+        now_s: Time of the read.
+        era: Era of the store at the read, 0 if it was not told.
+
     >>> one = Registration("a", "s", "10.0.0.1:80", "d", 1)
     >>> state, change = apply_rows(State(), [one], 0.0)
     >>> change.joined == (one,)
@@ -81,14 +121,36 @@
     >>> apply_rows(state, [], 12.5)[1].gone == (one,)
     True
     """
-    present = {row.name: row for row in rows}
-    regained_s = now_s if state.is_lost else state.regained_s
+    has_returned = bool(era and state.era) and era != state.era
+    state = state._replace(
+        is_lost=False,
+        regained_s=now_s if state.is_lost else state.regained_s,
+        returned_s=now_s if has_returned else state.returned_s,
+        read_s=now_s,
+        era=era or state.era,
+        doubted=immutables.Map() if has_returned else state.doubted)
+    return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
+
+
+def _apply(state: State, rows: typing.Iterable[Registration],
+           available_s: float, now_s: float) -> tuple[State, Change]:
+    """Applies rows to a state whose era and times are those of the read.
+
+    Entries that are missing count as lapsed shortly after `available_s`.
+    """
     before = {**state.lapsed, **state.present}
+    present, doubted = {}, {}
+    for row in rows:
+        entry = _believe(row, state, now_s)
+        if entry is not None:
+            present[row.name] = entry
+        if entry != row:
+            doubted[row.name] = row
     missing = {
         name: entry for name, entry in before.items() if name not in present
     }
     lapsed = {}
-    if now_s < regained_s + _REREGISTRATION_TIMEOUT_S:
+    if now_s < available_s + _REREGISTRATION_TIMEOUT_S:
         lapsed = {
             name: entry
             for name, entry in missing.items()
@@ -105,9 +167,50 @@
         if entry.is_leaving and not (old is not None and old.is_leaving):
             leaving.append(entry)
     gone = tuple(entry for name, entry in missing.items() if name not in lapsed)
-    return (State(immutables.Map(present), immutables.Map(lapsed), False,
-                  regained_s, now_s),
-            Change(tuple(joined), tuple(leaving), gone, tuple(restarted)))
+    change = Change(
+        tuple(joined), tuple(leaving), gone, tuple(restarted),
+        tuple(
+            row for name, row in doubted.items() if name not in state.doubted))
+    return state._replace(present=immutables.Map(present),
+                          lapsed=immutables.Map(lapsed),
+                          doubted=immutables.Map(doubted),
+                          gone=_remember(state, present, gone, now_s)), change
+
+
+def _believe(row: Registration, state: State,
+             now_s: float) -> Registration | None:
+    """Returns the entry that follows from a row, or None if none does.
+
+    A row without an incarnation cannot be compared, and is believed.
+    """
+    past = state.gone.get(row.name)
+    known = state.present.get(row.name, state.lapsed.get(row.name))
+    last = known or (past and past.entry)
+    if last is None or not row.incarnation or not last.incarnation:
+        return row
+    if row.incarnation != last.incarnation:
+        return row if row.incarnation > last.incarnation else None
+    if last.is_leaving:
+        return row._replace(is_leaving=True)
+    is_removal_lost = (known is None and past.era != state.era and
+                       now_s < state.returned_s + _REMOVAL_TIMEOUT_S)
+    return None if is_removal_lost else row
+
+
+def _remember(state: State, present: typing.Mapping[str, Registration],
+              gone: typing.Iterable[Registration],
+              now_s: float) -> immutables.Map[str, Gone]:
+    """Returns the entries that are gone, without those to be forgotten."""
+    kept = {
+        name: item
+        for name, item in state.gone.items()
+        if name not in present and now_s - item.missed_s <= _GONE_EXPIRY_S
+    }
+    kept.update((entry.name, Gone(entry, state.era, now_s)) for entry in gone)
+    if len(kept) > _MAX_GONE:
+        newest = sorted(kept.items(), key=lambda item: item[1].missed_s)
+        kept = dict(newest[-_MAX_GONE:])
+    return immutables.Map(kept)
 
 
 def all_targets(state: State) -> tuple[Registration, ...]:
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -288,7 +288,16 @@
         """Logs changes of the registered targets and applies them."""
         is_first = self._registrations is None
         self._registrations = directory.usable_targets(state)
-        for name, entries in change._asdict().items():
+        for entry in change.doubted:
+            self.metrics.count("target_entry_doubted")
+            _logger.warning("older entry of a target not believed",
+                            extra={
+                                "target": entry.name,
+                                "incarnation": entry.incarnation,
+                                "is_leaving": entry.is_leaving,
+                                "era": state.era
+                            })
+        for name, entries in change._replace(doubted=())._asdict().items():
             for entry in entries:
                 _logger.info("target %s",
                              name,
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -282,8 +282,6 @@
             self._record_failure(table, error)
             return False
         self._record_success(table)
-        if not self._accept_era(table, rows.era, rows.version, began_s):
-            return True
         decoded = {
             row.key: self._formats.decode_target(row.key, row.value)
             for row in rows.rows
@@ -293,8 +291,11 @@
         self._log_undecoded(
             frozenset(key for key, entry in decoded.items() if entry is None))
         with self._directory_lock:
+            # Within the lock: a snapshot of a later era may come between.
+            if not self._accept_era(table, rows.era, rows.version, began_s):
+                return True
             self._directory, change = directory.apply_rows(
-                self._directory, entries, clock.now_s())
+                self._directory, entries, clock.now_s(), rows.era)
             self._receiver.apply_directory(self._directory, change)
             self.peers.record_targets_read(self._directory, began_s)
         return True
--- a/persimmonspan/process/tests/test_directory.py
+++ b/persimmonspan/process/tests/test_directory.py
@@ -51,3 +51,78 @@
     again = _ONE._replace(incarnation=5, address="10.0.0.9:80")
     _, change = _read([again], 1.0, state)
     assert change.restarted == (again,)
+
+
+_BORN = _ONE._replace(incarnation=5)
+_LEAVING = _BORN._replace(is_leaving=True)
+
+
+def _read_in(era, rows, now_s=0.0, state=directory.State()):
+    return directory.apply_rows(state, rows, now_s, era)
+
+
+def test_leaving_target_that_an_older_copy_shows_as_ready_gets_no_new_work():
+    state, _ = _read_in(1, [_BORN])
+    state, _ = _read_in(1, [_LEAVING], 1.0, state)
+    for now_s in (2.0, 3.0, 30.0):
+        state, change = _read_in(2, [_BORN], now_s, state)
+        assert change.is_empty and not directory.usable_targets(state)
+        assert change.doubted == ((_BORN,) if now_s == 2.0 else ())
+
+
+def test_removed_target_that_an_older_copy_shows_waits_for_its_renewal():
+    state, _ = _read_in(1, [_BORN])
+    state, _ = _read_in(1, [], 1.0, state)
+    state, change = _read_in(2, [_BORN], 2.0, state)
+    assert change.is_empty and change.doubted == (_BORN,)
+    state, change = _read_in(2, [_BORN], 7.9, state)
+    assert not any(change)
+    state, change = _read_in(2, [_BORN], 8.1, state)
+    assert change.joined == (_BORN,)
+
+
+def test_leaving_target_that_was_removed_stays_leaving_in_an_older_copy():
+    state, _ = _read_in(1, [_LEAVING])
+    state, _ = _read_in(1, [], 1.0, state)
+    state, _ = _read_in(2, [_BORN], 2.0, state)
+    state, _ = _read_in(2, [_BORN], 12.0, state)
+    assert not directory.usable_targets(state)
+
+
+def test_older_incarnation_in_a_copy_does_not_replace_the_newer_one():
+    newer = _BORN._replace(incarnation=9, address="10.0.0.9:80")
+    state, _ = _read_in(1, [_BORN])
+    state, _ = _read_in(1, [newer], 1.0, state)
+    state, change = _read_in(2, [_BORN], 2.0, state)
+    assert change.is_empty and directory.usable_targets(state) == (newer,)
+    state, change = _read_in(2, [newer], 3.0, state)
+    assert not any(change) and directory.usable_targets(state) == (newer,)
+
+
+def test_target_that_registered_after_the_copy_is_usable_until_it_does_again():
+    state, _ = _read_in(1, [_BORN])
+    state, change = _read_in(2, [], 1.0, state)
+    assert change.is_empty and directory.usable_targets(state) == (_BORN,)
+    state, change = _read_in(2, [], 3.1, state)
+    assert change.gone == (_BORN,)
+
+
+def test_target_whose_entry_was_removed_may_register_again_in_the_same_era():
+    # An entry that another writer made unreadable for a moment is missing.
+    state, _ = _read_in(1, [_BORN])
+    state, _ = _read_in(1, [], 1.0, state)
+    state, change = _read_in(1, [_BORN], 2.0, state)
+    assert change.joined == (_BORN,)
+
+
+def test_entries_that_are_gone_are_not_remembered_without_bound():
+    state = directory.State()
+    for number in range(10):
+        rows = [
+            _BORN._replace(name=f"i-{number}-{index}") for index in range(1000)
+        ]
+        state, _ = _read_in(1, rows, float(number), state)
+    assert len(state.gone) == 4096
+    state, _ = _read_in(1, [], 100.0, state)
+    state, _ = _read_in(1, [], 161.0, state)
+    assert not state.gone
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -171,7 +171,8 @@
                 "address": address,
                 "zone": "a",
                 "slots": 6,
-                "state": state
+                "state": state,
+                "born": 1
             })
 
     @contextlib.contextmanager
