Tell peers in which era of the store the targets were read

What callers saw: 503 at all daemons while sound targets had not registered again yet, if the daemon that reads for all had restarted in the lost span.

A reader that has just started knows no targets but those of the older copy.

Evidence: test_snapshot_of_a_reader_without_memory_takes_away_no_targets and test_late_snapshot_of_an_earlier_era_changes_no_targets, called without the era, failed on the code before (no target was left; the late one was in force).

Each daemon begins its own waiting span at another era, and ends it by itself while the reader confirms the same targets. A daemon reports the id of the targets that it received: with that of what it believes, 195 daemons that doubt an entry would be sent all targets at each digest.

--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -121,17 +121,42 @@
     >>> apply_rows(state, [], 12.5)[1].gone == (one,)
     True
     """
-    has_returned = bool(era and state.era) and era != state.era
-    state = state._replace(
+    state = _enter_era(state, era, now_s)._replace(
         is_lost=False,
         regained_s=now_s if state.is_lost else state.regained_s,
-        returned_s=now_s if has_returned else state.returned_s,
-        read_s=now_s,
-        era=era or state.era,
-        doubted=immutables.Map() if has_returned else state.doubted)
+        read_s=now_s)
     return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
 
 
+def apply_snapshot(state: State, rows: typing.Iterable[Registration],
+                   now_s: float, era: int) -> tuple[State, Change]:
+    """Applies the targets of a peer that reads the store.
+
+    They include the entries that lapsed for the peer, so that failed reads of
+    this daemon count no more. In another era the peer may have just started,
+    and not know what was there before.
+    """
+    state = _enter_era(state, era, now_s)._replace(is_lost=False)
+    return _apply(state, rows, state.returned_s, now_s)
+
+
+def apply_time(state: State, now_s: float) -> tuple[State, Change]:
+    """Applies the rows of the last read again at a later time."""
+    return _apply(state, last_rows(state),
+                  max(state.regained_s, state.returned_s), now_s)
+
+
+def last_rows(state: State) -> tuple[Registration, ...]:
+    """Returns the rows of the last read, as far as they matter."""
+    return tuple({**state.present, **state.doubted}.values())
+
+
+def _enter_era(state: State, era: int, now_s: float) -> State:
+    if not era or not state.era or era == state.era:
+        return state._replace(era=era or state.era)
+    return state._replace(era=era, returned_s=now_s, doubted=immutables.Map())
+
+
 def _apply(state: State, rows: typing.Iterable[Registration],
            available_s: float, now_s: float) -> tuple[State, Change]:
     """Applies rows to a state whose era and times are those of the read.
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -86,6 +86,7 @@
     configuration_age_s: float
     configuration: bytes = b""  # Compressed; empty for daemons that have it.
     entries_id: int = 0
+    era: int = 0  # Of the store when the entries were read; 0 if not told.
 
 
 class Digest(msgspec.Struct, array_like=True):
@@ -142,6 +143,7 @@
     hub_received_s: float = 0.0  # Last digest of a hub, or the start.
     can_read: bool = True
     name: str = ""
+    era: int = 0  # Newest era of the store that this daemon knows.
 
 
 def encode(digest: Digest) -> bytes:
@@ -209,7 +211,8 @@
         peers=state.peers.set(digest.name, peer),
         hub_received_s=now_s if is_usable_hub else state.hub_received_s)
     news = digest.news
-    if news is None:
+    if news is None or 0 < news.era < state.era:
+        # Versions and entries of an earlier era confirm nothing.
         return state, False
     state = state._replace(configuration_s=max(state.configuration_s, now_s -
                                                news.configuration_age_s))
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -15,8 +15,6 @@
 import threading
 import typing
 
-import immutables
-
 from persimmonspan import errors
 from persimmonspan.process import clock
 from persimmonspan.process import directory
@@ -38,6 +36,7 @@
 _ADDRESSES_READ_INTERVAL_S = 45.0
 # Longest time of a call to the store that is not answered.
 _CALL_TIMEOUT_S = 2.0
+_DIGEST = "digest of a peer"  # Stands for a table as the source of an era.
 # Pause after an unexpected error.
 _ERROR_PAUSE_S = 1.0
 
@@ -124,30 +123,39 @@
     def apply_store_snapshot(self,
                              registrations: tuple[directory.Registration, ...] |
                              None, configuration_version: int,
-                             configuration: bytes) -> None:
+                             configuration: bytes, era: int) -> None:
         """Applies a store snapshot of a peer.
 
         Args:
-            registrations: The targets, or None if older than the recorded ones.
+            registrations: The targets, or None if they are not newer than the
+                recorded ones.
             configuration_version: Version in force in the store.
             configuration: The value of its row, if the peer sent it.
+            era: Era of the store when the targets were read, or 0.
         """
         if configuration_version > self._peer_version:
             self._peer_version = configuration_version
             self._peer_version_s = clock.now_s()
         if configuration and configuration_version > self._version:
             self._adopt(configuration, configuration_version)
-        if registrations is None:
-            return
         with self._directory_lock:
-            # The peer decides which entries have lapsed: its targets still
-            # include them, so they are not kept here a second time.
-            state = self._directory._replace(is_lost=False,
-                                             lapsed=immutables.Map())
-            self._directory, change = directory.apply_rows(
-                state, registrations, clock.now_s())
+            state = self._directory
+            # How long the digest took is uncertain, so that an earlier era is
+            # always taken for a late one.
+            if not self._accept_era(_DIGEST, era, 0, -math.inf):
+                return
+            if registrations is None:
+                if not state.era or era in (0, state.era):
+                    return
+                rows = directory.last_rows(state)
+            else:
+                rows = registrations
+                # The id of what was received: the targets in force may differ
+                # from it for some time, and would be sent again and again.
+                self.peers.record_entries(registrations)
+            self._directory, change = directory.apply_snapshot(
+                state, rows, clock.now_s(), era)
             self._receiver.apply_directory(self._directory, change)
-            self.peers.record_entries(directory.all_targets(self._directory))
 
     def last_checked_s(self) -> float:
         """Returns when what is in force was last confirmed or uncheckable.
@@ -224,6 +232,8 @@
                                 "present_era": before.era
                             })
             return False
+        if self._era.era != before.era:
+            self.peers.record_era(self._era.era)
         if verdict is store_eras.Verdict.CHANGED:
             self._receiver.count("store_era_changed")
             _logger.warning("store came back from a copy",
@@ -265,11 +275,21 @@
                     self.peers.exchange_addresses(store, addresses_s is None)
                     addresses_s = now_s
             if not self.peers.must_read_targets():
+                self._apply_time()
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
             if self._read_targets(store):
                 self._stopped.wait(self.peers.targets_read_interval_s())
 
+    def _apply_time(self) -> None:
+        """Ends spans of time of entries while a peer confirms the rows."""
+        with self._directory_lock:
+            if not self._directory.lapsed and not self._directory.doubted:
+                return
+            self._directory, change = directory.apply_time(
+                self._directory, clock.now_s())
+            self._receiver.apply_directory(self._directory, change)
+
     def _read_targets(self, store: row_store.RowStore) -> bool:
         table = self._formats.targets_table
         began_s = clock.now_s()
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -98,6 +98,7 @@
     version: int = 0
     version_s: float = -math.inf
     configuration: bytes = b""  # Compressed.
+    era: int = 0  # Of the store at the read of the entries.
 
 
 class Peering:
@@ -108,9 +109,9 @@
         address: Address at which it receives digests.
         scheduler_ref: Receives the loads of peers and returns the own loads.
         apply_store_snapshot: Called with the targets that the reader read, or
-            None if they are older than the recorded ones, with the version of
-            the configuration in the store, and with the configuration if this
-            daemon reported an older version.
+            None if they are not newer than the recorded ones, with the version
+            of the configuration in the store, with the configuration if this
+            daemon reported an older version, and with the era of the store.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
     """
@@ -121,7 +122,7 @@
         address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes], None],
+            [tuple[directory.Registration, ...] | None, int, bytes, int], None],
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
         limits: Limits = Limits()
@@ -251,15 +252,21 @@
         entries = directory.all_targets(state)
         with self._lock:
             self._own_read = self._own_read._replace(entries=entries,
-                                                     entries_s=began_s)
+                                                     entries_s=began_s,
+                                                     era=state.era)
         self.record_entries(entries)
 
     def record_entries(
             self,
             entries: collections.abc.Iterable[directory.Registration]) -> None:
-        """Records the registered targets that are now in force."""
+        """Records the registered targets that were read or received last."""
         self._entries_id = edge_peers.identify_entries(entries)
 
+    def record_era(self, era: int) -> None:
+        """Records the present era of the store."""
+        with self._lock:
+            self._state = self._state._replace(era=era)
+
     def record_version_read(self, version: int, at_s: float) -> None:
         """Records the version that was in force in the store at a time."""
         with self._lock:
@@ -333,10 +340,12 @@
         self._record_rates(digest.rates)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         snapshot = digest.news
-        if is_newer or (snapshot is not None and snapshot.configuration):
+        if snapshot is not None and (is_newer or snapshot.configuration or
+                                     snapshot.era > self._state.era):
             self._apply_store_snapshot(snapshot.entries if is_newer else None,
                                        snapshot.configuration_version,
-                                       _decompress(snapshot.configuration))
+                                       _decompress(snapshot.configuration),
+                                       snapshot.era)
 
     def _compose_digests(self) -> dict[str, bytes]:
         """Returns the digest that is due now, by receiver's address."""
@@ -480,7 +489,8 @@
                                         own_read.version,
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
-                                            own_read.entries))
+                                            own_read.entries),
+                                        era=own_read.era)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -1,5 +1,7 @@
 """Tests the digests of daemons and the choice of the reader and the hub."""
 
+import msgspec
+
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.request import events
@@ -245,3 +247,21 @@
         digest = edge_peers.Digest(name, "", True, (), entries_id=entries_id)
         state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
     assert edge_peers.peers_without_entries(state, 5) == {"b"}
+
+
+def test_snapshot_of_an_earlier_era_confirms_nothing():
+    news = edge_peers.StoreSnapshot(0.1, (_ONE,), 7, 0.1, era=4)
+    state, is_newer = edge_peers.merge_digest(edge_peers.State(era=5),
+                                              _digest(news=news), 100.0, 0.0)
+    assert not is_newer
+    assert state.snapshot_s < 0.0 and state.configuration_s < 0.0
+
+
+def test_digest_of_a_daemon_that_does_not_know_eras_is_news():
+    news = edge_peers.StoreSnapshot(0.1, (_ONE,), 7, 0.1, era=4)
+    fields = msgspec.msgpack.decode(edge_peers.encode(_digest(news=news)))
+    fields[4] = fields[4][:6]
+    digest = edge_peers.decode(msgspec.msgpack.encode(fields))
+    assert digest.news.era == 0
+    assert edge_peers.merge_digest(edge_peers.State(era=5), digest, 100.0,
+                                   0.0)[1]
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -9,6 +9,7 @@
 from persimmonspan.process import followers
 from persimmonspan.process import row_store
 from persimmonspan.version import routes
+from testbed import edge_world
 
 _RESPONSE_DELAY_S = 0.3
 
@@ -72,6 +73,9 @@
     def record_entries(self, entries):
         """Ignores targets of peers."""
 
+    def record_era(self, era):
+        """Ignores the era of the store."""
+
     def record_version_read(self, version, at_s):
         """Records a version and its time."""
         self.reported.append((version, at_s, clock.now_s()))
@@ -95,6 +99,7 @@
     def __init__(self):
         self.versions = []
         self.adopted = threading.Event()
+        self.usable = set()
 
     def adopt(self, configuration):
         """Records a configuration."""
@@ -103,7 +108,9 @@
             self.adopted.set()
 
     def apply_directory(self, state, change):
-        """Ignores targets."""
+        """Records the names of the targets that may get new work."""
+        del change
+        self.usable = {entry.name for entry in directory.usable_targets(state)}
 
     def count(self, reason):
         """Ignores counted events."""
@@ -203,3 +210,44 @@
         while clock.now_s() < end_s:
             assert clock.now_s() - follower.last_checked_s() < 0.1
             time.sleep(0.05)
+
+
+class _ReadingPeers(_Peers):
+    """Peers of which another one reads the store."""
+
+    def must_read_targets(self):
+        """Returns that another daemon reads."""
+        return False
+
+    must_read_configuration = must_read_targets
+
+
+def _born(name):
+    return directory.Registration(name, "s", "a:1", "d", 1, incarnation=5)
+
+
+def test_snapshot_of_a_reader_without_memory_takes_away_no_targets():
+    # A reader that had restarted told its peers of the older copy only.
+    receiver = _Receiver()
+    follower = followers.Followers(lambda address: _Store(), "",
+                                   _formats(lambda key, data: None), receiver)
+    follower.peers = _ReadingPeers()
+    follower.apply_store_snapshot(
+        (_born("i-1"), _born("i-2")._replace(is_leaving=True)), 0, b"", 1)
+    with follower.running():
+        follower.apply_store_snapshot((_born("i-2"),), 0, b"", 2)
+        assert receiver.usable == {"i-1"}
+        follower.apply_store_snapshot((_born("i-2"), _born("i-3")), 0, b"", 2)
+        assert receiver.usable == {"i-1", "i-3"}
+        # The reader confirms the same targets from then on.
+        edge_world.wait_until(lambda: receiver.usable == {"i-3"})
+
+
+def test_late_snapshot_of_an_earlier_era_changes_no_targets():
+    receiver = _Receiver()
+    follower = followers.Followers(lambda address: _Store(), "",
+                                   _formats(lambda key, data: None), receiver)
+    follower.peers = _ReadingPeers()
+    follower.apply_store_snapshot((_born("i-1"),), 0, b"", 2)
+    follower.apply_store_snapshot((_born("i-2"),), 0, b"", 1)
+    assert receiver.usable == {"i-1"}
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -53,8 +53,8 @@
                                        self.scheduler, self._apply,
                                        lambda rates: None, limits)
 
-    def _apply(self, entries, version, configuration):
-        del version, configuration
+    def _apply(self, entries, version, configuration, era):
+        del version, configuration, era
         if entries is not None:
             self.entries = entries
             self.applied += 1
