Let the reader ask a peer for a configuration that the store has lost

What callers saw: a daemon that started after the store had come back from a copy served the older configuration of the copy, though the newer one was confirmed and in force at all others.

Cause: only the daemon that reads for all sends configurations. If it is the one that started, nobody sends it the newer one, whose version it sees in each digest.

Evidence: test_reader_with_an_older_configuration_gets_the_newer_one_from_a_peer (18 daemons, a hub) and test_reader_among_few_daemons_gets_the_newer_configuration failed before: nothing arrived within 5 s.

Change: the reader asks one daemon that reports a newer version, and another one after 0.5 s, by two fields at the end of the digest. Other daemons never ask and none answers unasked, so that 195 daemons send one copy in 0.5 s. What arrives is decoded and adopted like any other configuration; an older one never is. Older daemons ignore the fields. The choice of senders moves from edge_peers to configuration_exchange. Log lines: 'a peer has a newer configuration than the store', 'configuration received from a peer'.

--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -7,7 +7,7 @@
 is the first by name of the daemons whose digests arrived recently and whose own
 reads succeed; a daemon without a fresh snapshot reads by itself. A daemon that
 reports an older version of the configuration is sent the newer one with the
-snapshot.
+snapshot; see `persimmonspan.process.configuration_exchange`.
 
 Targets change far less often than digests are sent. A digest therefore holds
 the registered targets only for daemons that report another id of them than the
@@ -44,20 +44,17 @@
 from persimmonspan.request import rate_limits
 
 # Several digests may be lost or late before a daemon counts as gone.
-_PEER_SILENCE_TIMEOUT_S = 1.5
+PEER_SILENCE_TIMEOUT_S = 1.5
 # Longer than the time between two reads of the rows of all daemons.
 _PEER_EXPIRY_S = 100.0
 _DIGEST_INTERVAL_S = 0.1
 _HUB_DIGEST_INTERVAL_S = 0.2
 # Number of daemons that one without a hub sends to at first; it doubles after
-# each `_PEER_SILENCE_TIMEOUT_S` without a digest of a hub.
+# each `PEER_SILENCE_TIMEOUT_S` without a digest of a hub.
 _INITIAL_HUB_CANDIDATES = 2
 # So many daemons, the first by name, try at once to take the place of a hub
 # that cannot read; the others wait for one of them before they read themselves.
 _EARLY_DAEMONS = 8
-# The configuration is sent again to a daemon that still reports an older one; a
-# digest's round trip takes less than this.
-_CONFIGURATION_RESEND_S = 0.5
 # With more peers, digests go through a hub.
 _MAX_DIRECT_PEERS = 15
 _LAST_NAME = "\U0010ffff"  # Comes after all names of daemons.
@@ -106,6 +103,9 @@
     counted_number: int = 0  # The receiver's digest that the totals contain.
     reports: tuple[quarantine_reports.NumberedReport, ...] = ()
     rates: tuple[rate_limits.Answer, ...] = ()
+    # Whether the receiver is to send its configuration, as it is newer.
+    wants_configuration: bool = False
+    configuration: bytes = b""  # Of `version`, if the receiver wanted it.
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -126,6 +126,7 @@
     version: int = 0
     sent_version: int = 0
     sent_s: float = -math.inf  # When that version was sent.
+    asked_s: float = -math.inf  # When it was asked for its configuration.
     sums_received_s: float = -math.inf  # Last digest that it sent as the hub.
 
 
@@ -261,7 +262,7 @@
     return min([
         name, *(other for other, peer in state.peers.items()
                 if peer.can_read and now_s -
-                peer.last_received_s <= _PEER_SILENCE_TIMEOUT_S)
+                peer.last_received_s <= PEER_SILENCE_TIMEOUT_S)
     ])
 
 
@@ -297,7 +298,7 @@
     ranked = [
         _hub_rank(peer, other)
         for other, peer in state.peers.items()
-        if now_s - peer.sums_received_s <= _PEER_SILENCE_TIMEOUT_S
+        if now_s - peer.sums_received_s <= PEER_SILENCE_TIMEOUT_S
     ]
     return min(ranked)[1] if ranked else None
 
@@ -333,13 +334,13 @@
 
     The result is empty if the daemon is to act as the hub itself.
     """
-    silences = max(
-        0, int((now_s - state.hub_received_s) / _PEER_SILENCE_TIMEOUT_S))
+    silences = max(0,
+                   int((now_s - state.hub_received_s) / PEER_SILENCE_TIMEOUT_S))
     count = _INITIAL_HUB_CANDIDATES * 2**min(silences, 16)
     before = sorted(
         other for other, peer in state.peers.items()
         if other < name and (peer.can_read or now_s -
-                             peer.last_received_s > _PEER_SILENCE_TIMEOUT_S))
+                             peer.last_received_s > PEER_SILENCE_TIMEOUT_S))
     return tuple(before[:count]) if len(before) > count or not silences else ()
 
 
@@ -349,35 +350,6 @@
                      if peer.entries_id != entries_id)
 
 
-def outdated_peers(state: State, version: int, now_s: float) -> list[str]:
-    """Returns the daemons that need to be sent a version of the configuration.
-
-    >>> digest = Digest("a", "", True, (), version=3)
-    >>> state, _ = merge_digest(State(), digest, 0.0, 0.0)
-    >>> outdated_peers(state, 4, 0.1)
-    ['a']
-    >>> outdated_peers(record_sent_configuration(state, ["a"], 4, 0.1), 4, 0.2)
-    []
-    """
-    return [
-        name for name, peer in state.peers.items()
-        if peer.version < version and now_s -
-        peer.last_received_s <= _PEER_SILENCE_TIMEOUT_S and
-        (peer.sent_version < version or now_s -
-         peer.sent_s > _CONFIGURATION_RESEND_S)
-    ]
-
-
-def record_sent_configuration(state: State, names: typing.Iterable[str],
-                              version: int, now_s: float) -> State:
-    """Records that daemons were sent a version of the configuration."""
-    peers = state.peers
-    for name in names:
-        peers = peers.set(
-            name, peers[name]._replace(sent_version=version, sent_s=now_s))
-    return state._replace(peers=peers)
-
-
 class Totals(typing.NamedTuple):
     """Sums over all daemons: loads by target, demands by service."""
 
@@ -391,7 +363,7 @@
     sums = Totals({load.target: load for load in loads},
                   {demand.service: demand for demand in demands})
     for peer in state.peers.values():
-        if now_s - peer.last_received_s > _PEER_SILENCE_TIMEOUT_S:
+        if now_s - peer.last_received_s > PEER_SILENCE_TIMEOUT_S:
             continue
         for load in peer.loads:
             before = sums.loads.get(load.target)
@@ -430,7 +402,7 @@
 def counted_number(state: State, receiver: str, now_s: float) -> int:
     """Returns which digest of a daemon is in the sums, or 0 if none is."""
     peer = state.peers[receiver]
-    is_counted = now_s - peer.last_received_s <= _PEER_SILENCE_TIMEOUT_S
+    is_counted = now_s - peer.last_received_s <= PEER_SILENCE_TIMEOUT_S
     return peer.number if is_counted else 0
 
 
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -20,6 +20,7 @@
 
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
+from persimmonspan.process import configuration_exchange
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import quarantine_reports
@@ -141,6 +142,8 @@
         self._is_hub = False
         self._own_read = OwnRead()
         self._own_version = 0
+        # Readers that asked this daemon for its newer configuration.
+        self._wanted_by: frozenset[str] = frozenset()
         # Id of the registered targets in force.
         self._entries_id = 0
         # Starts at random: after a restart, a hub may still count a digest of
@@ -272,7 +275,7 @@
         with self._lock:
             self._own_read = self._own_read._replace(version=version,
                                                      version_s=at_s)
-        if edge_peers.outdated_peers(self._state, version, at_s):
+        if configuration_exchange.outdated_peers(self._state, version, at_s):
             self._links.wake()
 
     def record_configuration(self, version: int, configuration: bytes) -> None:
@@ -339,6 +342,18 @@
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
+        if digest.wants_configuration and digest.version < self._own_version:
+            with self._lock:
+                self._wanted_by |= {digest.name}
+            self._links.wake()
+        if digest.configuration:
+            _logger.info("configuration received from a peer",
+                         extra={
+                             "peer": digest.name,
+                             "version": digest.version
+                         })
+            self._apply_store_snapshot(None, digest.version,
+                                       _decompress(digest.configuration), 0)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
@@ -365,11 +380,12 @@
         snapshot = self._store_snapshot(state, now_s)
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
+        requests = self._take_requests(receivers, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates]), is_hub, now_s):
+             ], [answer[:2] for answer in rates], requests), is_hub, now_s):
             return {}
         digest = edge_peers.Digest(self._name,
                                    self._address,
@@ -390,9 +406,17 @@
                 loads=(),
                 demands=(),
                 totals=edge_peers.encode_totals(totals))
-        elif snapshot is None:
+        elif snapshot is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
+        return self._encode_for_peers(digest, state, receivers, requests, now_s)
+
+    def _encode_for_peers(self, digest: edge_peers.Digest,
+                          state: edge_peers.State, receivers: dict[str, str],
+                          requests: configuration_exchange.Requests,
+                          now_s: float) -> dict[str, bytes]:
+        """Returns the digest with what each peer needs, by its address."""
+        snapshot = digest.news
         outdated = self._select_outdated_peers(snapshot, receivers, now_s)
         entries_id = snapshot.entries_id if snapshot is not None else 0
         without_entries = edge_peers.peers_without_entries(state, entries_id)
@@ -400,7 +424,12 @@
             address:
                 edge_peers.encode(
                     self._digest_for_peer(
-                        digest, name in outdated, name in without_entries,
+                        msgspec.structs.replace(
+                            digest,
+                            wants_configuration=name == requests.source,
+                            configuration=self._own_read.configuration
+                            if name in requests.wanted_by else b""), name
+                        in outdated, name in without_entries,
                         edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
@@ -441,11 +470,34 @@
         version = self._own_read.version
         with self._lock:
             names = frozenset(receivers).intersection(
-                edge_peers.outdated_peers(self._state, version, now_s))
-            self._state = edge_peers.record_sent_configuration(
+                configuration_exchange.outdated_peers(self._state, version,
+                                                      now_s))
+            self._state = configuration_exchange.record_sent_configuration(
                 self._state, names, version, now_s)
         return names
 
+    def _take_requests(self, receivers: collections.abc.Container[str],
+                       now_s: float) -> configuration_exchange.Requests:
+        """Returns the requests for configurations that are due now."""
+        with self._lock:
+            wanted_by, self._wanted_by = self._wanted_by, frozenset()
+            source = None
+            if edge_peers.is_reader(self._state, self._name, now_s):
+                source = configuration_exchange.select_source(
+                    self._state, self._own_version, now_s)
+            if source is None or source not in receivers:
+                return configuration_exchange.Requests(None, wanted_by)
+            self._state = configuration_exchange.record_asked(
+                self._state, source, now_s)
+            version = self._state.peers[source].version
+        _logger.warning("a peer has a newer configuration than the store",
+                        extra={
+                            "peer": source,
+                            "version": version,
+                            "own_version": self._own_version
+                        })
+        return configuration_exchange.Requests(source, wanted_by)
+
     def _digest_for_peer(self, digest: edge_peers.Digest, is_outdated: bool,
                          needs_entries: bool,
                          counted_number: int) -> edge_peers.Digest:
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from persimmonspan.process import configuration_exchange
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.request import events
@@ -144,11 +145,14 @@
     for name, version in (("a", 4), ("b", 5)):
         digest = edge_peers.Digest(name, "", True, (), version=version)
         state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
-    assert edge_peers.outdated_peers(state, 5, 0.1) == ["a"]
-    state = edge_peers.record_sent_configuration(state, ["a"], 5, 0.1)
-    assert not edge_peers.outdated_peers(state, 5, 0.3)
-    assert edge_peers.outdated_peers(state, 5, 0.7) == ["a"]  # It was lost.
-    assert not edge_peers.outdated_peers(state, 5, 5.0)  # Silent by now.
+    assert configuration_exchange.outdated_peers(state, 5, 0.1) == ["a"]
+    state = configuration_exchange.record_sent_configuration(
+        state, ["a"], 5, 0.1)
+    assert not configuration_exchange.outdated_peers(state, 5, 0.3)
+    assert configuration_exchange.outdated_peers(state, 5,
+                                                 0.7) == ["a"]  # It was lost.
+    assert not configuration_exchange.outdated_peers(state, 5,
+                                                     5.0)  # Silent by now.
 
 
 def _part(number):
@@ -265,3 +269,20 @@
     assert digest.news.era == 0
     assert edge_peers.merge_digest(edge_peers.State(era=5), digest, 100.0,
                                    0.0)[1]
+
+
+def test_reader_asks_one_daemon_at_a_time_for_a_newer_configuration():
+    # A reader that started after the store came back had an older one than all.
+    state = edge_peers.State()
+    for number in range(195):
+        digest = edge_peers.Digest(f"d{number:03}", "a:1", True, (), version=9)
+        state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
+    asked = []
+    for step in range(14):
+        now_s = step / 10
+        name = configuration_exchange.select_source(state, 7, now_s)
+        if name is not None:
+            asked.append(name)
+            state = configuration_exchange.record_asked(state, name, now_s)
+    assert asked == ["d000", "d001", "d002"]
+    assert configuration_exchange.select_source(state, 9, 2.0) is None
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -49,12 +49,16 @@
         self.scheduler = _Scheduler(self.name)
         self.entries = None
         self.applied = 0
+        self.configurations = []
         self.peering = peering.Peering(self.name, edge_world.free_address(),
                                        self.scheduler, self._apply,
                                        lambda rates: None, limits)
 
     def _apply(self, entries, version, configuration, era):
-        del version, configuration, era
+        del era
+        if configuration:
+            self.configurations.append((version, configuration))
+            self.peering.record_configuration(version, configuration)
         if entries is not None:
             self.entries = entries
             self.applied += 1
@@ -238,3 +242,27 @@
                               daemons[1].peering.targets_confirmed_s())
     # An interval between reads and one between digests, twice for a busy VM.
     assert max(ages_s) < 2 * (_INTERVAL_S + 0.1)
+
+
+def test_reader_with_an_older_configuration_gets_the_newer_one_from_a_peer():
+    # The store came back from a copy, and the reader started after that.
+    with _running() as daemons:
+        _read_until(daemons, [_entry(0)],
+                    lambda: all(daemon.others() for daemon in daemons[1:]))
+        for daemon in daemons[1:]:
+            daemon.peering.record_configuration(9, b"new")
+        daemons[0].peering.record_configuration(7, b"old")
+        _read_until(daemons, [_entry(0)], lambda: daemons[0].configurations)
+        time.sleep(2 * _INTERVAL_S)
+    assert daemons[0].configurations == [(9, b"new")]
+
+
+def test_reader_among_few_daemons_gets_the_newer_configuration():
+    daemons = [_Daemon(0), _Daemon(1)]
+    rows = _Rows(daemons)
+    with daemons[0].peering.running(), daemons[1].peering.running():
+        for daemon in daemons:
+            daemon.peering.exchange_addresses(rows, False)
+        daemons[1].peering.record_configuration(9, b"new")
+        _read_until(daemons, [_entry(0)], lambda: daemons[0].configurations)
+    assert daemons[0].configurations[0] == (9, b"new")
