Write the addresses of daemons again that the store has lost

What callers saw: a daemon that started after the store had come back from a copy found no peers for up to 45 s: it served the older configuration of the copy, and each of both read the store for itself.

Cause: a daemon wrote its row at its start only. Rows written in the lost span are gone, and daemons that start later do not learn of the others.

Change: at another era each daemon reads the rows at a random time within 4 s, and writes its own if it is missing or has another address; the same at each later read. At 330 daemons that is 83 reads a second for 4 s, and as many writes if all rows are lost. A failed exchange is logged and repeated after the pause for failed reads; before, it was silent and repeated at once.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -82,3 +82,28 @@
     assert _statuses(world, 1.5) == {200}
     world.register_replica("i-1", "desk", address)
     assert _statuses(world, 1.5) == {200}
+
+
+def test_daemon_that_starts_on_an_older_copy_gets_the_configuration_in_force():
+    # It is the first by name, which reads for all.
+    second = edge_world.EdgeEnvironment("edge-2")
+    rows = second.rows
+    rows.write("op", "config", edge_world.configuration())
+    copy = rows.copy()
+    rows.write("op", "config", edge_world.configuration(2, pathPrefix="/new/"))
+    with second.running():
+        edge_world.wait_until(lambda: second.send_request("/new/1")[0] != 404)
+        rows.restore(copy)
+        first = edge_world.EdgeEnvironment("edge-1", rows)
+        with first.running():
+            edge_world.wait_until(
+                lambda: first.send_request("/new/1")[0] != 404)
+            assert second.send_request("/new/1")[0] != 404
+
+
+def test_address_that_the_store_lost_is_written_again(desk_world):
+    world, _ = desk_world
+    copy = {"op": dict(world.rows.tables["op"]), "servers": {}}, 1
+    edge_world.wait_until(lambda: world.rows.tables.get("edge_daemons"))
+    world.rows.restore(copy)
+    edge_world.wait_until(lambda: world.rows.tables.get("edge_daemons"))
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -12,6 +12,7 @@
 import contextlib
 import logging
 import math
+import random
 import threading
 import typing
 
@@ -34,6 +35,10 @@
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
 _ADDRESSES_READ_INTERVAL_S = 45.0
+# Within this time after the store came back from a copy, each daemon reads the
+# addresses again, and writes its own if it is lost. The load: 330 daemons, 83
+# calls a second of the 400 that the store takes.
+_ADDRESSES_RETURN_SPREAD_S = 4.0
 # Longest time of a call to the store that is not answered.
 _CALL_TIMEOUT_S = 2.0
 _DIGEST = "digest of a peer"  # Stands for a table as the source of an era.
@@ -92,6 +97,7 @@
         self._directory_lock = threading.Lock()
         self._adoption_lock = threading.Lock()
         self._era = store_eras.State()
+        self._addresses_due_s = -math.inf
         self._era_lock = threading.Lock()
         self._version = 0  # Of the last adopted configuration.
         self._peer_version = 0  # Newest version that a peer reported.
@@ -221,8 +227,12 @@
         """Applies the era of an answer; returns whether the answer holds."""
         with self._era_lock:
             before = self._era
+            now_s = clock.now_s()
             self._era, verdict = store_eras.observe(before, era, version,
-                                                    began_s, clock.now_s())
+                                                    began_s, now_s)
+            if verdict is store_eras.Verdict.CHANGED:
+                self._addresses_due_s = now_s + random.uniform(
+                    0.0, _ADDRESSES_RETURN_SPREAD_S)
         if verdict is store_eras.Verdict.LATE:
             self._receiver.count("store_answer_late")
             _logger.warning("answer of an earlier era of the store left out",
@@ -236,15 +246,16 @@
             self.peers.record_era(self._era.era)
         if verdict is store_eras.Verdict.CHANGED:
             self._receiver.count("store_era_changed")
-            _logger.warning("store came back from a copy",
-                            extra={
-                                "era_before": before.era,
-                                "era": era,
-                                "version_before": before.version,
-                                "version": version,
-                                "source": table,
-                                "read_again": ["configuration", "targets"]
-                            })
+            _logger.warning(
+                "store came back from a copy",
+                extra={
+                    "era_before": before.era,
+                    "era": era,
+                    "version_before": before.version,
+                    "version": version,
+                    "source": table,
+                    "read_again": ["configuration", "targets", "addresses"]
+                })
         return True
 
     def _adopt(self, value: bytes, version: int) -> None:
@@ -266,14 +277,10 @@
 
     def _follow_targets(self) -> None:
         store = self._open_store(self._address)
-        addresses_s: float | None = None
+        is_first = True
         while not self._stopped.is_set():
-            now_s = clock.now_s()
-            if (addresses_s is None or
-                    now_s - addresses_s > _ADDRESSES_READ_INTERVAL_S):
-                with contextlib.suppress(errors.StoreError):
-                    self.peers.exchange_addresses(store, addresses_s is None)
-                    addresses_s = now_s
+            if clock.now_s() >= self._addresses_due_s:
+                is_first = not self._exchange_addresses(store, is_first)
             if not self.peers.must_read_targets():
                 self._apply_time()
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
@@ -281,6 +288,25 @@
             if self._read_targets(store):
                 self._stopped.wait(self.peers.targets_read_interval_s())
 
+    def _exchange_addresses(self, store: row_store.RowStore,
+                            is_first: bool) -> bool:
+        """Returns whether the addresses were read and the own one is there."""
+        due_s = self._addresses_due_s
+        try:
+            self.peers.exchange_addresses(store, is_first)
+        except errors.StoreError as error:
+            _logger.info("addresses not exchanged",
+                         extra={"reason": str(error)})
+            pause_s = self.peers.retry_pause_range_s()[0]
+        else:
+            is_first = False
+            pause_s = _ADDRESSES_READ_INTERVAL_S
+        with self._era_lock:
+            # The store may have come back meanwhile.
+            if self._addresses_due_s == due_s:
+                self._addresses_due_s = clock.now_s() + pause_s
+        return not is_first
+
     def _apply_time(self) -> None:
         """Ends spans of time of entries while a peer confirms the rows."""
         with self._directory_lock:
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -301,15 +301,23 @@
 
         Args:
             store: Connection to the store.
-            is_first: Whether to write the address of this daemon before.
+            is_first: Whether to write the address of this daemon before. It
+                is also written if the store does not have it: the store may
+                have come back from an older copy.
 
         Raises:
             errors.StoreError: The store did not respond.
         """
+        own_value = self._address.encode()
         if is_first:
-            store.put(TABLE, self._name, self._address.encode())
+            store.put(TABLE, self._name, own_value)
+        rows = store.read(TABLE).rows
+        if not any(row[:2] == (self._name, own_value) for row in rows):
+            _logger.warning("row of this daemon written again",
+                            extra={"table": TABLE})
+            store.put(TABLE, self._name, own_value)
         now_s = clock.now_s()
-        for row in store.read(TABLE).rows:
+        for row in rows:
             if (row.value and row.key != self._name and
                     len(row.value) <= _MAX_ADDRESS_BYTES):
                 with self._lock:
