Pause before a store without history is asked again

A read that got 410 was followed by a read in full and the next read of changes without any pause. A store that keeps no history at all was asked as fast as it answered.

Evidence: test_store_without_history_is_not_asked_in_a_tight_loop failed before (see its count in the second's 12 permitted calls), passes now.

Change: the first 410 is followed at once by a read in full, as before; each further one, until changes were read again, by the pause after a failed call.

--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -177,6 +177,7 @@
         store = self._open_store(self._address)
         table = self._formats.configuration_table
         since: row_store.Rows | None = None  # The last answer.
+        losses = 0  # Of the history, since the last changes that were read.
         while not self._stopped.is_set():
             can_rely_on_peers = (self._peer_version <= self._version or
                                  clock.now_s() - self._peer_version_s
@@ -195,6 +196,9 @@
                                          _CONFIGURATION_WAIT_S)
             except row_store.HistoryLostError:
                 _logger.warning("history lost", extra={"table": table})
+                if losses:
+                    self._stopped.wait(self.peers.retry_pause_range_s()[0])
+                losses += 1
                 since = None
                 continue
             except errors.StoreError as error:
@@ -208,6 +212,7 @@
                 # The changes are those since a version of another history.
                 since = None
                 continue
+            losses = losses if since is None else 0
             since = rows
             written = [
                 row for row in rows.rows
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -251,3 +251,26 @@
     follower.apply_store_snapshot((_born("i-1"),), 0, b"", 2)
     follower.apply_store_snapshot((_born("i-2"),), 0, b"", 1)
     assert receiver.usable == {"i-1"}
+
+
+class _ForgetfulStore(_Store):
+    """A store that has dropped its history."""
+
+    def changes(self, table, since, wait_s):
+        """Fails at once."""
+        self.calls += 1
+        raise row_store.HistoryLostError(errors.Code.STORE_UNAVAILABLE, "gone")
+
+
+def test_store_without_history_is_not_asked_in_a_tight_loop():
+    store = _ForgetfulStore()
+    follower = followers.Followers(
+        lambda address: store, "",
+        _formats(
+            lambda key, data: directory.Registration(key, "s", "a:1", "d", 1)),
+        _Receiver())
+    follower.peers = _Peers()
+    with follower.running():
+        time.sleep(1.0)
+    # The pause after a failed call is 0.1 s.
+    assert 2 <= store.calls <= 12
