Use a target again whose entry was gone before the first configuration

What callers saw: 503 (no_target) for good for a target whose entry was removed and written again while the daemon had no configuration yet.

Cause: a target that is gone is marked as leaving in the scheduler, which drops the marks of targets that the next list does not have. Without a configuration no list is sent; the target joined again, and kept its mark.

Evidence: test_target_that_was_removed_before_the_first_configuration_is_usable failed before (503 until the end of its 5 s).

Change: a target that joins and does not leave is told as returned, too.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -1,5 +1,6 @@
 """Tests daemons whose store comes back from a copy some seconds old."""
 
+import logging
 import time
 
 import pytest
@@ -107,3 +108,23 @@
     edge_world.wait_until(lambda: world.rows.tables.get("edge_daemons"))
     world.rows.restore(copy)
     edge_world.wait_until(lambda: world.rows.tables.get("edge_daemons"))
+
+
+def test_target_that_was_removed_before_the_first_configuration_is_usable(
+        caplog):
+    caplog.set_level(logging.INFO)
+    world = edge_world.EdgeEnvironment()
+    desk = replica.Replica(
+        lambda request: [replica.complete_response(request, b"")])
+    with desk.running(), world.edge.running():
+        world.register_replica("i-1", "desk", desk.address)
+        for message in ("target joined", "target gone"):
+            edge_world.wait_until(
+                lambda message=message: message in caplog.messages)
+            world.rows.write("servers", "i-1", None)
+        world.register_replica("i-1", "desk", desk.address)
+        edge_world.wait_until(
+            lambda: caplog.messages.count("target joined") == 2)
+        world.rows.write("op", "config", edge_world.configuration())
+        edge_world.wait_until(
+            lambda: world.send_request("/idempotent/1")[0] == 200)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -310,9 +310,9 @@
             self.scheduler.tell(events.TargetLeaving(entry.name))
         for entry in (*change.restarted, *change.joined):
             self._moved_targets.discard(entry.name)
-        for entry in change.restarted:
+        for entry in (*change.restarted, *change.joined):
             if not entry.is_leaving:
-                # The notice of its former process holds no longer.
+                # The notice of its former process or entry holds no longer.
                 self.scheduler.tell(events.TargetReturned(entry.name))
         if is_first or not change.is_empty:
             self._send_targets()
