--- a/persimmonspan/process/tests/test_directory_machine.py
+++ b/persimmonspan/process/tests/test_directory_machine.py
@@ -121,7 +121,7 @@
             assert (name, entry.incarnation) not in self.left
             assert entry.incarnation >= self.newest.get(name, 0)
             self.newest[name] = entry.incarnation
-        if self.now_s - self.returned_s < _REREGISTRATION_S:
+        if self.now_s < self.returned_s + _REREGISTRATION_S:
             for name, entry in self.usable.items():
                 # Only a report that it leaves, or a restart, ends its use.
                 shown = self.state.present.get(name)
