Let the store of the soak come back from an older copy halfway

The stand-in returns from a copy at most 2 s old; its writers write again within a second. Afterwards each daemon must serve the newest configuration, whose number is in a route.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -3,10 +3,11 @@
 Real daemons run as processes in front of stand-ins of the store and of
 replicas. While callers send requests, daemons are paused, killed, stopped and
 restarted, the store fails, and replicas interrupt responses, reset connections
-and leave. One part of a prompt crashes each engine that begins to answer it.
-Faults end before the callers do: a replica then names a rate, and the daemons
-must keep to it and refuse the part. Afterwards the responses and the runs at
-replicas are checked.
+and leave. Halfway, the store comes back from a copy some seconds old; what its
+writers wrote since is written again. One part of a prompt crashes each engine
+that begins to answer it. Faults end before the callers do: a replica then names
+a rate, and the daemons must keep to it, refuse the part and serve the newest
+configuration. Afterwards the responses and the runs at replicas are checked.
 
     python -m testbed.soak --seeds 50 --seconds 8
 """
@@ -38,6 +39,7 @@
 _CALLER_COUNT = 6
 _RESPONSE_TIMEOUT_S = 6.0
 _SHUTDOWN_GRACE_S = 2.0
+_COPY_AGE_S = 2.0  # Of the copy from which the store comes back, at most.
 _CRASHING_SHARE = 0.15  # Of the drafts.
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
@@ -173,10 +175,15 @@
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+def _version_route(version: int) -> str:
+    return f"version-{version}"
+
+
 def _configuration(version: int) -> dict[str, typing.Any]:
     kinds = {"idempotent": "desk", "non_idempotent": "desk", "draft": "engines"}
     return {
-        "version": version,
+        "version":
+            version,
         "routes": [{
             "name": kind,
             "host": _HOST,
@@ -187,7 +194,18 @@
             "service": service,
             "maxAttempts": 2 if kind == "idempotent" else 1,
             "anonymous": True
-        } for kind, service in kinds.items()],
+        } for kind, service in kinds.items()] + [{
+            # Shows which version is in force.
+            "name": "version",
+            "host": _HOST,
+            "pathPrefix": f"/{_version_route(version)}/",
+            "kind": "idempotent",
+            "timeoutMs": 4000,
+            "targetLatencyMs": 500,
+            "service": "desk",
+            "maxAttempts": 2,
+            "anonymous": True
+        }],
         "services": [{
             "name": "desk"
         }, {
@@ -237,6 +255,8 @@
         self._seconds = seconds
         self._folder = folder
         self._callers_stopped = threading.Event()
+        self._version = 1  # Of the configuration.
+        self._outdated: list[str] = []
         self._settled_s = 0.0  # When the check of the bounds began.
 
     def run(self) -> dict[str, list[str]]:
@@ -260,7 +280,9 @@
         return find_broken_promises(
             self.results, replicas.runs) | find_exceeded_bounds(
                 sum(at_s >= checked_s for at_s in replicas.crashed_s),
-                sum(at_s >= checked_s for at_s in replicas.limited_s))
+                sum(at_s >= checked_s for at_s in replicas.limited_s)) | ({
+                    "configuration_outdated": self._outdated
+                } if self._outdated else {})
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
@@ -272,23 +294,47 @@
         ]
         for caller in callers:
             caller.start()
-        end_s = time.monotonic() + self._seconds
-        version = 1
-        while time.monotonic() < end_s:
-            version += 1
-            self._inject_fault(daemons, store, replicas, entries, version)
+        began_s = time.monotonic()
+        copies = []
+        while time.monotonic() < began_s + self._seconds:
+            copies.append((time.monotonic(), store.copy()))
+            self._inject_fault(daemons, store, replicas, entries)
             time.sleep(self._rng.uniform(0.1, 0.6))
+            if store.era == 1 and (time.monotonic()
+                                   >= began_s + self._seconds / 2):
+                self._come_back(store, copies, entries)
         store.mode, replicas.fault_share = "ok", 0.0
         replicas.limited = entries["i-0"].server
         for name, entry in entries.items():
             store.write("servers", name, entry.document)
         time.sleep(_SETTLE_S)
+        self._outdated = [
+            daemon.address
+            for daemon in daemons
+            if _send_request(daemon.address, f"version-at-{daemon.address}",
+                             _version_route(self._version)).status == 404
+        ]
         self._settled_s = time.monotonic()
         time.sleep(_CHECK_S)
         self._callers_stopped.set()
         for caller in callers:
             caller.join()
 
+    def _come_back(self, store: edge_store.Store,
+                   copies: list[tuple[float, edge_store.Copy]],
+                   entries: dict[str, soak_replicas.Entry]) -> None:
+        """Lets the store come back from a copy, and its writers write again."""
+        self.faults.append("return")
+        now_s = time.monotonic()
+        recent = [copy for at_s, copy in copies if now_s - at_s <= _COPY_AGE_S]
+        mode, store.mode = store.mode, self._rng.choice(["busy", store.mode])
+        store.restore(self._rng.choice(recent or [copies[-1][1]]))
+        time.sleep(self._rng.uniform(0.1, 1.0))
+        store.mode = mode
+        store.write("op", "config", _configuration(self._version))
+        for name, entry in list(entries.items()):
+            store.write("servers", name, entry.document)
+
     def _run_caller(self, daemons: list[_Daemon], number: int) -> None:
         rng = random.Random(self._seed * 100 + number)
         for index in range(100_000):
@@ -304,8 +350,7 @@
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
-                      entries: dict[str,
-                                    soak_replicas.Entry], version: int) -> None:
+                      entries: dict[str, soak_replicas.Entry]) -> None:
         kind = self._rng.choice([
             "kill", "stop", "pause", "store", "replicas", "leave", "change",
             "reload"
@@ -332,7 +377,8 @@
             store.write("servers", name,
                         entries[name].document | {"state": state})
         elif kind == "change":
-            store.write("op", "config", _configuration(version))
+            self._version += 1
+            store.write("op", "config", _configuration(self._version))
         else:
             daemon.process.send_signal(signal.SIGHUP)
 
