--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -3,22 +3,25 @@
 Each table has its own thread and connection, so that a call that waits for
 changes of one does not delay the other. If a peer has read a table recently,
 its store snapshot is used instead of another read.
+
+See Also:
+    `persimmonspan.process.store_eras`: a store that comes back from a copy.
 """
 
 import collections.abc
 import contextlib
 import logging
 import math
+import random
 import threading
 import typing
 
-import immutables
-
 from persimmonspan import errors
 from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
+from persimmonspan.process import store_eras
 from persimmonspan.process import threads
 from persimmonspan.version import routes
 
@@ -32,8 +35,13 @@
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
 _ADDRESSES_READ_INTERVAL_S = 45.0
+# Within this time after the store came back from a copy, each daemon reads the
+# addresses again, and writes its own if it is lost. The load: 330 daemons, 83
+# calls a second of the 400 that the store takes.
+_ADDRESSES_RETURN_SPREAD_S = 4.0
 # Longest time of a call to the store that is not answered.
 _CALL_TIMEOUT_S = 2.0
+_DIGEST = "digest of a peer"  # Stands for a table as the source of an era.
 # Pause after an unexpected error.
 _ERROR_PAUSE_S = 1.0
 
@@ -62,6 +70,9 @@
                         change: directory.Change) -> None:
         """Receives the registered targets and their changes."""
 
+    def count(self, reason: str) -> None:
+        """Increments the event counter of a reason."""
+
 
 class Followers:
     """Runs the threads that read the store.
@@ -85,6 +96,9 @@
         self._directory = directory.State()
         self._directory_lock = threading.Lock()
         self._adoption_lock = threading.Lock()
+        self._era = store_eras.State()
+        self._addresses_due_s = -math.inf
+        self._era_lock = threading.Lock()
         self._version = 0  # Of the last adopted configuration.
         self._peer_version = 0  # Newest version that a peer reported.
         self._peer_version_s = 0.0
@@ -115,30 +129,39 @@
     def apply_store_snapshot(self,
                              registrations: tuple[directory.Registration, ...] |
                              None, configuration_version: int,
-                             configuration: bytes) -> None:
+                             configuration: bytes, era: int) -> None:
         """Applies a store snapshot of a peer.
 
         Args:
-            registrations: The targets, or None if older than the recorded ones.
+            registrations: The targets, or None if they are not newer than the
+                recorded ones.
             configuration_version: Version in force in the store.
             configuration: The value of its row, if the peer sent it.
+            era: Era of the store when the targets were read, or 0.
         """
         if configuration_version > self._peer_version:
             self._peer_version = configuration_version
             self._peer_version_s = clock.now_s()
         if configuration and configuration_version > self._version:
             self._adopt(configuration, configuration_version)
-        if registrations is None:
-            return
         with self._directory_lock:
-            # The peer decides which entries have lapsed: its targets still
-            # include them, so they are not kept here a second time.
-            state = self._directory._replace(is_lost=False,
-                                             lapsed=immutables.Map())
-            self._directory, change = directory.apply_rows(
-                state, registrations, clock.now_s())
+            state = self._directory
+            # How long the digest took is uncertain, so that an earlier era is
+            # always taken for a late one.
+            if not self._accept_era(_DIGEST, era, 0, -math.inf):
+                return
+            if registrations is None:
+                if not state.era or era in (0, state.era):
+                    return
+                rows = directory.last_rows(state)
+            else:
+                rows = registrations
+                # The id of what was received: the targets in force may differ
+                # from it for some time, and would be sent again and again.
+                self.peers.record_entries(registrations)
+            self._directory, change = directory.apply_snapshot(
+                state, rows, clock.now_s(), era)
             self._receiver.apply_directory(self._directory, change)
-            self.peers.record_entries(directory.all_targets(self._directory))
 
     def last_checked_s(self) -> float:
         """Returns when what is in force was last confirmed or uncheckable.
@@ -153,33 +176,39 @@
     def _follow_configuration(self) -> None:
         store = self._open_store(self._address)
         table = self._formats.configuration_table
-        since_version: int | None = None
+        since: row_store.Rows | None = None  # The last answer.
         while not self._stopped.is_set():
             can_rely_on_peers = (self._peer_version <= self._version or
                                  clock.now_s() - self._peer_version_s
                                  < _CONFIGURATION_DELIVERY_TIMEOUT_S)
             if (self._version and can_rely_on_peers and
                     not self.peers.must_read_configuration()):
-                since_version = None
+                since = None
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
             began_s = clock.now_s()
             try:
-                if since_version is None:
+                if since is None:
                     rows = store.read(table)
                 else:
-                    rows = store.changes(table, since_version,
+                    rows = store.changes(table, since.version,
                                          _CONFIGURATION_WAIT_S)
             except row_store.HistoryLostError:
                 _logger.warning("history lost", extra={"table": table})
-                since_version = None
+                since = None
                 continue
             except errors.StoreError as error:
-                since_version = None
+                since = None
                 self._record_failure(table, error)
                 continue
             self._record_success(table)
-            since_version = rows.version
+            is_late = not self._accept_era(table, rows.era, rows.version,
+                                           began_s)
+            if is_late or (since is not None and rows.era != since.era):
+                # The changes are those since a version of another history.
+                since = None
+                continue
+            since = rows
             written = [
                 row for row in rows.rows
                 if row.key == self._formats.configuration_key and row.value
@@ -193,6 +222,42 @@
             self.peers.record_version_read(self._version, began_s)
             self._stopped.wait(self.peers.configuration_pause_s())
 
+    def _accept_era(self, table: str, era: int, version: int,
+                    began_s: float) -> bool:
+        """Applies the era of an answer; returns whether the answer holds."""
+        with self._era_lock:
+            before = self._era
+            now_s = clock.now_s()
+            self._era, verdict = store_eras.observe(before, era, version,
+                                                    began_s, now_s)
+            if verdict is store_eras.Verdict.CHANGED:
+                self._addresses_due_s = now_s + random.uniform(
+                    0.0, _ADDRESSES_RETURN_SPREAD_S)
+        if verdict is store_eras.Verdict.LATE:
+            self._receiver.count("store_answer_late")
+            _logger.warning("answer of an earlier era of the store left out",
+                            extra={
+                                "table": table,
+                                "era": era,
+                                "present_era": before.era
+                            })
+            return False
+        if self._era.era != before.era:
+            self.peers.record_era(self._era.era)
+        if verdict is store_eras.Verdict.CHANGED:
+            self._receiver.count("store_era_changed")
+            _logger.warning(
+                "store came back from a copy",
+                extra={
+                    "era_before": before.era,
+                    "era": era,
+                    "version_before": before.version,
+                    "version": version,
+                    "source": table,
+                    "read_again": ["configuration", "targets", "addresses"]
+                })
+        return True
+
     def _adopt(self, value: bytes, version: int) -> None:
         try:
             configuration = self._formats.decode_configuration(value)
@@ -212,20 +277,45 @@
 
     def _follow_targets(self) -> None:
         store = self._open_store(self._address)
-        addresses_s: float | None = None
+        is_first = True
         while not self._stopped.is_set():
-            now_s = clock.now_s()
-            if (addresses_s is None or
-                    now_s - addresses_s > _ADDRESSES_READ_INTERVAL_S):
-                with contextlib.suppress(errors.StoreError):
-                    self.peers.exchange_addresses(store, addresses_s is None)
-                    addresses_s = now_s
+            if clock.now_s() >= self._addresses_due_s:
+                is_first = not self._exchange_addresses(store, is_first)
             if not self.peers.must_read_targets():
+                self._apply_time()
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
                 continue
             if self._read_targets(store):
                 self._stopped.wait(self.peers.targets_read_interval_s())
 
+    def _exchange_addresses(self, store: row_store.RowStore,
+                            is_first: bool) -> bool:
+        """Returns whether the addresses were read and the own one is there."""
+        due_s = self._addresses_due_s
+        try:
+            self.peers.exchange_addresses(store, is_first)
+        except errors.StoreError as error:
+            _logger.info("addresses not exchanged",
+                         extra={"reason": str(error)})
+            pause_s = self.peers.retry_pause_range_s()[0]
+        else:
+            is_first = False
+            pause_s = _ADDRESSES_READ_INTERVAL_S
+        with self._era_lock:
+            # The store may have come back meanwhile.
+            if self._addresses_due_s == due_s:
+                self._addresses_due_s = clock.now_s() + pause_s
+        return not is_first
+
+    def _apply_time(self) -> None:
+        """Ends spans of time of entries while a peer confirms the rows."""
+        with self._directory_lock:
+            if not self._directory.lapsed and not self._directory.doubted:
+                return
+            self._directory, change = directory.apply_time(
+                self._directory, clock.now_s())
+            self._receiver.apply_directory(self._directory, change)
+
     def _read_targets(self, store: row_store.RowStore) -> bool:
         table = self._formats.targets_table
         began_s = clock.now_s()
@@ -247,8 +337,11 @@
         self._log_undecoded(
             frozenset(key for key, entry in decoded.items() if entry is None))
         with self._directory_lock:
+            # Within the lock: a snapshot of a later era may come between.
+            if not self._accept_era(table, rows.era, rows.version, began_s):
+                return True
             self._directory, change = directory.apply_rows(
-                self._directory, entries, clock.now_s())
+                self._directory, entries, clock.now_s(), rows.era)
             self._receiver.apply_directory(self._directory, change)
             self.peers.record_targets_read(self._directory, began_s)
         return True
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -20,6 +20,7 @@
 
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
+from persimmonspan.process import configuration_exchange
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import quarantine_reports
@@ -98,6 +99,7 @@
     version: int = 0
     version_s: float = -math.inf
     configuration: bytes = b""  # Compressed.
+    era: int = 0  # Of the store at the read of the entries.
 
 
 class Peering:
@@ -108,9 +110,9 @@
         address: Address at which it receives digests.
         scheduler_ref: Receives the loads of peers and returns the own loads.
         apply_store_snapshot: Called with the targets that the reader read, or
-            None if they are older than the recorded ones, with the version of
-            the configuration in the store, and with the configuration if this
-            daemon reported an older version.
+            None if they are not newer than the recorded ones, with the version
+            of the configuration in the store, with the configuration if this
+            daemon reported an older version, and with the era of the store.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
     """
@@ -121,7 +123,7 @@
         address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes], None],
+            [tuple[directory.Registration, ...] | None, int, bytes, int], None],
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
         limits: Limits = Limits()
@@ -140,6 +142,8 @@
         self._is_hub = False
         self._own_read = OwnRead()
         self._own_version = 0
+        # Readers that asked this daemon for its newer configuration.
+        self._wanted_by: frozenset[str] = frozenset()
         # Id of the registered targets in force.
         self._entries_id = 0
         # Starts at random: after a restart, a hub may still count a digest of
@@ -251,21 +255,27 @@
         entries = directory.all_targets(state)
         with self._lock:
             self._own_read = self._own_read._replace(entries=entries,
-                                                     entries_s=began_s)
+                                                     entries_s=began_s,
+                                                     era=state.era)
         self.record_entries(entries)
 
     def record_entries(
             self,
             entries: collections.abc.Iterable[directory.Registration]) -> None:
-        """Records the registered targets that are now in force."""
+        """Records the registered targets that were read or received last."""
         self._entries_id = edge_peers.identify_entries(entries)
 
+    def record_era(self, era: int) -> None:
+        """Records the present era of the store."""
+        with self._lock:
+            self._state = self._state._replace(era=era)
+
     def record_version_read(self, version: int, at_s: float) -> None:
         """Records the version that was in force in the store at a time."""
         with self._lock:
             self._own_read = self._own_read._replace(version=version,
                                                      version_s=at_s)
-        if edge_peers.outdated_peers(self._state, version, at_s):
+        if configuration_exchange.outdated_peers(self._state, version, at_s):
             self._links.wake()
 
     def record_configuration(self, version: int, configuration: bytes) -> None:
@@ -291,15 +301,23 @@
 
         Args:
             store: Connection to the store.
-            is_first: Whether to write the address of this daemon before.
+            is_first: Whether to write the address of this daemon before. It
+                is also written if the store does not have it: the store may
+                have come back from an older copy.
 
         Raises:
             errors.StoreError: The store did not respond.
         """
+        own_value = self._address.encode()
         if is_first:
-            store.put(TABLE, self._name, self._address.encode())
+            store.put(TABLE, self._name, own_value)
+        rows = store.read(TABLE).rows
+        if not any(row[:2] == (self._name, own_value) for row in rows):
+            _logger.warning("row of this daemon written again",
+                            extra={"table": TABLE})
+            store.put(TABLE, self._name, own_value)
         now_s = clock.now_s()
-        for row in store.read(TABLE).rows:
+        for row in rows:
             if (row.value and row.key != self._name and
                     len(row.value) <= _MAX_ADDRESS_BYTES):
                 with self._lock:
@@ -332,11 +350,25 @@
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
+        if digest.wants_configuration and digest.version < self._own_version:
+            with self._lock:
+                self._wanted_by |= {digest.name}
+            self._links.wake()
+        if digest.configuration:
+            _logger.info("configuration received from a peer",
+                         extra={
+                             "peer": digest.name,
+                             "version": digest.version
+                         })
+            self._apply_store_snapshot(None, digest.version,
+                                       _decompress(digest.configuration), 0)
         snapshot = digest.news
-        if is_newer or (snapshot is not None and snapshot.configuration):
+        if snapshot is not None and (is_newer or snapshot.configuration or
+                                     snapshot.era > self._state.era):
             self._apply_store_snapshot(snapshot.entries if is_newer else None,
                                        snapshot.configuration_version,
-                                       _decompress(snapshot.configuration))
+                                       _decompress(snapshot.configuration),
+                                       snapshot.era)
 
     def _compose_digests(self) -> dict[str, bytes]:
         """Returns the digest that is due now, by receiver's address."""
@@ -356,11 +388,12 @@
         snapshot = self._store_snapshot(state, now_s)
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
+        requests = self._take_requests(receivers, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates]), is_hub, now_s):
+             ], [answer[:2] for answer in rates], requests), is_hub, now_s):
             return {}
         digest = edge_peers.Digest(self._name,
                                    self._address,
@@ -381,9 +414,17 @@
                 loads=(),
                 demands=(),
                 totals=edge_peers.encode_totals(totals))
-        elif snapshot is None:
+        elif snapshot is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
+        return self._encode_for_peers(digest, state, receivers, requests, now_s)
+
+    def _encode_for_peers(self, digest: edge_peers.Digest,
+                          state: edge_peers.State, receivers: dict[str, str],
+                          requests: configuration_exchange.Requests,
+                          now_s: float) -> dict[str, bytes]:
+        """Returns the digest with what each peer needs, by its address."""
+        snapshot = digest.news
         outdated = self._select_outdated_peers(snapshot, receivers, now_s)
         entries_id = snapshot.entries_id if snapshot is not None else 0
         without_entries = edge_peers.peers_without_entries(state, entries_id)
@@ -391,7 +432,12 @@
             address:
                 edge_peers.encode(
                     self._digest_for_peer(
-                        digest, name in outdated, name in without_entries,
+                        msgspec.structs.replace(
+                            digest,
+                            wants_configuration=name == requests.source,
+                            configuration=self._own_read.configuration
+                            if name in requests.wanted_by else b""), name
+                        in outdated, name in without_entries,
                         edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
@@ -432,11 +478,34 @@
         version = self._own_read.version
         with self._lock:
             names = frozenset(receivers).intersection(
-                edge_peers.outdated_peers(self._state, version, now_s))
-            self._state = edge_peers.record_sent_configuration(
+                configuration_exchange.outdated_peers(self._state, version,
+                                                      now_s))
+            self._state = configuration_exchange.record_sent_configuration(
                 self._state, names, version, now_s)
         return names
 
+    def _take_requests(self, receivers: collections.abc.Container[str],
+                       now_s: float) -> configuration_exchange.Requests:
+        """Returns the requests for configurations that are due now."""
+        with self._lock:
+            wanted_by, self._wanted_by = self._wanted_by, frozenset()
+            source = None
+            if edge_peers.is_reader(self._state, self._name, now_s):
+                source = configuration_exchange.select_source(
+                    self._state, self._own_version, now_s)
+            if source is None or source not in receivers:
+                return configuration_exchange.Requests(None, wanted_by)
+            self._state = configuration_exchange.record_asked(
+                self._state, source, now_s)
+            version = self._state.peers[source].version
+        _logger.warning("a peer has a newer configuration than the store",
+                        extra={
+                            "peer": source,
+                            "version": version,
+                            "own_version": self._own_version
+                        })
+        return configuration_exchange.Requests(source, wanted_by)
+
     def _digest_for_peer(self, digest: edge_peers.Digest, is_outdated: bool,
                          needs_entries: bool,
                          counted_number: int) -> edge_peers.Digest:
@@ -480,7 +549,8 @@
                                         own_read.version,
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
-                                            own_read.entries))
+                                            own_read.entries),
+                                        era=own_read.era)
 
 
 def _decompress(data: bytes) -> bytes:
