Wait out the silence of a target that no other can replace

Callers got neither a whole answer nor a refusal (LOST) when a sound target was silent for a second or two in the middle of a stream: the stream was cut. Cause: after 1.5 s without an event a stream was taken from its target, although often nothing could continue it: no copy of its memory, no copy where one was named, no attempts left. Callers wait for much longer (2 s, four latency objectives or eight token pauses, whichever is longest), and the target may be sound. Class: a limit that ends what another part may still complete. Ruled out: a longer timeout alone, since hung targets would hold streams that a copy can continue. Change: request/pauses.py derives from the route how long callers wait. A stream that can continue elsewhere moves after half of that (1.5 s at least); any other stays and ends only after callers would have left. The silence is logged and counted (stream_silence_borne). interTokenMs of routes is read for this. Not changed: a stream whose retry the budget denies is cut after it was taken from its silent target.

--- a/persimmonspan/platform/configuration.py
+++ b/persimmonspan/platform/configuration.py
@@ -28,6 +28,7 @@
     priority: int = 0
     anonymous: bool = False
     resumable: bool = False
+    interTokenMs: float = 0.0
 
 
 class _Runtime(msgspec.Struct):
@@ -105,7 +106,8 @@
                         max_attempts=item.maxAttempts,
                         priority=item.priority,
                         is_anonymous=item.anonymous,
-                        is_resumable=item.resumable)
+                        is_resumable=item.resumable,
+                        token_pause_s=item.interTokenMs / _MS_PER_S)
 
 
 def _decode_service(item: _Service) -> routes.Service:
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -50,6 +50,11 @@
         self._handover: Handover | None = None
         self._copy_handle: str | None = None
 
+    @property
+    def has_copy(self) -> bool:
+        """Whether a copy was made at another target."""
+        return self._handover is not None
+
     def reset(self) -> None:
         """Forgets the copy, because the stream continues at another target."""
         self._handover, self._copy_handle = None, None
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -42,9 +42,6 @@
 _SEND_TIMEOUT_S = 2.0
 # Time after which a stream is abandoned if its caller reads nothing.
 CALLER_WRITE_TIMEOUT_S = 5.0
-# Silence after which a stream moves to another target: several times the pause
-# of an overloaded engine, and less than callers wait.
-_STREAM_SILENCE_TIMEOUT_S = 1.5
 # Interval of the progress reports of one stream to the scheduler.
 _PROGRESS_INTERVAL_S = 0.25
 _TOKENS_PER_EVENT = 4
@@ -144,6 +141,10 @@
         self._is_connection_lost = False  # It ended before the response.
         self._target: events.Target | None = None
         self._may_have_run_before = False
+        self._has_attempts_left = False
+        route = routed_call.route
+        self._silence = pauses.limit_silence(route.latency_objective_s,
+                                             route.token_pause_s)
         self._copies = copies.Copies(routed_call, context)
         self._timing = pauses.Pauses()
         self._handover_times_s: list[float] = []
@@ -212,6 +213,8 @@
                      target: events.Target) -> bool:
         backup = dispatch.backup
         resume_from = None
+        self._has_attempts_left = (dispatch.attempt
+                                   < self._routed_call.route.max_attempts)
         while True:
             self._target = target
             _logger.info("attempt",
@@ -318,7 +321,7 @@
                 self._may_have_run_before = self._session.may_have_run
                 self._session.may_have_run = True
                 exchange.send(sock, data, _SEND_TIMEOUT_S)
-                self._relay_response(target, sock)
+                self._relay_response(target, copy, sock)
         except exchange.NotSentError as error:
             self._target_error = error
             return (events.Outcome.CONNECT_FAILED
@@ -328,20 +331,32 @@
         return self._classify_response()
 
     def _relay_response(self, target: events.Target,
+                        backup: events.Target | None,
                         sock: socket.socket) -> None:
         # A plain response counts no events: only its deadline bounds it.
-        silence_timeout_s = (_STREAM_SILENCE_TIMEOUT_S if self._is_stream else
+        silence_timeout_s = (self._silence.move_s if self._is_stream else
                              self._session.remaining_s() + 1)
         serial = self._context.relay.attach_engine(
             self._transfer, sock, self._consume,
             self._session.remaining_s() + 1, silence_timeout_s)
+        silent_at_count = None
         try:
             while True:
                 message = self._session.next_message()
                 if isinstance(message, relay.Notice):
-                    if message.serial == serial:
+                    if message.serial != serial:
+                        continue
+                    if (message.signal is not relay.Signal.SILENT or
+                            self.event_count == silent_at_count or
+                            self._can_continue_elsewhere(backup)):
                         self._handle_connection_end(message.signal)
                         return
+                    silent_at_count = self.event_count
+                    self._record_silence(target)
+                    serial = self._context.relay.attach_engine(
+                        self._transfer, sock, self._consume,
+                        self._silence.end_s - self._silence.move_s,
+                        silence_timeout_s)
                 elif isinstance(message, events.Evacuate):
                     if self._is_streaming():
                         self._copies.copy(target, message.target)
@@ -351,6 +366,21 @@
         finally:
             self._context.relay.release_engine(self._transfer)
 
+    def _can_continue_elsewhere(self, backup: events.Target | None) -> bool:
+        """Returns whether another target may continue a silent stream."""
+        if self._routed_call.route.is_idempotent:
+            return self._has_attempts_left
+        return (self.event_count > self._events_before_attempt and
+                (backup is not None or self._copies.has_copy))
+
+    def _record_silence(self, target: events.Target) -> None:
+        self._context.metrics.count("stream_silence_borne")
+        _logger.info("stream is silent and stays at its target",
+                     extra={
+                         "target": target.name,
+                         "events": self.event_count
+                     })
+
     def _handle_connection_end(self, signal: relay.Signal) -> None:
         if self._target_error is not None or self._reader.is_complete:
             return
--- a/persimmonspan/request/pauses.py
+++ b/persimmonspan/request/pauses.py
@@ -1,7 +1,18 @@
-"""Pauses between the events of one stream."""
+"""Pauses between the events of one stream, and how long they may last."""
 
 import typing
 
+# The longest of these is how long callers wait for the next event of a stream.
+_MIN_PATIENCE_S = 2.0
+_OBJECTIVES_PER_PATIENCE = 4
+_TOKEN_PAUSES_PER_PATIENCE = 8
+# A sound target may be silent for a second and go on.
+_MIN_MOVE_S = 1.5
+# The rest is for the next target to begin.
+_MOVE_SHARE = 0.5
+# Callers that wait that long leave by themselves.
+_END_MARGIN_S = 0.5
+
 
 class Pauses(typing.NamedTuple):
     """Pauses between the events of a stream, for the log line of its end."""
@@ -19,3 +30,39 @@
         if pause_s <= self.longest_s:
             return self._replace(last_s=now_s)
         return Pauses(self.first_s, now_s, pause_s, now_s)
+
+
+class SilenceLimits(typing.NamedTuple):
+    """How long a stream may bring no event.
+
+    Attributes:
+        move_s: Until it continues at another target, if it can.
+        end_s: Until it ends.
+    """
+
+    move_s: float
+    end_s: float
+
+
+def limit_silence(latency_objective_s: float,
+                  token_pause_s: float) -> SilenceLimits:
+    """Returns the limits of a stream.
+
+    A stream that cannot continue elsewhere ends no sooner than its caller would
+    leave: the target may be sound.
+
+    Args:
+        latency_objective_s: Objective for the time to the first event.
+        token_pause_s: Longest pause of a stream that is on time; zero if there
+            is no such objective.
+
+    >>> limit_silence(1.8, 0.18)
+    SilenceLimits(move_s=3.6, end_s=7.7)
+    >>> limit_silence(0.3, 0.0)
+    SilenceLimits(move_s=1.5, end_s=2.5)
+    """
+    patience_s = max(_MIN_PATIENCE_S,
+                     _OBJECTIVES_PER_PATIENCE * latency_objective_s,
+                     _TOKEN_PAUSES_PER_PATIENCE * token_pause_s)
+    return SilenceLimits(max(_MIN_MOVE_S, _MOVE_SHARE * patience_s),
+                         patience_s + _END_MARGIN_S)
--- a/persimmonspan/version/routes.py
+++ b/persimmonspan/version/routes.py
@@ -66,6 +66,8 @@
     priority: int = 0  # 0 is the most urgent.
     is_anonymous: bool = False
     is_resumable: bool = False
+    # Longest pause between events of a stream that is on time, if not zero.
+    token_pause_s: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
