Answer every head that is too slow with 408

Callers of the own interface that were slow to send a head got 408 or 400, or no answer, depending on load: 400 says that the request is malformed and must not be sent again, 408 that it has not run and may be. Cause: the timeout of the socket and the watchdog end the read after the same time. If the watchdog is first, the parser takes the partial head for a malformed one, and a connection without a byte for one that its caller closed. Ruled out: a later watchdog, which only makes the wrong order rarer. Change: once the time limit has passed, the parser's error is not sent; whatever ended the read, an incomplete head is counted once and gets 408. A malformed head gets 400 as before. Changed check: the second part of test_caller_slow_to_send_is_disconnected, a caller that sends a byte now and then, asked for 400, which was the parser's error; it asks for 408 now, as for any other slow head.

--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -145,19 +145,30 @@
     watchdog = deadlines.Watchdog()
 
     class _Request(server.HTTPRequest):
+        head_limit: deadlines.ReadLimit | None = None
+        has_error_response = False
 
         def parse_request(self) -> None:
             """Reads the head of a request within the time limit."""
             with watchdog.limit(self.conn.socket,
                                 options.request_read_timeout_s) as limit:
+                self.head_limit = limit
                 try:
                     super().parse_request()
                 except TimeoutError:
-                    application.metrics.count("caller_slow_headers")
-                    raise  # cheroot responds with status 408.
-            if limit.is_expired and not self.ready:
-                # cheroot has responded with status 400 to the partial head.
+                    # The timeout of the socket ends when the limit does.
+                    limit.is_expired = True
+            self.head_limit = None
+            if (limit.is_expired and not self.ready and
+                    not self.has_error_response):
                 application.metrics.count("caller_slow_headers")
+                self.simple_response("408 Request Timeout")
+
+        def simple_response(self, status: str, msg: str = "") -> None:
+            """Sends an error, unless a head is incomplete for its slowness."""
+            if self.head_limit is None or not self.head_limit.is_expired:
+                self.has_error_response = True
+                super().simple_response(status, msg)
 
     class _Connection(server.HTTPConnection):
         RequestHandlerClass = _Request
--- a/persimmonspan/connection/tests/test_listener.py
+++ b/persimmonspan/connection/tests/test_listener.py
@@ -156,7 +156,7 @@
             with contextlib.suppress(TimeoutError):
                 data = sock.recv(1000)
                 break
-        assert data.startswith(b"HTTP/1.1 400")
+        assert data.startswith(b"HTTP/1.1 408")
     data = _ask(shared.port, head + b"Content-Length: 100\r\n\r\n", b"{")
     assert data.startswith(b"HTTP/1.1 400")
     assert b"not whole" in data
