Read what has arrived before a target counts as silent

Callers of a daemon that was paused got cut streams, or streams that were moved and continued late, although their targets had sent events meanwhile. Cause: the relay compares the time with the limit of a stream after each poll; a pause between the two counts as silence of all targets. Evidence: test_relay.py with a pause between the poll and the check: the notice was "silent" before, the response is read now. Two more tests pass before and after: a target that sent nothing through the pause, or bytes without a token, is silent. Ruled out: to read the clock before the poll, as the pause may come at any point.

--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -95,6 +95,7 @@
         self.consume: Consumer | None = None
         self.token_gap_timeout_s = 0.0
         self.next_token_due_s = 0.0
+        self.is_overdue = False
         self.last_token_s: float | None = None
         self.serial = 0
 
@@ -200,6 +201,7 @@
         transfer.consume = consume
         transfer.token_gap_timeout_s = token_gap_timeout_s
         transfer.next_token_due_s = time.monotonic() + first_s
+        transfer.is_overdue = False
         transfer.engine_fd = engine.fileno()
         transfer.engine = engine
         self._without_timer.append((transfer.serial, transfer))
@@ -271,6 +273,7 @@
         output, tokens, is_done = transfer.consume(data, now_s)
         if tokens:
             transfer.next_token_due_s = now_s + transfer.token_gap_timeout_s
+            transfer.is_overdue = False
             if transfer.last_token_s is not None:
                 gap_s = now_s - transfer.last_token_s
                 self._gap_counts[int(gap_s * _GAP_UNITS_PER_S)] += 1
@@ -318,7 +321,7 @@
         if mask & (select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR):
             # The event may belong to an earlier connection with this
             # descriptor.
-            if _has_caller_left(transfer.caller_fd):
+            if _is_ready(transfer.caller_fd, select.POLLRDHUP):
                 self._handle_caller_left(transfer)
             return
         if mask & select.EPOLLOUT and transfer.pending:
@@ -381,8 +384,13 @@
                 self._end_relaying(transfer, Signal.CALLER_SLOW)
                 return
         elif transfer.next_token_due_s <= now_s:
-            self._end_relaying(transfer, Signal.SILENT)
-            return
+            # If this process was paused, what has arrived is not read yet.
+            if transfer.is_overdue or not _is_ready(transfer.engine_fd,
+                                                    select.POLLIN):
+                self._end_relaying(transfer, Signal.SILENT)
+                return
+            transfer.is_overdue = True
+            transfer.next_token_due_s = now_s + _POLL_TIMEOUT_S
         self._push_timer(transfer, serial, now_s)
 
     def _run_deferred_calls(self) -> None:
@@ -406,7 +414,8 @@
             self._observe_gap(units / _GAP_UNITS_PER_S, count)
 
 
-def _has_caller_left(fd: int) -> bool:
+def _is_ready(fd: int, event: int) -> bool:
+    """Returns whether an event of a socket, or an error, has occurred."""
     poll = select.poll()
-    poll.register(fd, select.POLLRDHUP)
+    poll.register(fd, event)
     return bool(poll.poll(0))
--- a/persimmonspan/connection/tests/test_relay.py
+++ b/persimmonspan/connection/tests/test_relay.py
@@ -1,9 +1,15 @@
 """Tests the threads that all streams share."""
 
+import queue
+import socket
 import threading
+import time
 
 from persimmonspan.connection import relay
 
+_GAP_TIMEOUT_S = 0.3
+_NOTICE_TIMEOUT_S = 10
+
 
 def test_failed_deferred_call_does_not_stop_later_calls():
     # Guards against a failed call that ends the thread, so calls accumulate.
@@ -16,3 +22,65 @@
         assert done.wait(10)
     finally:
         stream_relay.stop()
+
+
+class _PausedEpoll:
+    """An epoll object; the process is paused after its first poll."""
+
+    def __init__(self, epoll, pause):
+        self._epoll = epoll
+        self._pause = pause
+
+    def __getattr__(self, name):
+        return getattr(self._epoll, name)
+
+    def poll(self, *arguments):
+        """Returns no event at first, then polls."""
+        if self._pause is None:
+            return self._epoll.poll(*arguments)
+        pause, self._pause = self._pause, None
+        pause()
+        return []
+
+
+def _first_notice(send, is_done):
+    """Returns the first notice on a stream whose relay was paused."""
+    notices = queue.SimpleQueue()
+    stream_relay = relay.Relay(lambda gap_s, count: None)
+    caller, far_caller = socket.socketpair()
+    engine, far_engine = socket.socketpair()
+
+    def pause():
+        send(far_engine)
+        time.sleep(2 * _GAP_TIMEOUT_S)
+
+    stream_relay._epoll = _PausedEpoll(  # pylint: disable=protected-access
+        stream_relay._epoll, pause)  # pylint: disable=protected-access
+
+    def consume(data, now_s):
+        del now_s
+        return data, int(is_done), is_done
+
+    try:
+        with caller, far_caller, engine, far_engine, stream_relay.watch_caller(
+                caller, notices.put, 5.0) as transfer:
+            stream_relay.attach_engine(transfer, engine, consume,
+                                       _GAP_TIMEOUT_S, _GAP_TIMEOUT_S)
+            stream_relay.start()
+            return notices.get(timeout=_NOTICE_TIMEOUT_S).signal
+    finally:
+        stream_relay.stop()
+
+
+def test_pause_of_the_daemon_is_no_silence_of_a_target_that_sent():
+    assert _first_notice(lambda engine: engine.sendall(b"event"),
+                         True) is relay.Signal.DONE
+
+
+def test_bytes_without_a_token_do_not_end_a_silence():
+    assert _first_notice(lambda engine: engine.sendall(b":"),
+                         False) is relay.Signal.SILENT
+
+
+def test_silence_through_a_pause_of_the_daemon_is_noticed():
+    assert _first_notice(lambda engine: None, True) is relay.Signal.SILENT
