Send the newest targets and configuration to the scheduler last

Callers would get 503 or a failed attempt beside a change of the configuration: the scheduler used targets that were gone, and none that had just joined, until the next change of either. Cause: the configuration and the targets are applied on different threads. A thread read both, and the message of another one, with newer targets, overtook its own. Class: state read and sent without one lock. Ruled out for the idle limit: configurations are adopted one at a time (followers.Followers), so an older limit cannot follow a newer one. Change: reading both and sending them is one step under a lock.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -113,6 +113,7 @@
         self._moved_targets: set[str] = set()
         self._registrations: tuple[directory.Registration, ...] | None = None
         self._lock = threading.Lock()
+        self._targets_lock = threading.Lock()
         self._in_flight = 0
         self._response_budget = response_body.Budget(options.memory_mb)
         self._call_numbers = itertools.count()
@@ -310,6 +311,12 @@
 
     def _send_targets(self) -> None:
         """Sends targets, request kinds and workspaces to the scheduler."""
+        # Configuration and targets change on different threads; the last
+        # message must hold the newest of both.
+        with self._targets_lock:
+            self._send_newest_targets()
+
+    def _send_newest_targets(self) -> None:
         configuration = self._configuration
         registrations = self._registrations
         if configuration is None or registrations is None:
