Reject answers of plain services that end within their head

Callers saw: a 200 with an empty body, framed as whole, and the outcome of a call that runs at most once recorded as such, when a plain service stopped in the middle of its answer's head and closed. The same for a chunked body without its last chunk.

Cause: the adapter read answers with http.client, which takes the end of the connection for the end of the head, and a head without a length for one whose body ends with the connection.

Ruled out: the platform's interface and calls between the daemon and a target, which use h11; streams of engines, which need the blank line and the last token.

Change: dispatch reads with exchange.ResponseReader, as forwarded requests do. As nothing decodes bodies any more, an answer with a content encoding, which was not asked for, is no answer.

--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -51,12 +51,12 @@
     status: int
     headers: Headers
 
-    def get(self, name: bytes) -> bytes | None:
+    def get(self, name: bytes, default: bytes | None = None) -> bytes | None:
         """Returns the value of a header, by its name in lower case."""
         for key, value in self.headers:
             if key == name:
                 return value
-        return None
+        return default
 
 
 class NotSentError(errors.TargetError):
@@ -208,27 +208,51 @@
         BrokenResponseError: No complete response arrived in time.
     """
     end_s = time.monotonic() + timeout_s
-    reader = ResponseReader(request.method)
-    body = b""
     with open_socket(address, timeout_s) as sock:
         send(sock, encode(request), timeout_s)
-        sock.setblocking(True)
-        try:
-            while not reader.is_complete:
-                sock.settimeout(
-                    max(_MIN_SOCKET_TIMEOUT_S, end_s - time.monotonic()))
-                body += reader.feed(sock.recv(_READ_BYTES))
-                if len(body) > _MAX_CALL_BODY_BYTES:
-                    raise BrokenResponseError(
-                        errors.Code.TARGET_FAILED,
-                        f"the response has more than {_MAX_CALL_BODY_BYTES} "
-                        "bytes")
-        except OSError as error:
-            raise BrokenResponseError(errors.Code.TARGET_FAILED,
-                                      f"no whole answer: {error}") from error
+        reader, body = receive(sock, request.method, end_s,
+                               _MAX_CALL_BODY_BYTES)
     return reader.head, body
 
 
+def receive(sock: socket.socket, method: str, end_s: float,
+            max_body_bytes: float) -> tuple[ResponseReader, bytes]:
+    """Receives the response to a request that was sent.
+
+    Args:
+        sock: Connection to the target.
+        method: Method of the request.
+        end_s: Monotonic time by which the response must be complete.
+        max_body_bytes: Size above which a body is rejected.
+
+    Returns:
+        The reader, which has the head, and the body.
+
+    Raises:
+        BrokenResponseError: No complete response arrived in time.
+    """
+    reader = ResponseReader(method)
+    body = bytearray()
+    sock.setblocking(True)
+    try:
+        while not reader.is_complete:
+            # The socket's timeout restarts at each read, so that a target that
+            # sends one byte at a time would exceed the total time.
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("the response took too long")
+            sock.settimeout(max(_MIN_SOCKET_TIMEOUT_S, left_s))
+            body += reader.feed(sock.recv(_READ_BYTES))
+            if len(body) > max_body_bytes:
+                raise BrokenResponseError(
+                    errors.Code.TARGET_FAILED,
+                    f"the response has more than {max_body_bytes} bytes")
+    except OSError as error:
+        raise BrokenResponseError(errors.Code.TARGET_FAILED,
+                                  f"no whole answer: {error}") from error
+    return reader, bytes(body)
+
+
 def send(sock: socket.socket, data: bytes, timeout_s: float) -> None:
     """Sends a request; stops early if a response arrives meanwhile.
 
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -6,18 +6,20 @@
 can wrap it in an at-most-once ledger.
 """
 
+import math
 import time
 import typing
 
-import urllib3
-
 from persimmonspan import errors
 from persimmonspan.connection import engine
+from persimmonspan.connection import exchange
 
 REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
 RUN_STATE_HEADER = "X-Run-State"
 
-_READ_CHUNK_BYTES = 64 * 1024
+_REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
+_RUN_STATE_NAME = RUN_STATE_HEADER.lower().encode()
+_NO_ENCODING = b"identity"
 
 
 class Response(typing.NamedTuple):
@@ -59,58 +61,42 @@
         MismatchedResponseError: The response carries another request id.
         errors.TargetError: The outcome is unknown.
     """
-    connection = engine.open_connection(address, connect_s)
+    try:
+        data = exchange.encode(
+            exchange.Request(request.method, request.path,
+                             ((b"Host", address.encode()),
+                              (b"Accept-Encoding", _NO_ENCODING),
+                              (_REQUEST_ID_NAME, request.request_id.encode()),
+                              (b"Content-Type", b"application/json")),
+                             request.body))
+    except errors.RefusalError as error:
+        raise errors.TargetError(errors.Code.TARGET_FAILED,
+                                 f"no request to {address}: {error}") from error
     end_s = time.monotonic() + response_timeout_s
     try:
-        connection.sock.settimeout(response_timeout_s)
-        connection.request(request.method,
-                           request.path,
-                           body=request.body,
-                           headers={
-                               REQUEST_ID_HEADER: request.request_id,
-                               "Content-Type": "application/json"
-                           },
-                           preload_content=False)
-        response = connection.getresponse()
-        body = _read_body(connection, response, end_s)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-        raise errors.TargetError(
-            errors.Code.TARGET_FAILED,
-            f"no response from {address}: {error}") from error
-    finally:
-        connection.close()
-    return _check_response(address, request, response, body)
-
-
-def _read_body(connection: urllib3.connection.HTTPConnection,
-               response: urllib3.BaseHTTPResponse, end_s: float) -> bytes:
-    parts = []
-    sock = connection.sock
-    while True:
-        # The socket's timeout restarts at each read, so that a target that
-        # sends one byte at a time would exceed the total time.
-        remaining_s = end_s - time.monotonic()
-        if remaining_s <= 0:
-            raise TimeoutError("the response took too long")
-        if sock is not None:
-            sock.settimeout(remaining_s)
-        part = response.read1(_READ_CHUNK_BYTES)
-        if not part:
-            return b"".join(parts)
-        parts.append(part)
+        with exchange.open_socket(address, connect_s) as sock:
+            exchange.send(sock, data, response_timeout_s)
+            reader, body = exchange.receive(sock, request.method, end_s,
+                                            math.inf)
+    except exchange.NotSentError as error:
+        raise engine.NotSentError(error.code, str(error),
+                                  error.run_state) from error
+    return _check_response(address, request, reader.head, body)
 
 
 def _check_response(address: str, request: Request,
-                    response: urllib3.BaseHTTPResponse,
-                    body: bytes) -> Response:
-    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+                    head: exchange.RawResponseHead, body: bytes) -> Response:
+    if head.get(_REQUEST_ID_NAME) != request.request_id.encode():
         raise MismatchedResponseError(
             errors.Code.TARGET_FAILED,
             f"response of {address} belongs to another request")
-    if response.headers.get(RUN_STATE_HEADER) == errors.RunState.NOT_RUN:
+    if head.get(b"content-encoding", _NO_ENCODING) != _NO_ENCODING:
+        raise errors.TargetError(errors.Code.TARGET_FAILED,
+                                 f"response of {address} is encoded")
+    if head.get(_RUN_STATE_NAME) == errors.RunState.NOT_RUN.encode():
         raise engine.NotRunError(errors.Code.OVERLOADED,
                                  f"{address} refused the request",
                                  errors.RunState.NOT_RUN)
-    return Response(response.status,
-                    response.headers.get("Content-Type", "application/json"),
-                    body)
+    return Response(
+        head.status,
+        head.get(b"content-type", b"application/json").decode("latin-1"), body)
