Believe a refusal only if it certainly belongs to its request

Callers saw (reported by others): "not run, try again" for requests that a replica had run, or such a request ran at a second replica, after a faulty replica had written an earlier refusal once more.

Cause: a refusal without X-Attempt-Id, with two different ids of which the first was right, or with another answer behind it was taken for a refusal of the request that was sent. No connection to a target is used twice, so an earlier refusal cannot be met there by reuse; but a target can write one before it reads the request, or in front of the right answer.

Refusals that named another request were rejected before.

Change: a refusal counts as "not run" only if it names this request and no other bytes came with its end; otherwise the outcome is unknown, so that a request that must not be repeated gets a 502 and is not sent again. A connection that brings bytes, or its end, before the request is not used; nothing was sent then. Each rejected answer is counted as response_<reason>; the line "attempt ended" has its reason.

--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -58,6 +58,10 @@
                 return value
         return default
 
+    def get_all(self, name: bytes) -> frozenset[bytes]:
+        """Returns the distinct values of a header, by its lower-case name."""
+        return frozenset(value for key, value in self.headers if key == name)
+
 
 class NotSentError(errors.TargetError):
     """No byte of the request was sent."""
@@ -95,6 +99,11 @@
             self.head.get(b"content-length") is not None or
             self.head.get(b"transfer-encoding") is not None)
 
+    @property
+    def has_trailing_bytes(self) -> bool:
+        """Whether bytes arrived with the end of the response that follow it."""
+        return self.is_complete and bool(self._decoder.trailing_data[0])
+
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes of the body that the data contain.
 
@@ -171,7 +180,8 @@
     """Connects to a target; the socket is closed at the end of the block.
 
     Raises:
-        NotSentError: The target does not accept the connection in time.
+        NotSentError: The target does not accept the connection in time, or has
+            already ended it or sent bytes, which cannot be a response.
     """
     host, port = address.rsplit(":", 1)
     try:
@@ -182,11 +192,22 @@
                            errors.RunState.NOT_RUN) from error
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if has_input(sock):
+            raise NotSentError(errors.Code.TARGET_FAILED,
+                               f"{address} sent bytes before a request",
+                               errors.RunState.NOT_RUN)
         yield sock
     finally:
         sock.close()
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Returns whether bytes or the end of a connection have arrived."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def is_refused(address: str, timeout_s: float) -> bool:
     """Returns whether no process listens at an address.
 
--- a/persimmonspan/platform/tests/test_faulty_answers.py
+++ b/persimmonspan/platform/tests/test_faulty_answers.py
@@ -259,8 +259,8 @@
     assert len(requests) >= 2
 
 
-# Answers that count as an interruption are left out: after two interruptions the
-# scheduler holds a request back, as it may crash its targets.
+# Answers that count as an interruption are left out: after two interruptions
+# the scheduler holds a request back, as it may crash its targets.
 @pytest.mark.parametrize("name", [
     name for name in _NO_CONTINUATION
     if name[0] != "2" or name in ("201", "204", "206")
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -84,7 +84,9 @@
         headers=tuple((name, value)
                       for name, value in head.headers
                       if name not in _HOP_BY_HOP_HEADERS),
-        request_id=_decode_text(head.get(b"x-attempt-id")),
+        # Different values name no request.
+        request_id=_decode_text(b", ".join(
+            sorted(head.get_all(b"x-attempt-id"))) or None),
         is_not_run=(head.get(b"x-not-executed") is not None or
                     head.status == 421),
         is_other_target=head.status == 421,
--- a/persimmonspan/request/classification.py
+++ b/persimmonspan/request/classification.py
@@ -43,6 +43,7 @@
         is_within_event: Whether its body ends within an event.
         event_count: Number of events that it added to the stream.
         caller_event_count: Number of events that the caller has, with these.
+        has_trailing_bytes: Whether other bytes followed it.
     """
 
     head: forwarded.ResponseHead
@@ -51,6 +52,15 @@
     is_within_event: bool = False
     event_count: int = 0
     caller_event_count: int = 0
+    has_trailing_bytes: bool = False
+
+
+class RejectedResponseError(exchange.BrokenResponseError):
+    """A response that must not be used, with the reason for the counter."""
+
+    def __init__(self, reason: str, problem: str) -> None:
+        super().__init__(errors.Code.TARGET_FAILED, problem)
+        self.reason = reason
 
 
 class Verdict(typing.NamedTuple):
@@ -72,25 +82,39 @@
             has received nothing.
 
     Raises:
-        BrokenResponseError: The response must not be used.
+        RejectedResponseError: The response must not be used.
     """
     if head.request_id is not None and head.request_id != request_id:
-        raise _broken("the response belongs to another request")
+        raise RejectedResponseError("crossed",
+                                    "the response belongs to another request")
+    if head.is_not_run and head.request_id is None and request_id:
+        # It may be the refusal of another request, and this one may run.
+        raise RejectedResponseError("refusal_without_id",
+                                    "the refusal does not name its request")
     if head.status >= _MIN_FAILURE_STATUS:
         return
     if not head.is_signed or head.is_encoded:
-        raise _broken("the response is unsigned or encoded")
+        raise RejectedResponseError("unsigned",
+                                    "the response is unsigned or encoded")
     if head.is_not_run:
-        raise _broken("the response is a success that was not run")
+        raise RejectedResponseError(
+            "contradictory", "the response is a success that was not run")
     if (begun_head is not None and head.status == OK and
             head.media_type != begun_head.media_type):
-        raise _broken(f"the stream continues as {head.media_type}")
+        raise RejectedResponseError(
+            "no_continuation", f"the stream continues as {head.media_type}")
 
 
 def classify(received: Received) -> Verdict:
     """Returns the verdict on a complete response."""
     status = received.head.status
     if received.head.is_not_run:
+        if received.has_trailing_bytes:
+            # If another response follows, either of them may be the right one.
+            return Verdict(events.Outcome.INTERRUPTED,
+                           error=RejectedResponseError(
+                               "refusal_not_alone",
+                               "other bytes follow the refusal"))
         error = errors.TargetError(errors.Code.OVERLOADED, f"status {status}",
                                    errors.RunState.NOT_RUN)
         return Verdict(events.Outcome.REFUSED if not received.caller_event_count
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -231,6 +231,10 @@
                 return True
             if self._is_connection_lost:
                 self._context.report_broken_target(target)
+            if isinstance(self._target_error,
+                          classification.RejectedResponseError):
+                self._context.metrics.count(
+                    f"response_{self._target_error.reason}")
             _logger.info("attempt ended",
                          extra={
                              "target": target.name,
@@ -420,8 +424,10 @@
                 head, is_stream, self._reader.is_framed,
                 bool(self._stream.partial_event.strip()),
                 self.event_count - self._events_before_attempt,
-                self.event_count))
+                self.event_count, self._reader.has_trailing_bytes))
         self._target_error = verdict.error
+        if verdict.outcome is events.Outcome.INTERRUPTED:
+            return verdict.outcome
         if head.is_not_run:
             self._session.may_have_run = self._may_have_run_before
             if head.is_other_target:
--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -84,6 +84,7 @@
         self.requests: list[Request] = []
         self.script = script
         self.is_stopped = False
+        self.greeting = b""  # Sent before the first request is read.
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
 
@@ -117,6 +118,7 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
+            connection.sendall(self.greeting)
             request = _read_request(connection)
             self.requests.append(request)
             for part in self.script(request):
