Keep row versions apart that a restored store issues twice

Cause: a row version was the bare number of the store. After a return the same number is issued again, so that a conditional write based on a row read before it matches a row that its writer never saw (an ABA fault), and the proofs in table_service, which rest on versions that never repeat, do not hold.

Ruled out: a condition on the era in the write itself. The platform offers none, so a write on its way while the first response of a new era arrives is only logged.

Change: connection/store_era.py combines era and version into one number; checks of an earlier era end in a conflict with the current rows. The stand-in undoes the rows and objects of the last seconds and raises its era.

--- a/persimmonspan/connection/table_service.py
+++ b/persimmonspan/connection/table_service.py
@@ -3,7 +3,11 @@
 Only this module knows the wire format; the stand-in `testbed.platform` uses the
 same documents. A `Transaction` is atomic and conditional: it is applied only if
 each checked row still has the version named, where version 0 means absent.
-Versions never repeat, not even after a delete.
+Versions never repeat, not even after a delete or after a return of the store
+from an older copy, since they contain the store's era (`store_era`). A check of
+a row that was read in an earlier era fails without being sent. Only if the
+response to the write is the first one of a new era may such a check have been
+compared with a version that was issued again; this is logged.
 
 `Table.transact` raises no store errors: the outcome of its `Result` is
 `APPLIED`, `NOT_APPLIED` or `UNKNOWN`. If the response is lost, the rows are
@@ -18,8 +22,8 @@
 it is for a lost response to a delete.
 
 Interface: `Table(address, client).transact(transaction) -> Result`,
-`.read(keys) -> rows`, `.scan(prefix, limit, after) -> rows`. Reads raise
-`errors.StoreError` with `STORE_UNAVAILABLE` or `STORE_THROTTLED`.
+`.read(keys) -> rows`, `.scan(prefix, limit, after) -> rows`, `.era`. Reads
+raise `errors.StoreError` with `STORE_UNAVAILABLE` or `STORE_THROTTLED`.
 
 See Also:
     `persimmonspan.process.store_actor`: shares one adapter among all users.
@@ -28,6 +32,7 @@
 import collections.abc
 import enum
 import http
+import logging
 import time
 import typing
 import uuid
@@ -36,11 +41,14 @@
 import urllib3
 
 from persimmonspan import errors
+from persimmonspan.connection import store_era
 
 CLIENT_HEADER = "X-Client"
 _RESOLVE_TIMEOUT_S = 2.5
 _POOL_CONNECTIONS = 8
 
+_logger = logging.getLogger(__name__)
+
 
 class Check(typing.NamedTuple):
     """Condition of a transaction; version 0 means that the row is absent."""
@@ -184,12 +192,19 @@
                  client: str,
                  connect_timeout_s: float = 0.5,
                  response_timeout_s: float = 1.0) -> None:
+        self.address = address
         self._host, port = address.rsplit(":", 1)
         self._port = int(port)
         self._headers = {CLIENT_HEADER: client}
         self._timeout = urllib3.Timeout(connect=connect_timeout_s,
                                         read=response_timeout_s)
         self._pool = self._new_pool()
+        self._eras = store_era.EraTracker()
+
+    @property
+    def era(self) -> int | None:
+        """Highest era of the store seen so far; None before a response."""
+        return self._eras.era
 
     def transact(self,
                  transaction: Transaction,
@@ -207,7 +222,9 @@
         end_s = time.monotonic() + _RESOLVE_TIMEOUT_S
         while not is_in_doubt or time.monotonic() < end_s:
             try:
-                result = self._send_transaction(transaction, write_id)
+                result = (self._send_transaction(transaction, write_id)
+                          if self._are_checks_current(transaction) else
+                          self._refuse_outdated_checks(transaction, write_id))
                 if not is_in_doubt or result.outcome == Outcome.APPLIED:
                     return result
                 if result.code != errors.Code.CONFLICT:
@@ -248,27 +265,54 @@
     def _fetch_rows(self, path: str,
                     body: ReadDocument | ScanDocument) -> tuple:
         try:
-            status, data = self._post(path, body)
+            status, data, era = self._post(path, body)
         except LostResponseError:
             # A read can be repeated; the new pool has no broken connections.
-            status, data = self._post(path, body)
+            status, data, era = self._post(path, body)
         if status != http.HTTPStatus.OK:
             raise errors.StoreError(_error_code(status),
                                     f"table service sent status {status}")
-        return _decode_rows(data)
+        return _decode_rows(data, era)
+
+    def _are_checks_current(self, transaction: Transaction) -> bool:
+        known = self.era or 0
+        return all(era >= known for era in _check_eras(transaction))
+
+    def _refuse_outdated_checks(self, transaction: Transaction,
+                                write_id: str) -> Result:
+        """Returns the conflict of a transaction with outdated versions."""
+        versions = {check.key: check.version for check in transaction.checks}
+        try:
+            rows = self.read(list(versions))
+        except errors.StoreError as error:
+            return Result(Outcome.NOT_APPLIED, error.code, write_id=write_id)
+        return Result(
+            Outcome.NOT_APPLIED,
+            errors.Code.CONFLICT,
+            conflicts=tuple(
+                row for row in rows if row.version != versions[row.key]),
+            write_id=write_id)
 
     def _send_transaction(self, transaction: Transaction,
                           write_id: str) -> Result:
-        status, data = self._post("/v1/transact",
-                                  _make_document(transaction, write_id))
+        status, data, era = self._post("/v1/transact",
+                                       _make_document(transaction, write_id))
         if status == http.HTTPStatus.OK:
+            if any(item != era for item in _check_eras(transaction)):
+                _logger.warning(
+                    "a write was applied in a later era than its checks",
+                    extra={
+                        "era": era,
+                        "keys": [item.key for item in transaction.puts][:10]
+                    })
+            version = _decode(_applied_decoder, data)["version"]
             return Result(Outcome.APPLIED,
-                          version=_decode(_applied_decoder, data)["version"],
+                          version=store_era.qualify_version(era, version),
                           write_id=write_id)
         if status == http.HTTPStatus.CONFLICT:
             return Result(Outcome.NOT_APPLIED,
                           errors.Code.CONFLICT,
-                          conflicts=_decode_rows(data),
+                          conflicts=_decode_rows(data, era),
                           write_id=write_id)
         return Result(Outcome.NOT_APPLIED,
                       _error_code(status),
@@ -282,14 +326,15 @@
                                           timeout=self._timeout,
                                           headers=self._headers)
 
-    def _post(self, path: str, body: object) -> tuple[int, bytes]:
+    def _post(self, path: str, body: object) -> tuple[int, bytes, int]:
+        """Returns status, body and era of the response."""
         try:
             response = self._pool.request("POST",
                                           path,
                                           body=msgspec.json.encode(body))
         except (urllib3.exceptions.NewConnectionError,
                 urllib3.exceptions.ConnectTimeoutError):
-            return http.HTTPStatus.SERVICE_UNAVAILABLE, b""
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, b"", self.era or 0
         except (urllib3.exceptions.HTTPError, OSError) as error:
             # All established connections may be broken while new ones work, so
             # none of them is used again.
@@ -297,7 +342,8 @@
             raise LostResponseError(
                 errors.Code.STORE_UNAVAILABLE,
                 f"no response from the table service: {error}") from error
-        return response.status, response.data
+        era = self._eras.observe(response.headers.get(store_era.HEADER))
+        return response.status, response.data, era
 
 
 def infer_result(transaction: Transaction, write_id: str,
@@ -361,11 +407,24 @@
 def _make_document(transaction: Transaction, write_id: str) -> TransactDocument:
     return TransactDocument(
         write_id=write_id,
-        checks=[CheckDocument(**item._asdict()) for item in transaction.checks],
+        checks=[
+            CheckDocument(key=item.key,
+                          version=store_era.split_version(item.version)[1])
+            for item in transaction.checks
+        ],
         puts=[PutDocument(**item._asdict()) for item in transaction.puts],
         deletes=list(transaction.deletes))
 
 
+def _check_eras(transaction: Transaction) -> set[int]:
+    """Returns the eras in which the checked rows were read."""
+    return {
+        store_era.split_version(check.version)[0]
+        for check in transaction.checks
+        if check.version
+    }
+
+
 def _error_code(status: int) -> errors.Code:
     return _CODE_BY_STATUS.get(http.HTTPStatus(status),
                                errors.Code.STORE_UNAVAILABLE)
@@ -380,5 +439,8 @@
             f"table service sent a malformed response: {error}") from error
 
 
-def _decode_rows(data: bytes) -> tuple[Row, ...]:
-    return tuple(Row(**item) for item in _decode(_rows_decoder, data)["rows"])
+def _decode_rows(data: bytes, era: int) -> tuple[Row, ...]:
+    return tuple(
+        Row(item["key"], item["value"],
+            store_era.qualify_version(era, item["version"]), item["write_id"])
+        for item in _decode(_rows_decoder, data)["rows"])
--- a/persimmonspan/connection/tests/test_table_service.py
+++ b/persimmonspan/connection/tests/test_table_service.py
@@ -3,11 +3,13 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 
 from persimmonspan import errors
 from persimmonspan.connection import object_store
+from persimmonspan.connection import store_era
 from persimmonspan.connection import table_service
 from persimmonspan.connection import vm_list
 from testbed import platform
@@ -90,6 +92,50 @@
             check, _INSERT.puts)).outcome == "not_applied"
 
 
+def test_version_issued_again_after_a_return_matches_no_older_check():
+    with _running() as (state, table):
+        first = table.transact(_INSERT).version
+        state.set_fault({"restored_s": 10.0})
+        other = table_service.Table(table.address, "other")
+        second = other.transact(
+            table_service.Transaction(_INSERT.checks,
+                                      (table_service.Put("a", "2"),),
+                                      are_rows_kept=True)).version
+        assert table.read(["b"])[0].version == 0  # Shows the new era.
+        result = table.transact(
+            table_service.Transaction((table_service.Check("a", first),),
+                                      (table_service.Put("a", "3"),)))
+        assert (result.outcome, result.code) == ("not_applied", "conflict")
+        assert [(row.value, row.version) for row in result.conflicts
+               ] == [("2", second)]
+
+
+def test_return_from_a_copy_undoes_rows_deletes_and_objects():
+    with _running() as (state, table):
+        table.transact(_INSERT)
+        version = table.read(["a"])[0].version
+        time.sleep(0.1)
+        table.transact(
+            table_service.Transaction((table_service.Check("a", version),),
+                                      (table_service.Put("b", "2"),), ("a",)))
+        store = object_store.ObjectStore(table.address)
+        store.put("config/1", b"x")
+        state.set_fault({"restored_s": 0.1})
+        assert [row.key for row in table.scan("")] == ["a"]
+        assert table.era == 1
+        with pytest.raises(errors.StoreError):
+            store.get("config/1")
+
+
+@pytest.mark.parametrize("header, era", [(None, 4), ("5", 5), ("3", 3),
+                                         ("-1", 4), ("many", 4), ("", 4)])
+def test_unreadable_era_counts_as_the_current_one(header, era):
+    tracker = store_era.EraTracker()
+    tracker.observe("4")
+    assert tracker.observe(header) == era
+    assert tracker.era == max(4, era)
+
+
 def test_scan_pages_in_order_of_keys():
     with _running() as (_, table):
         for key in ("b/2", "a/1", "b/1", "b/3", "c/1"):
--- a/persimmonspan/process/store_actor.py
+++ b/persimmonspan/process/store_actor.py
@@ -15,6 +15,7 @@
     read(keys) -> tuple of rows; `get` raises errors.StoreError
     scan(prefix, limit, after) -> tuple of rows; `get` raises errors.StoreError
     status() -> Status
+    era() -> era of the store, or None before its first response
     set_daemon_count(daemons): the number of daemons that share the store
 
 Operations on `lease/`, `member/` and `config/head` should pass
@@ -377,6 +378,10 @@
         """Returns the state of the store as seen by this daemon."""
         return self._actor.ask(_StatusRequest(), block=False)
 
+    def era(self) -> int | None:
+        """Returns the store's era, or None before its first response."""
+        return self._table.era
+
     def set_daemon_count(self, daemons: int) -> None:
         """Sets the number of daemons that share the store."""
         self._actor.tell(store_budget.DaemonsCounted(daemons))
--- a/testbed/platform.py
+++ b/testbed/platform.py
@@ -8,6 +8,9 @@
 
 import argparse
 import bisect
+import collections
+import collections.abc
+import functools
 import http
 import random
 import threading
@@ -17,6 +20,7 @@
 import msgspec
 from cheroot import server
 
+from persimmonspan.connection import store_era
 from persimmonspan.connection import table_service
 from persimmonspan.connection import vm_list
 
@@ -24,6 +28,7 @@
 _MS_PER_S = 1000.0
 _WEIGHT_CHUNK_BYTES = 64 * 1024
 _UNTHROTTLED_RATE_PER_S = 1e9
+_MAX_RESTORED_S = 60.0
 
 
 class FaultDocument(typing.TypedDict, total=False):
@@ -32,7 +37,9 @@
     The stand-in refuses all requests for `down_s` and delays each response by
     `delay_ms`. `lost_answers` is the share of writes that take effect without a
     response. `late_writes` is the share of writes that take effect only after
-    `late_ms` and get no response, as if the client had timed out.
+    `late_ms` and get no response, as if the client had timed out. `restored_s`
+    returns table and objects to their content of that many seconds ago, at most
+    60, and starts a new era.
     """
 
     down_s: float
@@ -42,6 +49,7 @@
     late_ms: float
     writes_per_s: float
     reads_per_s: float
+    restored_s: float
 
 
 class Throttle:
@@ -65,10 +73,32 @@
         return True
 
 
-class Table:
-    """Rows with versions; no two transactions have the same version."""
+class History:
+    """How to undo the writes of the last `_MAX_RESTORED_S`."""
 
     def __init__(self) -> None:
+        self._undo: collections.deque[tuple[float, collections.abc.Callable[
+            [], None]]] = collections.deque()
+
+    def record(self, undo: collections.abc.Callable[[], None]) -> None:
+        """Records how to undo a write of this moment."""
+        now_s = time.monotonic()
+        while self._undo and self._undo[0][0] < now_s - _MAX_RESTORED_S:
+            self._undo.popleft()
+        self._undo.append((now_s, undo))
+
+    def restore(self, age_s: float) -> None:
+        """Undoes the writes of the last `age_s`, the newest first."""
+        since_s = time.monotonic() - age_s
+        while self._undo and self._undo[-1][0] >= since_s:
+            self._undo.pop()[1]()
+
+
+class Table:
+    """Rows with versions; no two transactions of an era have the same one."""
+
+    def __init__(self, history: History | None = None) -> None:
+        self._history = history or History()
         self._rows: dict[str, table_service.RowDocument] = {}
         self._keys: list[str] = []
         self._version = 0
@@ -89,6 +119,10 @@
         ]
         if conflicts:
             return 0, conflicts
+        changed = {item["key"] for item in body["puts"]} | set(body["deletes"])
+        self._history.record(
+            functools.partial(self._revert, self._version,
+                              {key: self._rows.get(key) for key in changed}))
         self._version += 1
         for put in body["puts"]:
             if put["key"] not in self._rows:
@@ -103,6 +137,15 @@
                 self._keys.pop(bisect.bisect_left(self._keys, key))
         return self._version, []
 
+    def _revert(self, version: int,
+                rows: dict[str, table_service.RowDocument | None]) -> None:
+        self._version = version
+        for key, row in rows.items():
+            self._rows.pop(key, None)
+            if row is not None:
+                self._rows[key] = row
+        self._keys = sorted(self._rows)
+
     def read(self, keys: list[str]) -> list[table_service.RowDocument]:
         """Returns one row per key; absent rows have version 0."""
         return [
@@ -130,7 +173,9 @@
                  weight_bytes_per_s: float, seed: int) -> None:
         self.lock = threading.Lock()
         self.weight_lock = threading.Lock()
-        self.table = Table()
+        self.era = 0
+        self._history = History()
+        self.table = Table(self._history)
         self.objects: dict[str, bytes] = {}
         self.weight_bytes = weight_bytes
         self.weight_bytes_per_s = weight_bytes_per_s
@@ -150,12 +195,26 @@
         """Replaces the faults that the document contains."""
         with self.lock:
             self.fault |= fault
+            if "restored_s" in fault:
+                self._history.restore(fault["restored_s"])
+                self.era += 1
             if "down_s" in fault:
                 self._down_until_s = time.monotonic() + fault["down_s"]
             for name in ("reads", "writes"):
                 if f"{name}_per_s" in fault:
                     self._throttles[name] = Throttle(fault[f"{name}_per_s"])
 
+    def put_object(self, name: str, data: bytes) -> None:
+        """Stores an object."""
+        with self.lock:
+            if name in self.objects:
+                undo = functools.partial(self.objects.__setitem__, name,
+                                         self.objects[name])
+            else:
+                undo = functools.partial(self.objects.pop, name, None)
+            self._history.record(undo)
+            self.objects[name] = data
+
     def is_down(self) -> bool:
         """Returns whether the stand-in refuses requests now."""
         return time.monotonic() < self._down_until_s
@@ -203,6 +262,7 @@
         self._request = request
         self._state = state
         self._path = request.path.decode()
+        self._era = state.era
         self._client = request.inheaders.get(
             table_service.CLIENT_HEADER.encode(), b"-").decode()
 
@@ -246,6 +306,7 @@
         if is_late:
             time.sleep(self._state.fault.get("late_ms", 0.0) / _MS_PER_S)
         with self._state.lock:
+            self._era = self._state.era
             version, conflicts = self._state.table.transact(document)
         if is_late or self._state.draw_fault("lost_answers"):
             self._close_without_response()
@@ -259,6 +320,7 @@
             self._send_json(http.HTTPStatus.TOO_MANY_REQUESTS, {})
             return
         with self._state.lock:
+            self._era = self._state.era
             if self._path == "/v1/read":
                 rows = self._state.table.read(
                     msgspec.json.decode(
@@ -271,7 +333,7 @@
     def _respond_to_object(self, body: bytes) -> None:
         name = self._path.removeprefix("/objects/")
         if self._request.method == b"PUT":
-            self._state.objects[name] = body
+            self._state.put_object(name, body)
             self._send_json(http.HTTPStatus.OK, {})
         elif name in self._state.objects:
             self._send_bytes(http.HTTPStatus.OK, self._state.objects[name])
@@ -294,7 +356,9 @@
 
     def _send_headers(self, status: http.HTTPStatus, size: int) -> None:
         self._request.status = f"{status.value} {status.phrase}".encode()
-        self._request.outheaders = [(b"Content-Length", b"%d" % size)]
+        self._request.outheaders = [(b"Content-Length", b"%d" % size),
+                                    (store_era.HEADER.encode(),
+                                     b"%d" % self._era)]
         self._request.ensure_headers_sent()
 
     def _send_json(self, status: http.HTTPStatus, body: object) -> None:
