Reserve the ports of tests for one process

Seen: "Address already in use" at the start of a listener, in 2 of about 9 runs of persimmonspan/platform beside other runs of the tests on the same machine (test_planned_stop.py, set-up of test_crashing_requests.py).

Ports of processes were ephemeral ones, which any outgoing connection, and the test of another worker, could take between the check and the start of the listener; the test then met a foreign process.

--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -13,14 +13,45 @@
 _START_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.02
 _STOP_TIMEOUT_S = 20.0
+# Below the ephemeral range: outgoing connections cannot take these ports.
+_FIRST_PORT = 10_000
+_END_PORT = 32_000
+_BLOCK_PORTS = 100
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 def free_port() -> int:
-    """Returns a TCP port of the loopback interface that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free TCP port that no other call returns, in any process.
+
+    Raises:
+        RuntimeError: All ports are reserved.
+    """
+    for port in _reserved_ports:
+        with contextlib.suppress(OSError), socket.create_server(
+            ("127.0.0.1", port)):
+            return port
+    raise RuntimeError("all ports for tests are reserved")
+
+
+def _reserve_ports() -> collections.abc.Iterator[int]:
+    """Yields ports of blocks that this process reserves until it ends.
+
+    A block is reserved by the name of a socket, which the kernel frees even if
+    this process is killed.
+    """
+    for first_port in range(_FIRST_PORT, _END_PORT, _BLOCK_PORTS):
+        reservation = socket.socket(socket.AF_UNIX)
+        try:
+            reservation.bind(f"\0persimmonspan-ports-{first_port}")
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        yield from range(first_port, first_port + _BLOCK_PORTS)
+
+
+_reservations: list[socket.socket] = []
+_reserved_ports = _reserve_ports()
 
 
 @contextlib.contextmanager
