Pass no 408 or 429 on that does not say the request was not run

Callers saw: nothing so far; they would be told "not run" by a 408 or 429 of a target, without its statement that it ran nothing, for a request that it ran.

Cause: only 503 was held back in this case, though callers take 408 and 429 for the same promise.

Evidence: 4 of 6 new cases failed before (408 and 429, over sockets and without; 503 was right). Change: such an answer counts as an error of its target; an idempotent request is tried at another one, any other gets a 502.

--- a/persimmonspan/platform/tests/test_repeated_refusals.py
+++ b/persimmonspan/platform/tests/test_repeated_refusals.py
@@ -74,6 +74,9 @@
         "short_body":
             _answer(status, _NOT_RUN, "Content-Length: 5", ids=["own"]),
     }.items()
+} | {
+    f"{status}_without_statement": _answer(status, _EMPTY, ids=["own"])
+    for status in (408, 429, 503)
 } | {
     "success_that_was_not_run":
         _answer(200, _NOT_RUN, "Content-Length: 2", ids=["own"], body=b"ok")
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -85,8 +85,8 @@
                       for name, value in head.headers
                       if name not in _HOP_BY_HOP_HEADERS),
         # Different values name no request.
-        request_id=_decode_text(b", ".join(
-            sorted(head.get_all(b"x-attempt-id"))) or None),
+        request_id=_decode_text(
+            b", ".join(sorted(head.get_all(b"x-attempt-id"))) or None),
         is_not_run=(head.get(b"x-not-executed") is not None or
                     head.status == 421),
         is_other_target=head.status == 421,
--- a/persimmonspan/request/classification.py
+++ b/persimmonspan/request/classification.py
@@ -21,7 +21,7 @@
 _MIN_SERVER_ERROR_STATUS = 500
 # Callers conclude from these that the request was not run, so they are not
 # passed on for a request that may have run.
-_NOT_RUN_STATUSES = frozenset({503})
+_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 
 
 class Use(enum.Enum):
@@ -129,7 +129,7 @@
                            errors.Code.TARGET_FAILED,
                            f"status {status} after a stream began",
                            errors.RunState.RAN))
-    if status >= _MIN_SERVER_ERROR_STATUS:
+    if status >= _MIN_SERVER_ERROR_STATUS or status in _NOT_RUN_STATUSES:
         return Verdict(
             events.Outcome.ANSWERED_ERROR,
             Use.NOTHING if status in _NOT_RUN_STATUSES else Use.ERROR,
--- a/persimmonspan/request/tests/test_classification.py
+++ b/persimmonspan/request/tests/test_classification.py
@@ -24,6 +24,8 @@
 @pytest.mark.parametrize("status, use", [
     (200, classification.Use.RESPONSE),
     (404, classification.Use.RESPONSE),
+    (408, classification.Use.NOTHING),
+    (429, classification.Use.NOTHING),
     (500, classification.Use.ERROR),
     (503, classification.Use.NOTHING),
 ])
