Test that a forwarded answer that is cut is never complete

Seven answers (length, chunks, interim answer before it, refusal, bare line feeds, folded header, stream) are cut after each byte; no caller gets a complete answer. The table of reported faults had no test of this.

--- a/persimmonspan/platform/tests/test_repeated_refusals.py
+++ b/persimmonspan/platform/tests/test_repeated_refusals.py
@@ -1,10 +1,11 @@
-"""Tests of refusals that may belong to another request.
+"""Tests of refusals that may belong to another request, and of cut heads.
 
 `docs/design/reported-faults.md` lists the reports. Callers, replicas and the
 daemon communicate over loopback.
 """
 
 import collections
+import contextlib
 import http.client
 
 import pytest
@@ -40,6 +41,7 @@
     return lambda request: answer(request)[:size]
 
 
+_refused = _answer(503, _NOT_RUN, _EMPTY, ids=["own"])
 _served = _answer(200, "Content-Length: 2", ids=["own"], body=b"ok")
 _NO_PROMISE = {
     f"{status}_{name}": answer for status in _REFUSAL_STATUSES
@@ -191,3 +193,56 @@
         data = connection.getresponse().read()
         connection.close()
     assert b'reason="response_refusal_without_id"} 1.0' in data
+
+
+_CUT = {
+    "length":
+        _served,
+    "chunks":
+        _answer(200,
+                "Transfer-Encoding: chunked",
+                ids=["own"],
+                body=b"2\r\nok\r\n" + replica.STREAM_END),
+    "interim":
+        _join(lambda request: b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n",
+              _served),
+    "refusal":
+        _refused,
+    "bare_line_feeds":
+        lambda request: _served(request).replace(b"\r\n", b"\n"),
+    "folded":
+        _answer(200, "Content-Length:", " 2", ids=["own"], body=b"ok"),
+}
+_stream = _answer(200,
+                  "Content-Type: text/event-stream",
+                  "Transfer-Encoding: chunked",
+                  ids=["own"],
+                  body=replica.event_chunk(1) + replica.STREAM_END)
+
+
+def _lengths(answer):
+    """Returns the number of bytes of an answer, and each shorter one."""
+    return range(
+        len(answer(replica.Request("", "", {"x-attempt-id": "r00"}, b""))))
+
+
+@pytest.mark.parametrize("path, service, answer", [
+    *(pytest.param("/non_idempotent/1", "desk", answer, id=name)
+      for name, answer in _CUT.items()),
+    pytest.param("/draft/1", "engines", _stream, id="stream"),
+])
+def test_answer_that_is_cut_is_not_complete(path, service, answer):
+    world = _world()
+
+    def script(request):
+        yield answer(request)[:int(request.id[1:])]
+
+    for number in range(3):
+        world.add_replica(f"i-{number}", service, script)
+    with world.running():
+        for size in _lengths(answer):
+            with contextlib.suppress(http.client.IncompleteRead):
+                status, _, _ = world.send_request(path,
+                                                  X_Attempt_Id=f"r{size:02}",
+                                                  X_Token_Usage="100,10")
+                assert status == 502, size
