Believe an engine's or service's refusal only if it is whole and alone

Callers saw (reported by others): "not run, try again" for requests that a replica had run, or such a request ran at a second replica. On the own interface both could happen.

Cause: a 503 of an engine counted as "not run" if "not_run" stood anywhere in what had arrived of its body: also in a body that was cut or reset, in another field, with another answer behind it, or with the request id of another request. A plain service's refusal was believed with a success status, with two ids, and with another answer behind it.

Ruled out: a refusal met again on a kept connection, as no connection of a generation or call is used twice.

Change: the refusal must be whole JSON with that run_state, nothing may follow it, and an X-Request-Id, if there is one, must be that of the request. Engines need not send one: without it, a refusal counts as the first answer on a connection of its own that brought nothing before the request. Otherwise the generation is resumed, which tells whether the engine has it. Rejected answers are logged with their reason. LoadReader moves into a module of its own, as engine.py grew.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,7 +27,7 @@
     """Returns all measured slopes by section."""
     return {
         "scheduler": capacity_scheduler.measure(),
-        "load_reports": capacity_control.load_reports(),
+        "load_reports": capacity_control.measure_load_reports(),
         "gossip": capacity_control.gossip_lines(),
         "registry": capacity_control.registry_lines(),
         "administration": capacity_control.administration_lines(),
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from bench import capacity_fit
-from persimmonspan.connection import engine
+from persimmonspan.connection import load_reports
 from persimmonspan.connection import peer_messages
 from persimmonspan.connection import vm_list
 from persimmonspan.process import access
@@ -43,12 +43,12 @@
 _WARM_UP_ROUNDS = 25
 
 
-def load_reports() -> dict[str, typing.Any]:
+def measure_load_reports() -> dict[str, typing.Any]:
     """Returns processor time and bytes per poll of an engine process."""
     port = processes.free_port()
     with processes.running("testbed.engine", "--port", str(port), port=port):
         address = f"127.0.0.1:{port}"
-        reader = engine.LoadReader()
+        reader = load_reports.LoadReader()
         time_us = capacity_fit.line((
             count, count *
             capacity_fit.microseconds(lambda: reader.read(address, 1.0), count))
@@ -75,7 +75,7 @@
 
         thread = threading.Thread(target=forward)
         thread.start()
-        reader = engine.LoadReader()
+        reader = load_reports.LoadReader()
         reader.read(f"127.0.0.1:{server.getsockname()[1]}", 1.0)
         # Closing the kept connection ends the forwarding.
         reader.keep_only(frozenset())
--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -28,9 +28,11 @@
 import urllib3
 
 from persimmonspan import errors
+from persimmonspan.connection import exchange
 
 REQUEST_ID_HEADER = "X-Request-Id"
 
+_REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
 _EVENT_PREFIX = b"data: "
 _EVENT_END = b"\n\n"
 _LINE_END = b"\r\n"
@@ -38,7 +40,6 @@
 _HEAD_END = b"\r\n\r\n"
 _NOT_RUN_STATUS = 503
 _UNKNOWN_GENERATION_STATUS = 404
-_NOT_RUN_VALUE = b'"not_run"'
 # A token or a response head is far smaller. More bytes without an end are not
 # a valid response.
 _MAX_UNDECODED_BYTES = 1024 * 1024
@@ -86,6 +87,10 @@
     incarnation: str
 
 
+class _RefusalDocument(typing.TypedDict):
+    run_state: str
+
+
 class NotSentError(errors.TargetError):
     """The connection failed before a byte of the request was sent."""
 
@@ -94,6 +99,10 @@
     """Connecting took too long; the engine may still be alive."""
 
 
+class UnusableConnectionError(ConnectTimeoutError):
+    """The engine sent bytes, or ended the connection, before a request."""
+
+
 class NotRunError(errors.TargetError):
     """The engine confirmed that it did not run the request."""
 
@@ -110,9 +119,13 @@
     """The response ended before its last token."""
 
 
+class MismatchedResponseError(BrokenStreamError):
+    """The response names another request."""
+
+
 _text_decoder = msgspec.json.Decoder(str)
 _token_decoder = msgspec.json.Decoder(TokenDocument)
-_load_decoder = msgspec.json.Decoder(LoadDocument)
+_refusal_decoder = msgspec.json.Decoder(_RefusalDocument)
 
 
 def encode_token(token: TokenDocument) -> bytes:
@@ -153,6 +166,8 @@
         self._address = address
         identity = msgspec.json.encode({"r": request_id, "g": generation_id})
         self._expected_prefix = _EVENT_PREFIX + identity[:-1] + b',"i":'
+        self._request_id = request_id.encode()
+        self._names_other_request = False
         self._status: int | None = None
         self._is_chunked = False
         self._length: int | None = None
@@ -225,10 +240,14 @@
         if self._status is not None and self._has_whole_body():
             raise self.error_at_end()
 
-    def error_at_end(self) -> errors.TargetError:
-        """Returns the error for a response that ends here."""
+    def error_at_end(self, is_reset: bool = False) -> errors.TargetError:
+        """Returns the error for a response that ends here.
+
+        Args:
+            is_reset: Whether the connection failed, so that data may be lost.
+        """
         if self._status is not None and self._status != 200:
-            return self._rejection_error()
+            return self._rejection_error(is_reset)
         return TruncatedError(
             errors.Code.TARGET_FAILED,
             f"engine {self._address}: the response is truncated")
@@ -237,8 +256,13 @@
         return self._is_complete or (self._length is not None and
                                      len(self._body) >= self._length)
 
-    def _rejection_error(self) -> errors.TargetError:
-        if self._status == _NOT_RUN_STATUS and _NOT_RUN_VALUE in self._body:
+    def _rejection_error(self, is_reset: bool) -> errors.TargetError:
+        if self._names_other_request:
+            return MismatchedResponseError(
+                errors.Code.TARGET_FAILED,
+                f"response of engine {self._address} belongs to another "
+                "request")
+        if self._status == _NOT_RUN_STATUS and self._is_refusal(is_reset):
             return NotRunError(errors.Code.OVERLOADED,
                                f"engine {self._address} refused the request",
                                errors.RunState.NOT_RUN)
@@ -248,27 +272,50 @@
                 f"engine {self._address} does not know the generation")
         return self._broken_stream_error(f"status {self._status}")
 
+    def _is_refusal(self, is_reset: bool) -> bool:
+        """Returns whether the whole response says that nothing was run."""
+        if self._is_chunked:
+            # Other bytes behind it may be the right response.
+            is_whole = self._is_complete and not self._raw
+        elif self._length is not None:
+            is_whole = len(self._body) == self._length
+        else:
+            is_whole = not is_reset
+        try:
+            document = _refusal_decoder.decode(self._body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return False
+        return is_whole and document["run_state"] == errors.RunState.NOT_RUN
+
     def _broken_stream_error(self, problem: str) -> BrokenStreamError:
         return BrokenStreamError(errors.Code.TARGET_FAILED,
                                  f"engine {self._address}: {problem}")
 
     def _read_head(self, raw: bytes) -> bytes:
-        head, separator, rest = raw.partition(_HEAD_END)
-        if not separator:
-            return raw
+        while self._status is None:
+            head, separator, rest = raw.partition(_HEAD_END)
+            if not separator:
+                break
+            self._parse_head(head)
+            raw = rest
+        return raw
+
+    def _parse_head(self, head: bytes) -> None:
         status_line, *fields = head.split(_LINE_END)
         parts = status_line.split(None, 2)
         if (len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or
                 not parts[1].isdigit()):
             raise self._broken_stream_error("not an HTTP response")
         for field in fields:
-            name, _, value = field.lower().partition(b":")
-            if name == b"transfer-encoding":
-                self._is_chunked = value.strip() == b"chunked"
+            name, _, value = field.partition(b":")
+            name = name.lower()
+            if name == _REQUEST_ID_NAME:
+                self._names_other_request |= value.strip() != self._request_id
+            elif name == b"transfer-encoding":
+                self._is_chunked = value.strip().lower() == b"chunked"
             elif name == b"content-length" and value.strip().isdigit():
                 self._length = int(value)
         self._status = int(parts[1])
-        return rest
 
     def _read_chunks(self, raw: bytes) -> bytes:
         position = 0
@@ -310,6 +357,11 @@
     """
     connection = open_connection(address, timeout_s)
     try:
+        if exchange.has_input(connection.sock):
+            raise UnusableConnectionError(
+                errors.Code.TARGET_FAILED,
+                f"engine {address} sent bytes before a request",
+                errors.RunState.NOT_RUN)
         try:
             connection.request("POST",
                                path,
@@ -334,52 +386,6 @@
               msgspec.json.encode({"request_id": request_id}), timeout_s)
 
 
-class LoadReader:
-    """Reads load reports over one persistent connection per target.
-
-    A silently dropped connection costs one report: the reader closes it after a
-    timeout and opens a new one for the next report. This is safe because a
-    report, unlike a generation, can be requested again.
-    """
-
-    def __init__(self) -> None:
-        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
-
-    def read(self, address: str, timeout_s: float) -> LoadDocument:
-        """Reads a report; at most one thread per address at a time.
-
-        Raises:
-            NotSentError: The target does not accept connections.
-            errors.TargetError: The target did not respond with a report.
-        """
-        if address not in self._pools:
-            host, port = address.rsplit(":", 1)
-            self._pools[address] = urllib3.HTTPConnectionPool(host,
-                                                              int(port),
-                                                              retries=False,
-                                                              maxsize=1)
-        try:
-            response = self._pools[address].request("GET",
-                                                    "/v1/load",
-                                                    timeout=timeout_s)
-            return _load_decoder.decode(response.data)
-        except urllib3.exceptions.NewConnectionError as error:
-            raise NotSentError(errors.Code.TARGET_FAILED,
-                               f"cannot connect to target {address}",
-                               errors.RunState.NOT_RUN) from error
-        except (urllib3.exceptions.HTTPError, OSError,
-                msgspec.DecodeError) as error:
-            self._pools.pop(address).close()
-            raise errors.TargetError(
-                errors.Code.TARGET_FAILED,
-                f"no load report from {address}") from error
-
-    def keep_only(self, addresses: collections.abc.Set[str]) -> None:
-        """Closes connections to other addresses."""
-        for address in set(self._pools) - addresses:
-            self._pools.pop(address).close()
-
-
 def open_connection(address: str,
                     timeout_s: float) -> urllib3.connection.HTTPConnection:
     """Connects, to tell a failed connection from a lost response.
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -19,6 +19,7 @@
 
 _REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
 _RUN_STATE_NAME = RUN_STATE_HEADER.lower().encode()
+_MIN_FAILURE_STATUS = 400
 _NO_ENCODING = b"identity"
 
 
@@ -81,12 +82,13 @@
     except exchange.NotSentError as error:
         raise engine.NotSentError(error.code, str(error),
                                   error.run_state) from error
-    return _check_response(address, request, reader.head, body)
+    return _check_response(address, request, reader, body)
 
 
 def _check_response(address: str, request: Request,
-                    head: exchange.RawResponseHead, body: bytes) -> Response:
-    if head.get(_REQUEST_ID_NAME) != request.request_id.encode():
+                    reader: exchange.ResponseReader, body: bytes) -> Response:
+    head = reader.head
+    if head.get_all(_REQUEST_ID_NAME) != {request.request_id.encode()}:
         raise MismatchedResponseError(
             errors.Code.TARGET_FAILED,
             f"response of {address} belongs to another request")
@@ -94,6 +96,11 @@
         raise errors.TargetError(errors.Code.TARGET_FAILED,
                                  f"response of {address} is encoded")
     if head.get(_RUN_STATE_NAME) == errors.RunState.NOT_RUN.encode():
+        if head.status < _MIN_FAILURE_STATUS or reader.has_trailing_bytes:
+            # A success may have run; other bytes may be the right response.
+            raise errors.TargetError(
+                errors.Code.TARGET_FAILED,
+                f"the refusal of {address} contradicts itself")
         raise engine.NotRunError(errors.Code.OVERLOADED,
                                  f"{address} refused the request",
                                  errors.RunState.NOT_RUN)
--- a/persimmonspan/connection/tests/test_plain_service.py
+++ b/persimmonspan/connection/tests/test_plain_service.py
@@ -48,3 +48,57 @@
         _dispatch(answer)
     assert caught.value.run_state is errors.RunState.UNKNOWN
     assert not isinstance(caught.value, engine.NotRunError)
+
+
+_OWN_ID = b"X-Request-Id: r1\r\n"
+_NOT_RUN = b"X-Run-State: not_run\r\n"
+_EMPTY = b"Content-Length: 0\r\n\r\n"
+_BUSY = b"HTTP/1.1 503 Busy\r\n"
+_REFUSAL = _BUSY + _OWN_ID + _NOT_RUN + _EMPTY
+_SUCCESS = b"HTTP/1.1 200 OK\r\n" + _OWN_ID + b"Content-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("answer", [
+    _BUSY + _NOT_RUN + _EMPTY,
+    _BUSY + b"X-Request-Id: r0\r\n" + _NOT_RUN + _EMPTY,
+    _BUSY + _OWN_ID + b"X-Request-Id: r0\r\n" + _NOT_RUN + _EMPTY,
+    _BUSY + b"X-Request-Id: r0\r\n" + _OWN_ID + _NOT_RUN + _EMPTY,
+    _REFUSAL + _SUCCESS,
+    _REFUSAL + _REFUSAL,
+    _REFUSAL + b"\x00",
+    b"HTTP/1.1 200 OK\r\n" + _OWN_ID + _NOT_RUN + _EMPTY,
+    b"HTTP/1.1 302 Found\r\n" + _OWN_ID + _NOT_RUN + _EMPTY,
+])
+def test_refusal_that_may_be_of_another_request_is_no_promise(answer):
+    with pytest.raises(errors.TargetError) as caught:
+        _dispatch(answer)
+    assert caught.value.run_state is errors.RunState.UNKNOWN
+    assert not isinstance(caught.value, engine.NotRunError)
+
+
+@pytest.mark.parametrize("answer", [
+    _REFUSAL,
+    b"HTTP/1.1 100 Continue\r\n\r\n" + _REFUSAL,
+    _BUSY + 2 * _OWN_ID + _NOT_RUN + _EMPTY,
+])
+def test_refusal_of_the_request_is_believed(answer):
+    with pytest.raises(engine.NotRunError):
+        _dispatch(answer)
+
+
+def test_encoded_answer_is_no_answer():
+    with pytest.raises(errors.TargetError) as caught:
+        _dispatch(
+            _SUCCESS.replace(_OWN_ID, _OWN_ID + b"Content-Encoding: gzip\r\n"))
+    assert caught.value.run_state is errors.RunState.UNKNOWN
+
+
+@pytest.mark.parametrize("extra", [b"\x00", _REFUSAL])
+def test_bytes_after_a_whole_answer_belong_to_no_request(extra):
+    assert _dispatch(_SUCCESS + extra).body == b"ok"
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_answer_that_never_has_a_body_is_whole(status):
+    answer = b"HTTP/1.1 %d Status\r\n%b\r\n" % (status, _OWN_ID)
+    assert _dispatch(answer) == (status, "application/json", b"")
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -17,8 +17,8 @@
 import typing
 
 from persimmonspan import errors
-from persimmonspan.connection import engine
 from persimmonspan.connection import listener
+from persimmonspan.connection import load_reports
 from persimmonspan.connection import relay
 from persimmonspan.connection import tls
 from persimmonspan.process import daemon_operations
@@ -80,7 +80,7 @@
         self._last_verified_s = -math.inf
         self._ledger: at_most_once.Context
         self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell)
-        self._load_reader = engine.LoadReader()
+        self._load_reader = load_reports.LoadReader()
         self._poller = report_poller.ReportPoller(
             self.scheduler.tell, self._load_reader.read,
             self._leaving.record_incarnation)
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -229,15 +229,25 @@
             return stream.ConnectionBroken(stream.BreakReason.SILENT)
         failure = self._reader.failure
         if signal in (relay.Signal.CLOSED, relay.Signal.RESET):
-            failure = self._reader.error_at_end()
+            failure = self._reader.error_at_end(signal is relay.Signal.RESET)
         if isinstance(failure, engine.NotRunError):
             raise failure
         if isinstance(failure, engine.UnknownGenerationError):
             return stream.GenerationUnknown()
         if isinstance(failure, engine.TruncatedError):
             return stream.ConnectionBroken(stream.BreakReason.TRUNCATED)
-        return (stream.ConnectionBroken(stream.BreakReason.GARBAGE)
-                if failure is not None else None)
+        if failure is None:
+            return None
+        _logger.warning("answer of an engine rejected",
+                        extra={
+                            "target": self._target.name,
+                            "reason": str(failure),
+                            "tokens": self.tokens
+                        })
+        is_mismatched = isinstance(failure, engine.MismatchedResponseError)
+        return stream.ConnectionBroken(
+            stream.BreakReason.CROSSED if is_mismatched else stream.BreakReason.
+            GARBAGE)
 
     def _consume(self, data: bytes, now_s: float) -> relay.ConsumeResult:
         """Converts bytes from the engine into bytes for the caller."""
--- a/persimmonspan/request/plain_call.py
+++ b/persimmonspan/request/plain_call.py
@@ -8,6 +8,8 @@
     `persimmonspan.request.at_most_once`: the claim and the record.
 """
 
+import logging
+
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import plain_service
@@ -18,6 +20,8 @@
 
 _NOT_RUN_OUTCOMES = (events.Outcome.CONNECT_FAILED, events.Outcome.REFUSED)
 
+_logger = logging.getLogger(__name__)
+
 
 def attempt(request_session: session.Session,
             target: events.Target) -> plain_service.Response | None:
@@ -98,6 +102,11 @@
         raise
     except errors.TargetError as error:
         request_session.may_have_run = True
+        _logger.warning("no usable answer of a plain service",
+                        extra={
+                            "target": target.name,
+                            "reason": str(error)
+                        })
         is_mismatched = isinstance(error, plain_service.MismatchedResponseError)
         request_session.context.metrics.count(
             "plain_crossed" if is_mismatched else "plain_no_answer")
