Read an engine's answer after interim responses

Callers saw: errors for each generation of an engine that sends an interim response (1xx), as the head of that response was taken for the answer's, and the stream for its body.

Change: interim heads are skipped; the timeout of the first token bounds them.

--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -40,6 +40,7 @@
 _HEAD_END = b"\r\n\r\n"
 _NOT_RUN_STATUS = 503
 _UNKNOWN_GENERATION_STATUS = 404
+_MIN_FINAL_STATUS = 200  # Lower ones are interim responses.
 # A token or a response head is far smaller. More bytes without an end are not
 # a valid response.
 _MAX_UNDECODED_BYTES = 1024 * 1024
@@ -306,6 +307,8 @@
         if (len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or
                 not parts[1].isdigit()):
             raise self._broken_stream_error("not an HTTP response")
+        if int(parts[1]) < _MIN_FINAL_STATUS:
+            return
         for field in fields:
             name, _, value = field.partition(b":")
             name = name.lower()
--- a/persimmonspan/request/tests/test_faulty_engines.py
+++ b/persimmonspan/request/tests/test_faulty_engines.py
@@ -238,10 +238,17 @@
 
 
 _REFUSALS = {
-    "with_id": _answer(503, "X-Request-Id: {id}", body=_NOT_RUN),
-    "without_id": _answer(503, body=_NOT_RUN),
-    "chunked": _chunked(503, body=_NOT_RUN),
-    "unframed": _answer(503, body=_NOT_RUN, is_framed=False),
+    "with_id":
+        _answer(503, "X-Request-Id: {id}", body=_NOT_RUN),
+    "without_id":
+        _answer(503, body=_NOT_RUN),
+    "chunked":
+        _chunked(503, body=_NOT_RUN),
+    "unframed":
+        _answer(503, body=_NOT_RUN, is_framed=False),
+    "after_interim":
+        _join(lambda document: [b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"],
+              _answer(503, body=_NOT_RUN)),
 }
 
 
@@ -254,6 +261,14 @@
     assert world.engines.generated[prompt] == 2
 
 
+def test_stream_after_an_interim_response_is_relayed(world):
+    response = world.generate(
+        "interim",
+        _join(lambda document: [b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"],
+              _stream()))
+    assert response.status == 200 and len(_texts(response.data)) == _TOKENS
+
+
 _NO_CONTINUATION = {
     f"{status}_{name}": build for status in (404, 500, 503) for name, build in {
         "empty": _answer(status),
