Play repeated refusals, cut heads and errors after a begun stream in the soak

The replicas of the soak answer a request that they run with an earlier refusal, end within an answer's head, or answer a stream that goes on from a copy with an error.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -42,6 +42,8 @@
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
 _CHECK_S = 4.0
+# Callers conclude from these that a request was not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The bounds of the operators for the time of the check.
 _MAX_LATE_CRASHES = 3
 _MAX_LIMITED_REQUESTS = 1.5 * soak_replicas.RATE_PER_S * _CHECK_S + 5
@@ -88,7 +90,7 @@
         if result.kind != "idempotent":
             if run_count > 1:
                 broken["ran_twice"].append(name)
-            if result.status == 503 and run_count:
+            if result.status in _NOT_RUN_STATUSES and run_count:
                 broken["refused_but_ran"].append(name)
     if not any_served:
         broken["served_nothing"].append("all")
--- a/testbed/soak_replicas.py
+++ b/testbed/soak_replicas.py
@@ -18,6 +18,7 @@
 _DESKS = 3
 _ENGINES = 3
 _RESTART_S = 1.0
+_FAULTS = ("cut", "reset", "error", "full", "head", "repeat")
 
 
 class Replicas:
@@ -30,6 +31,7 @@
         self.limited: replica.Replica | None = None
         self.on_crash: collections.abc.Callable[[replica.Replica], None]
         self.fault_share = 0.0
+        self._refused = replica.Request("", "", {}, b"")  # The last one.
         self._rng = rng
         self._lock = threading.Lock()
 
@@ -55,14 +57,20 @@
             return
         fault = self._choose_fault()
         if fault == "full":
+            self._refused = request
             yield replica.not_run(request)
             return
+        refused = self._refused
         with self._lock:
             self.runs[request.id] += 1
         time.sleep(0.02)
         answer = replica.complete_response(request, request.id.encode())
         if fault == "cut":
             yield answer[:-3]
+        elif fault == "head":
+            yield self._cut_head(answer)
+        elif fault == "repeat":
+            yield replica.not_run(refused)
         elif fault == "reset":
             yield replica.ConnectionReset()
         elif fault == "error":
@@ -99,9 +107,19 @@
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Streams the remaining events, or breaks the stream off."""
         fault = self._choose_fault()
-        if "kv-from" not in request.headers:
+        is_continuation = "kv-from" in request.headers
+        if not is_continuation:
             with self._lock:
                 self.runs[request.id] += 1
+        if fault == "head":
+            yield self._cut_head(replica.stream_head(request))
+            return
+        if fault == "repeat":
+            yield replica.not_run(self._refused)
+            return
+        if fault == "error" and is_continuation:
+            yield replica.complete_response(request, b"an error", 500)
+            return
         yield replica.stream_head(request)
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
@@ -118,7 +136,12 @@
         with self._lock:
             if self._rng.random() >= self.fault_share:
                 return ""
-            return self._rng.choice(["cut", "reset", "error", "full"])
+            return self._rng.choice(_FAULTS)
+
+    def _cut_head(self, answer: bytes) -> bytes:
+        """Returns a part of an answer that ends within its head."""
+        with self._lock:
+            return answer[:self._rng.randrange(answer.index(b"\r\n\r\n"))]
 
 
 class Entry(typing.NamedTuple):
