Run no call twice whose ledger row a restored store has lost

Callers saw: after the store returned from an older copy, a repeat of a payment that had been answered ran a second time on another daemon, or on the same one.

Cause: the row is the only lasting trace of a call, and an absent or released row was taken as "never begun". The outcome of a call whose claim had got lost, or whose claim had another version, was dropped as superseded.

The fuzzing machine with the new deliberate fault ignore_return, that is, the former behaviour, finds second runs.

Ruled out: refusing for the whole retention (an outage of paid calls for a minute), and restoring without a wait, as daemons notice the return up to 7 s apart.

Change: request/store_return.py. Each daemon holds the rows it wrote in the last 60 s and restores them in groups when the era rises; for 15 s after that it claims no key, and releases a claim whose response showed the new era. Calls without a caller's key go on. Outcomes are recorded over an absent or re-read claim.

What cannot be had is in docs/operating/unknown-outcomes.md.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -3,11 +3,11 @@
     python -m bench.fuzz --steps 200000 --seed 1
 
 drives `testbed.ledger_world` and `testbed.configuration_world` in interleavings
-with death, pause, lost and late answers, outages, duplicated and reordered
-messages, jumps of the wall clock and concurrent operators, and prints one JSON
-line for each machine. A broken guarantee ends the run with the shortest
-sequence of steps that Hypothesis finds. `--fault` switches on a deliberate
-fault, which must be found.
+with death, pause, lost and late answers, outages, returns of the store from an
+older copy, duplicated and reordered messages, jumps of the wall clock and
+concurrent operators, and prints one JSON line for each machine. A broken
+guarantee ends the run with the shortest sequence of steps that Hypothesis
+finds. `--fault` switches on a deliberate fault, which must be found.
 """
 
 import argparse
@@ -50,6 +50,7 @@
         counts["runs"] += sum(map(len, self.world.runs.values()))
         counts["not_run"] += len(self.world.not_run)
         counts["answered_keys"] += len(self.world.responses)
+        counts["excused_keys"] += len(self.world.excused_keys)
 
     @stateful.rule(daemon=_daemon,
                    key=_key,
@@ -95,7 +96,12 @@
     @stateful.rule(seconds=strategies.sampled_from([0.1, 1.0, 5.0, 30.0]))
     def pass_time(self, seconds: float) -> None:
         """Time passes."""
-        self.world.now_s += seconds
+        self.world.pass_time(seconds)
+
+    @stateful.rule(writes=strategies.integers(1, 6))
+    def return_store(self, writes: int) -> None:
+        """The store returns from an older copy."""
+        self.world.return_store(writes)
 
     @stateful.rule(daemon=_daemon, fate=_fate)
     def record_kept(self, daemon: int, fate: ledger_world.Fate) -> None:
--- a/bench/tests/test_fuzz.py
+++ b/bench/tests/test_fuzz.py
@@ -23,6 +23,8 @@
     (ledger_world.Fault.SKIP_CLAIM, "run by|two answers|changed"),
     (ledger_world.Fault.TAKE_OVER, "run by|two answers|not_run|changed"),
     (ledger_world.Fault.FALSE_NOT_RUN, "run by|two answers|not_run|changed"),
+    (ledger_world.Fault.IGNORE_RETURN,
+     "run by|two answers|not_run|changed|not restored"),
     (configuration_world.Fault.ADOPT_ANY, "reverted"),
     (configuration_world.Fault.SERVE_ISOLATED, "is isolated"),
     (configuration_world.Fault.BLIND_COMMIT,
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -269,7 +269,8 @@
         self._ledger = at_most_once.Context(self._stored_parts.rows,
                                             holder,
                                             self._is_holder_replaced,
-                                            count=self.metrics.count)
+                                            count=self.metrics.count,
+                                            era=self._stored_parts.client.era)
 
     def _is_holder_replaced(self, holder: ledger_events.Holder) -> bool:
         """Returns whether a newer incarnation replaced a claim's holder."""
--- a/persimmonspan/request/at_most_once.py
+++ b/persimmonspan/request/at_most_once.py
@@ -11,7 +11,7 @@
 `errors.TargetError`: with `RunState.NOT_RUN` if no byte was sent or the target
 confirmed that it did not run the call, otherwise the outcome is unknown. The
 process calls `Context.record_kept_rows()` about once a second to record the
-rows that could not be written during an outage.
+rows that could not be written during an outage or that the store has lost.
 
 An error with `run_state` `not_run` says that this request was not run. It says
 nothing about earlier requests with the same key; callers repeat with that key.
@@ -33,6 +33,7 @@
 from persimmonspan import errors
 from persimmonspan.request import ledger
 from persimmonspan.request import ledger_events
+from persimmonspan.request import store_return
 
 _MAX_KEY_CHARS = 200
 _MAX_KEPT_KEYS = 20_000
@@ -98,6 +99,10 @@
     del reason
 
 
+def _has_no_era() -> None:
+    return None
+
+
 class Context:
     """Rows, clock and kept rows that the calls of one process share.
 
@@ -107,17 +112,19 @@
         is_gone: Returns whether another process is known to have ended.
         count: Increments the counter of a reason.
         clock: Sources of time.
+        era: Returns the era of the store, or None before its first response.
     """
 
     def __init__(
-        self,
-        rows: Rows,
-        holder: ledger_events.Holder,
-        is_gone: collections.abc.Callable[[ledger_events.Holder],
-                                          bool] = _is_never_gone,
-        count: collections.abc.Callable[[str], None] = _count_nothing,
-        clock: Clock = Clock()
-    ) -> None:
+            self,
+            rows: Rows,
+            holder: ledger_events.Holder,
+            is_gone: collections.abc.Callable[[ledger_events.Holder],
+                                              bool] = _is_never_gone,
+            count: collections.abc.Callable[[str], None] = _count_nothing,
+            clock: Clock = Clock(),
+            era: collections.abc.Callable[[],
+                                          int | None] = _has_no_era) -> None:
         self.rows = rows
         self.holder = holder
         self.count = count
@@ -126,6 +133,10 @@
         self._lock = threading.Lock()
         self._kept_rows: dict[str, list[ledger_events.RowDocument]] = {}
         self._active_calls: dict[str, int] = {}
+        self._era = era
+        self._store_state = store_return.State()
+        self._held_rows = store_return.HeldRows()
+        self._lost_keys: set[str] = set()
 
     @property
     def kept_rows(self) -> int:
@@ -160,23 +171,36 @@
                 frozenset(item["attempt"]
                           for item in kept
                           if item["state"] == ledger_events.RowState.RELEASED),
-                self._active_calls[key] > 1)
+                self._active_calls[key] > 1, request.idempotency_key is None)
+            is_settling = self._is_settling()
+            held = self._held_rows.get(key) if is_settling else None
             unreleased = [
-                item for item in kept
+                item for item in (*kept, *([held] if held is not None else []))
                 if item["state"] != ledger_events.RowState.RELEASED
             ]
         try:
             yield call, ledger_events.Begin(
-                unreleased[0] if unreleased else None)
+                unreleased[0] if unreleased else None, is_settling)
         finally:
             with self._lock:
                 self._active_calls[key] -= 1
                 if not self._active_calls[key]:
                     del self._active_calls[key]
 
+    def is_settling(self) -> bool:
+        """Returns whether the store may lack rows of other processes."""
+        with self._lock:
+            return self._is_settling()
+
+    def hold_row(self, key: str, document: ledger_events.RowDocument) -> None:
+        """Holds a row that was written, in case the store loses it."""
+        with self._lock:
+            self._hold_row(key, document, is_written=True)
+
     def keep_row(self, command: ledger_events.KeepRow) -> None:
         """Keeps a row in memory until it can be recorded."""
         with self._lock:
+            self._hold_row(command.key, command.document, is_written=False)
             if len(self._kept_rows
                   ) >= _MAX_KEPT_KEYS and command.key not in self._kept_rows:
                 # The row stays claimed, so repeats cannot learn the outcome.
@@ -185,8 +209,10 @@
             self._kept_rows.setdefault(command.key, []).append(command.document)
 
     def record_kept_rows(self) -> int:
-        """Records the kept rows; returns the number that remain."""
+        """Records the kept and the lost rows; returns how many remain."""
         with self._lock:
+            self._is_settling()
+            lost = sorted(self._lost_keys)
             kept = [(key, item)
                     for key, items in self._kept_rows.items()
                     for item in items]
@@ -195,7 +221,82 @@
                 self._record_batch(kept[start:start + _MAX_BATCH_ROWS])
             except errors.StoreError:
                 break
-        return self.kept_rows
+        for start in range(0, len(lost), _MAX_BATCH_ROWS):
+            try:
+                self._restore_batch(lost[start:start + _MAX_BATCH_ROWS])
+            except errors.StoreError as error:
+                _logger.info("lost ledger rows could not be restored yet",
+                             extra={
+                                 "rows": len(lost),
+                                 "reason": str(error)
+                             })
+                break
+        with self._lock:
+            return sum(map(len, self._kept_rows.values())) + len(
+                self._lost_keys)
+
+    def _is_settling(self) -> bool:
+        """Observes the era; the caller holds the lock."""
+        now_s = self.clock.monotonic()
+        state = store_return.observe(self._store_state, self._era(), now_s)
+        previous, self._store_state = self._store_state, state
+        if previous.era is not None and previous != state:
+            self._lost_keys.update(self._held_rows.keys())
+            self.count("ledger_store_returned")
+            _logger.warning("the store may lack ledger rows: claims wait",
+                            extra={
+                                "era": state.era,
+                                "held_rows": len(self._lost_keys)
+                            })
+        return store_return.is_settling(state, now_s)
+
+    def _hold_row(self, key: str, document: ledger_events.RowDocument,
+                  is_written: bool) -> None:
+        is_settling = self._is_settling()
+        if is_settling:
+            self._lost_keys.add(key)
+        held = self._held_rows.get(key)
+        if (held is None or (is_written and not is_settling) or
+                not store_return.outlives(held, document)):
+            self._held_rows.add(key, document, self.clock.monotonic())
+
+    def _restore_batch(self, keys: list[str]) -> None:
+        """Writes back the lost rows with one read and one group commit."""
+        rows = self.rows.read_all(keys)
+        writes = []
+        with self._lock:
+            for key, row in zip(keys, rows):
+                held = self._held_rows.get(key)
+                write = (store_return.plan_restore(key, held, row)
+                         if held is not None else None)
+                if write is not None:
+                    writes.append(write)
+                    continue
+                finding = store_return.compare(self._store_state, held, row,
+                                               self.clock.monotonic())
+                if finding != store_return.Finding.CLAIMED:
+                    self._lost_keys.discard(key)
+                if finding == store_return.Finding.SECOND_ATTEMPT:
+                    self.count("ledger_second_attempt")
+                    _logger.error(
+                        "another attempt has claimed a call that the store "
+                        "lost",
+                        extra={
+                            "key": key,
+                            "attempt": held["attempt"] if held else ""
+                        })
+        for write, ended in zip(writes, self.rows.write_all(writes)):
+            if ended.is_applied:
+                with self._lock:
+                    if self._held_rows.get(write.key) == write.document:
+                        self._held_rows.add(write.key, write.document,
+                                            self.clock.monotonic())
+                self.count("ledger_restored")
+                _logger.info("restored a ledger row that the store had lost",
+                             extra={
+                                 "key": write.key,
+                                 "state": write.document["state"]
+                             })
 
     def _record_batch(
             self, kept: list[tuple[str, ledger_events.RowDocument]]) -> None:
@@ -211,6 +312,7 @@
             if write is not None and not next(write_results).is_applied:
                 continue
             with self._lock:
+                self._hold_row(key, document, is_written=False)
                 self._kept_rows[key].remove(document)
                 if not self._kept_rows[key]:
                     del self._kept_rows[key]
@@ -278,14 +380,20 @@
 def _execute_command(context: Context, command: ledger_events.Command,
                      dispatch: Dispatch) -> list[ledger_events.Event]:
     if isinstance(command, ledger_events.WriteRow):
-        return [context.rows.write(command)]
+        ended = context.rows.write(command)
+        if ended.is_applied:
+            context.hold_row(command.key, command.document)
+        return [ended._replace(is_settling=context.is_settling())]
     if isinstance(command, ledger_events.ReadRow):
         context.clock.sleep(command.delay_s)
         try:
             row = context.rows.read(command.key)
         except errors.StoreError:
             return [ledger_events.ReadFailed()]
-        return [ledger_events.RowRead(row, context.is_holder_gone(row))]
+        return [
+            ledger_events.RowRead(row, context.is_holder_gone(row),
+                                  context.is_settling())
+        ]
     if isinstance(command, ledger_events.Dispatch):
         if context.clock.monotonic() > command.not_after_s:
             return [ledger_events.DispatchExpired()]
--- a/persimmonspan/request/ledger.py
+++ b/persimmonspan/request/ledger.py
@@ -10,6 +10,10 @@
 A released row stays in the table, because an insert that is still in progress
 must not find the row absent.
 
+When the store has returned from an older copy, rows may be missing. While
+`is_settling`, a key is not claimed, and a claim that was just made is released
+(`persimmonspan.request.store_return`).
+
 `step` handles one `Call` from `Begin` to `Respond` or `Refuse`; the runner in
 `persimmonspan.request.at_most_once` executes the commands. `KeepRow` passes on
 a row that could not be written; `plan_late_write` says how to write it later.
@@ -35,14 +39,18 @@
 
 MAX_CLAIM_AGE_S = 2.0
 _MAX_WAIT_S = 1.5
+_MAX_RECORD_WRITES = 3
 _POLL_INTERVAL_S = 0.15
 _RETRY_AFTER_S = 2.0
+_SETTLING = ("the store returned from an older copy and may lack the row of an "
+             "earlier attempt")
 
 
 class Phase(enum.StrEnum):
     """What a call waits for."""
 
     START = "start"
+    LOOK = "look"
     CLAIM = "claim"
     VERIFY = "verify"
     WAIT = "wait"
@@ -62,6 +70,8 @@
         wait_until_s: Time until which to wait for another attempt's record.
         final_document: The row to write after the attempt.
         end_command: The result for the caller after that write.
+        record_writes: Number of writes of `final_document`.
+        is_settling: Whether rows of other attempts may be missing.
     """
 
     call: ledger_events.Call
@@ -71,6 +81,8 @@
     wait_until_s: float = 0.0
     final_document: ledger_events.RowDocument | None = None
     end_command: ledger_events.Respond | ledger_events.Refuse | None = None
+    record_writes: int = 0
+    is_settling: bool = False
 
 
 Result = tuple[State, list[ledger_events.Command]]
@@ -95,16 +107,22 @@
 
 @_step.register
 def _(event: ledger_events.Begin, state: State, now_s: float) -> Result:
-    state = state._replace(wait_until_s=now_s + _MAX_WAIT_S)
+    state = _update_settling(state._replace(wait_until_s=now_s + _MAX_WAIT_S),
+                             event)
     if event.kept is not None:
         end = _resolve_repeat(state.call, event.kept)
         if end is not None:
             return _end_call(state, end)
+    if state.is_settling:
+        return state._replace(phase=Phase.LOOK, requested_s=now_s), [
+            ledger_events.ReadRow(state.call.key, 0.0)
+        ]
     return _claim_key(state, 0, now_s)
 
 
 @_step.register
 def _(event: ledger_events.WriteEnded, state: State, now_s: float) -> Result:
+    state = _update_settling(state, event)
     if state.phase == Phase.CLAIM:
         return _handle_claim_end(event, state, now_s)
     if state.phase == Phase.RECORD:
@@ -115,11 +133,12 @@
 @_step.register
 def _(event: ledger_events.RowRead, state: State, now_s: float) -> Result:
     row = event.row
+    state = _update_settling(state, event)
     if state.phase == Phase.VERIFY:
         if _is_own_claim(state, row):
             return _dispatch_call(state._replace(version=row.version), now_s)
         return _handle_other_row(state, row, now_s)
-    if state.phase != Phase.WAIT:
+    if state.phase not in (Phase.LOOK, Phase.WAIT):
         return state, []
     if event.is_holder_gone and _is_claimed(row):
         end = _resolve_repeat(state.call,
@@ -136,6 +155,9 @@
     if state.phase == Phase.VERIFY:
         return _release_claim(state, errors.Code.STORE_UNAVAILABLE,
                               "the claim could not be verified")
+    if state.phase == Phase.LOOK:
+        return _end_call(
+            state, _refuse_unclaimed(state, "the store did not send the row"))
     if state.phase == Phase.WAIT:
         return _wait_for_record(state, now_s)
     return state, []
@@ -199,12 +221,23 @@
     return ledger_events.WriteRow(key, row.version, kept)
 
 
+def _update_settling(
+    state: State, event: ledger_events.Begin | ledger_events.WriteEnded |
+    ledger_events.RowRead
+) -> State:
+    # An earlier attempt cannot have had a unique key.
+    return state._replace(
+        is_settling=event.is_settling and not state.call.is_key_unique)
+
+
 def _claim_key(state: State, expected_version: int, now_s: float) -> Result:
     if now_s > state.call.deadline_s:
         return _end_call(
             state,
             _refuse_not_run(errors.Code.DEADLINE_EXCEEDED,
                             "the deadline passed before the claim"))
+    if state.is_settling:
+        return _end_call(state, _refuse_unclaimed(state, _SETTLING))
     document = _build_document(state.call, ledger_events.RowState.CLAIMED)
     return state._replace(phase=Phase.CLAIM, requested_s=now_s), [
         ledger_events.WriteRow(state.call.key, expected_version, document)
@@ -213,16 +246,18 @@
 
 def _handle_claim_end(event: ledger_events.WriteEnded, state: State,
                       now_s: float) -> Result:
-    if event.is_applied:
-        return _dispatch_call(state._replace(version=event.version), now_s)
-    if event.conflict is not None:
-        if _is_own_claim(state, event.conflict):
-            return _dispatch_call(
-                state._replace(version=event.conflict.version), now_s)
-        return _handle_other_row(state, event.conflict, now_s)
-    end = (_refuse_in_progress() if state.call.has_concurrent_attempt else
-           _refuse_not_run(errors.Code.STORE_UNAVAILABLE,
-                           "the store did not write the claim"))
+    conflict = event.conflict
+    if event.is_applied or (conflict is not None and
+                            _is_own_claim(state, conflict)):
+        version = conflict.version if conflict is not None else event.version
+        state = state._replace(version=version)
+        if state.is_settling:
+            return _release_claim(state, errors.Code.STORE_UNAVAILABLE,
+                                  _SETTLING)
+        return _dispatch_call(state, now_s)
+    if conflict is not None:
+        return _handle_other_row(state, conflict, now_s)
+    end = _refuse_unclaimed(state, "the store did not write the claim")
     if event.is_applied is None:
         released = _build_document(state.call,
                                    ledger_events.RowState.RELEASED,
@@ -334,10 +369,32 @@
             ledger_events.KeepRow(state.call.key, state.final_document))
     if event.conflict.document == state.final_document:
         return _end_call(state, state.end_command)
+    if (_is_behind_outcome(state, event.conflict) and
+            state.record_writes < _MAX_RECORD_WRITES):
+        return state._replace(version=event.conflict.version,
+                              record_writes=state.record_writes + 1), [
+                                  ledger_events.WriteRow(
+                                      state.call.key, event.conflict.version,
+                                      state.final_document)
+                              ]
     return _end_call(state, state.end_command,
                      ledger_events.Count("ledger_record_superseded"))
 
 
+def _is_behind_outcome(state: State, row: ledger_events.Row) -> bool:
+    """Returns whether a row is as it was before this attempt's outcome.
+
+    A store that returned from an older copy has the claim under another version
+    or not at all.
+    """
+    if row.document is None or _is_own_claim(state, row):
+        return True
+    assert state.final_document is not None
+    return (state.is_settling and row.document["state"] ==
+            ledger_events.RowState.RELEASED != state.final_document["state"] and
+            row.document["attempt"] != state.call.attempt)
+
+
 def _end_call(state: State, end: ledger_events.Respond | ledger_events.Refuse,
               *before: ledger_events.Command) -> Result:
     return state._replace(phase=Phase.DONE), [*before, end]
@@ -358,6 +415,12 @@
                                 _RETRY_AFTER_S)
 
 
+def _refuse_unclaimed(state: State, message: str) -> ledger_events.Refuse:
+    if state.call.has_concurrent_attempt:
+        return _refuse_in_progress()
+    return _refuse_not_run(errors.Code.STORE_UNAVAILABLE, message)
+
+
 def _refuse_in_progress() -> ledger_events.Refuse:
     return ledger_events.Refuse(
         errors.Code.IN_PROGRESS,
--- a/persimmonspan/request/ledger_events.py
+++ b/persimmonspan/request/ledger_events.py
@@ -75,6 +75,7 @@
             will never dispatch.
         has_concurrent_attempt: Whether this process runs another attempt on
             the key.
+        is_key_unique: Whether no other request has the key.
     """
 
     key: str
@@ -85,12 +86,20 @@
     claimed_at_s: float = 0.0
     abandoned: frozenset[str] = frozenset()
     has_concurrent_attempt: bool = False
+    is_key_unique: bool = False
 
 
 class Begin(typing.NamedTuple):
-    """The call starts; `kept` is a row that could not be recorded yet."""
+    """The call starts.
+
+    Attributes:
+        kept: A row of this process that the store may not have.
+        is_settling: Whether rows may be missing, as the store has returned from
+            an older copy; also in `WriteEnded` and `RowRead`.
+    """
 
     kept: RowDocument | None = None
+    is_settling: bool = False
 
 
 class WriteEnded(typing.NamedTuple):
@@ -105,6 +114,7 @@
     is_applied: bool | None
     version: int = 0
     conflict: Row | None = None
+    is_settling: bool = False
 
 
 class RowRead(typing.NamedTuple):
@@ -112,6 +122,7 @@
 
     row: Row
     is_holder_gone: bool = False
+    is_settling: bool = False
 
 
 class ReadFailed(typing.NamedTuple):
