Restore a confirmed configuration that a restored store has lost

Operators saw: after the store returned from an older copy, a revision that had been confirmed stayed missing in the store. A change based on it ended in a conflict for good ("base revision 2 is higher than the accepted revision 1"), a daemon that started alone came up with the older one, and a change there was accepted under the lost revision's number with other content, which daemons that held the first one ignored.

Cause: heads that go backwards were ignored, so that nobody wrote back what all daemons held, and numbers were derived from the head alone.

Ruled out: a late read of the head.

Change: adoption emits Restore, version/restoration.py plans the rows, the configuration actor writes them after a random delay if the head still lacks the revision. A daemon that knows of a higher revision than the head commits nothing. The head names its era; the first commit in a later era skips 1,000 numbers, for revisions that no daemon can report. A lower head counts as a fresh read: the store has nothing newer.

--- a/persimmonspan/process/configuration_actor.py
+++ b/persimmonspan/process/configuration_actor.py
@@ -32,11 +32,14 @@
 from persimmonspan.version import adoption
 from persimmonspan.version import commit
 from persimmonspan.version import difference
+from persimmonspan.version import restoration
 
 POLL_INTERVAL_S = 1.0
 _TICK_INTERVAL_S = 0.25
 _STORE_TIMEOUT_S = 10.0
 _FETCH_THREADS = 2
+# Spreads the daemons, so that most find the revision restored by another one.
+_MAX_RESTORE_DELAY_S = 2.0
 
 _logger = logging.getLogger(__name__)
 _change_decoder = msgspec.json.Decoder(commit.ChangeDocument)
@@ -78,6 +81,7 @@
         self._state = adoption.State()
         self._pool = concurrent.futures.ThreadPoolExecutor(
             _FETCH_THREADS, "configuration")
+        self._restore_pool = concurrent.futures.ThreadPoolExecutor(1, "restore")
         self._stopped = threading.Event()
 
     def on_start(self) -> None:
@@ -89,6 +93,7 @@
         """Stops both threads and the fetch pool."""
         self._stopped.set()
         self._pool.shutdown(wait=False)
+        self._restore_pool.shutdown(wait=False)
 
     def on_receive(self, message: typing.Any) -> typing.Any:
         """Applies one event."""
@@ -124,6 +129,8 @@
                 self._callbacks.request_document(revision)
             case adoption.FetchFromStore(revision, name):
                 self._pool.submit(self._fetch, revision, name)
+            case adoption.Restore(revision, document):
+                self._restore_pool.submit(self._restore, revision, document)
 
     def _fetch(self, revision: int, name: str) -> None:
         """Fetches a document on a pool thread and posts it to the actor."""
@@ -138,6 +145,38 @@
             return
         self._post_event(adoption.DocumentReceived(revision, document))
 
+    def _restore(self, revision: int, document: difference.Json) -> None:
+        """Writes back a revision, unless another daemon has done so."""
+        if self._stopped.wait(random.uniform(0.0, _MAX_RESTORE_DELAY_S)):
+            return
+        try:
+            head = read_head(self._client)
+            if head.revision >= revision:
+                return
+            base = _fetch_base(self._objects, head)
+            transact = restoration.plan(head, revision, document, base,
+                                        self._client.era() or 0)
+            self._objects.put(transact.head["document_name"],
+                              msgspec.json.encode(document))
+            ended = _transact(self._client, transact)
+        except (errors.PersimmonspanError, pykka.Timeout) as error:
+            _logger.warning(
+                "could not restore a configuration revision that the store "
+                "had lost",
+                extra={
+                    "revision": revision,
+                    "reason": str(error)
+                })
+            return
+        _logger.warning(
+            "restored a configuration revision that the store "
+            "had lost",
+            extra={
+                "revision": revision,
+                "head_revision": head.revision,
+                "is_applied": ended.is_applied
+            })
+
     def _poll(self) -> None:
         while not self._stopped.is_set():
             sent_s = time.monotonic()
@@ -218,7 +257,10 @@
     def _execute(self, command: commit.Command) -> commit.Event:
         match command:
             case commit.ReadHead():
-                return commit.HeadRead(read_head(self._client))
+                known_revision = self.state().highest_revision
+                head = read_head(self._client)
+                return commit.HeadRead(head, known_revision,
+                                       self._client.era() or 0)
             case commit.FetchRevision(revision):
                 return commit.RevisionFetched(revision,
                                               self._fetch_document(revision))
@@ -244,6 +286,24 @@
         return msgspec.json.decode(self._objects.get(name))
 
 
+def _fetch_base(objects: object_store.ObjectStore,
+                head: commit.Head) -> difference.Json:
+    """Returns the document of a head, empty if the store has none."""
+    if not head.document_name:
+        return {}
+    try:
+        return msgspec.json.decode(objects.get(head.document_name))
+    except (errors.StoreError, msgspec.DecodeError) as error:
+        if getattr(error, "code", None) == errors.Code.STORE_UNAVAILABLE:
+            raise
+        _logger.warning("the document of the head is missing",
+                        extra={
+                            "name": head.document_name,
+                            "reason": str(error)
+                        })
+        return {}
+
+
 def read_head(client: store_actor.Client) -> commit.Head:
     """Reads the head from the table service.
 
--- a/persimmonspan/process/tests/test_configuration_actor.py
+++ b/persimmonspan/process/tests/test_configuration_actor.py
@@ -27,6 +27,7 @@
     def __init__(self, address, name):
         self.adopted = []
         self.changes = []
+        self.address = address
         self.client = store_actor.start(address, name, 1)
         self.configuration = configuration_actor.start(
             self.client, object_store.ObjectStore(address),
@@ -134,3 +135,88 @@
     state, one, _ = daemons
     state.set_fault({"down_s": 60.0})
     assert one.commit(0, _document(), "c1").status == "refused"
+
+
+def _commit_revisions(daemon, count):
+    """Returns the last document and the time before its commit."""
+    document = _document()
+    assert daemon.commit(0, document, "c1").status == "accepted"
+    for revision in range(1, count):
+        daemon.wait_for_revision(revision)
+        time.sleep(0.2)
+        began_s = time.monotonic()
+        document = _with_share(document, "miraflores", 10 + revision)
+        assert daemon.commit(revision, document,
+                             f"c{revision + 1}").status == "accepted"
+    daemon.wait_for_revision(count)
+    return document, began_s
+
+
+def _lose_since(state, began_s):
+    state.set_fault({"restored_s": time.monotonic() - began_s + 0.05})
+
+
+def _wait_for_head(daemon, revision):
+    end_s = time.monotonic() + 15.0
+    while time.monotonic() < end_s:
+        head = configuration_actor.read_head(daemon.client)
+        if head.revision >= revision:
+            return head
+        time.sleep(0.05)
+    raise AssertionError(f"the head is {head}")
+
+
+def test_confirmed_revision_that_the_store_lost_is_restored(daemons):
+    state, first, second = daemons
+    document, began_s = _commit_revisions(first, 2)
+    second.configuration.stop()
+    _lose_since(state, began_s)
+    assert configuration_actor.read_head(first.client).revision == 1
+    head = _wait_for_head(first, 2)
+    stored = object_store.ObjectStore(first.address).get(head.document_name)
+    assert difference.is_same(msgspec.json.decode(stored), document)
+    started = _Daemon(first.address, "d3")
+    try:
+        started.wait_for_revision(2)
+        assert difference.is_same(started.configuration.state().document,
+                                  document)
+        after = _with_share(document, "miraflores", 77)
+        done = started.commit(2, after, "c3")
+        assert (done.status, done.revision) == ("accepted", 3)
+    finally:
+        started.configuration.stop()
+        started.client.stop()
+    first.wait_for_revision(3)
+    assert difference.is_same(first.configuration.state().document, after)
+
+
+def test_no_revision_is_committed_before_the_lost_one_is_restored(daemons):
+    state, first, second = daemons
+    document, began_s = _commit_revisions(first, 2)
+    second.wait_for_revision(2)
+    _lose_since(state, began_s)
+    done = second.commit(2, _with_share(document, "miraflores", 88), "c3")
+    # A daemon may have restored the revision before the commit.
+    assert done.status == "refused" or done.revision == 3
+    _wait_for_head(first, 2)
+    document = _with_share(document, "rimac", 88)
+    assert second.commit(2, document, "c4").status == "accepted"
+
+
+def test_number_of_a_lost_revision_is_not_issued_again(daemons):
+    state, first, second = daemons
+    document, began_s = _commit_revisions(first, 2)
+    lost = first.configuration.state()
+    first.configuration.stop()
+    second.configuration.stop()
+    _lose_since(state, began_s)
+    started = _Daemon(first.address, "d3")
+    try:
+        started.wait_for_revision(1)
+        done = started.commit(1, _with_share(document, "miraflores", 99), "c3")
+        assert done.status == "accepted"
+        assert done.revision > lost.revision
+        started.wait_for_revision(done.revision)
+    finally:
+        started.configuration.stop()
+        started.client.stop()
--- a/persimmonspan/version/adoption.py
+++ b/persimmonspan/version/adoption.py
@@ -14,9 +14,14 @@
 in the received digests, so a daemon that starts during a store outage learns
 that revision before it serves.
 
+A head that was read after the revision in force was adopted and is lower shows
+that the store has lost that revision: it has returned from an older copy. Each
+daemon then writes the revision back (`Restore`); the head decides which of them
+succeeds.
+
 Events: `HeadRead`, `HeadUnavailable`, `ChangeReceived`, `DocumentReceived`,
 `MajorityChecked`, `Tick`. Commands: `RequestFromPeers`, `FetchFromStore` (from
-the object store), `Adopt`, `Withdraw`, `Rejoin`.
+the object store), `Adopt`, `Withdraw`, `Rejoin`, `Restore`.
 
 >>> state, commands = step(State(), DocumentReceived(4, {"rules": {}}), 1.0)
 >>> state, commands = step(state, MajorityChecked(True, 4), 1.0)
@@ -33,6 +38,7 @@
 
 FRESHNESS_TIMEOUT_S = 3.0
 _REQUEST_INTERVAL_S = 0.5
+_RESTORE_INTERVAL_S = 3.0
 
 
 class HeadRead(typing.NamedTuple):
@@ -104,9 +110,17 @@
     revision: int
 
 
+class Restore(typing.NamedTuple):
+    """Write back the revision in force, unless the head has it again."""
+
+    revision: int
+    document: difference.Json
+
+
 Event = (HeadRead | HeadUnavailable | ChangeReceived | DocumentReceived |
          MajorityChecked | Tick)
-Command = RequestFromPeers | FetchFromStore | Adopt | Withdraw | Rejoin
+Command = (RequestFromPeers | FetchFromStore | Adopt | Withdraw | Rejoin |
+           Restore)
 
 
 class State(typing.NamedTuple):
@@ -123,6 +137,8 @@
         is_majority_heard: Whether a majority of the daemons is reachable.
         is_serving: Whether the daemon accepts new work.
         requested_s: When the whole document was last requested.
+        adopted_s: When `revision` was adopted.
+        restored_s: When `revision` was last to be written back.
     """
 
     revision: int = 0
@@ -134,6 +150,8 @@
     is_majority_heard: bool = False
     is_serving: bool = False
     requested_s: float = float("-inf")
+    adopted_s: float = float("-inf")
+    restored_s: float = float("-inf")
 
 
 Result = tuple[State, list[Command]]
@@ -165,6 +183,14 @@
 
 @_step.register
 def _(event: HeadRead, state: State, now_s: float) -> Result:
+    if event.revision < state.revision and event.sent_s > state.adopted_s:
+        # The store has no revision above the one in force.
+        state = state._replace(head_read_s=max(state.head_read_s, event.sent_s))
+        if now_s - state.restored_s < _RESTORE_INTERVAL_S:
+            return state, []
+        return state._replace(restored_s=now_s), [
+            Restore(state.revision, state.document)
+        ]
     if event.revision < state.highest_revision:
         # The read is late: a higher revision was accepted after it.
         return state, []
@@ -187,7 +213,7 @@
             document = difference.apply(base, list(event.edits))
         except errors.ConfigurationError:
             return _request_document(state, now_s)
-        return _adopt(state, event.revision, document, event)
+        return _adopt(state, event.revision, document, event, now_s)
     return _request_document(state, now_s)
 
 
@@ -196,7 +222,7 @@
     if event.revision <= state.revision:
         return state, []
     state = _record_highest_revision(state, event.revision, now_s)
-    return _adopt(state, event.revision, event.document, None)
+    return _adopt(state, event.revision, event.document, None, now_s)
 
 
 @_step.register
@@ -231,10 +257,9 @@
 
 
 def _adopt(state: State, revision: int, document: difference.Json,
-           change: ChangeReceived | None) -> Result:
-    return state._replace(revision=revision, document=document), [
-        Adopt(revision, document, change)
-    ]
+           change: ChangeReceived | None, now_s: float) -> Result:
+    return state._replace(revision=revision, document=document,
+                          adopted_s=now_s), [Adopt(revision, document, change)]
 
 
 def _update_serving(state: State, now_s: float) -> Result:
--- a/persimmonspan/version/commit.py
+++ b/persimmonspan/version/commit.py
@@ -9,6 +9,12 @@
 outcome of a commit whose response was lost, however often the head has changed
 since.
 
+If the store has returned from an older copy, the head may be older than a
+revision that was accepted. A daemon that knows such a revision commits nothing
+until it is restored (`persimmonspan.version.restoration`). Since a revision may
+be lost that no daemon knows any more, the first revision in a new era of the
+store skips `_REVISION_GAP` numbers, so that no number is issued twice.
+
 `step` handles one commit from `Begin` to `Done`.
 `persimmonspan.process.configuration_actor` executes its commands.
 
@@ -33,16 +39,18 @@
 _MAX_ATTEMPTS = 8
 _MAX_UNKNOWN_RETRIES = 4
 _RETRY_DELAY_S = 0.5
+_REVISION_GAP = 1000
 _NO_MAJORITY = "this daemon has no contact with a majority of the daemons"
 _EMPTY: difference.Json = {}
 
 
 class HeadDocument(typing.TypedDict):
-    """Value of `config/head`."""
+    """Value of `config/head`; `era` is that of the store at the write."""
 
     revision: int
     document_name: str
     commit_id: str
+    era: typing.NotRequired[int]
 
 
 class ChangeDocument(typing.TypedDict):
@@ -94,6 +102,7 @@
     version: int = 0
     revision: int = 0
     document_name: str = ""
+    era: int = 0
 
 
 class Status(enum.StrEnum):
@@ -115,9 +124,17 @@
 
 
 class HeadRead(typing.NamedTuple):
-    """The head was read."""
+    """The head was read.
+
+    Attributes:
+        head: The head.
+        known_revision: Highest revision that was known before the read.
+        era: Era of the store.
+    """
 
     head: Head
+    known_revision: int = 0
+    era: int = 0
 
 
 class RevisionFetched(typing.NamedTuple):
@@ -201,6 +218,7 @@
     Attributes:
         change: Change that the operator requests.
         head: Head as last read.
+        era: Era of the store when the head was read.
         base: Document of the base revision, once fetched.
         merged: Document to commit.
         edits: Difference from the head's document to `merged`.
@@ -212,6 +230,7 @@
 
     change: Change
     head: Head = Head()
+    era: int = 0
     base: difference.Json = None
     merged: difference.Json = None
     edits: tuple[difference.Edit, ...] = ()
@@ -260,7 +279,8 @@
     if not version:
         return Head()
     document = _head_decoder.decode(value)
-    return Head(version, document["revision"], document["document_name"])
+    return Head(version, document["revision"], document["document_name"],
+                document.get("era", 0))
 
 
 @functools.singledispatch
@@ -279,12 +299,17 @@
 @_step.register
 def _(event: HeadRead, state: State) -> Result:
     base_revision = state.change.base_revision
+    if event.head.revision < event.known_revision:
+        return _end_commit(
+            state, Status.REFUSED,
+            f"the store has lost revision {event.known_revision}; it is being "
+            "restored")
     if base_revision > event.head.revision:
         return _end_commit(
             state, Status.CONFLICT,
             f"base revision {base_revision} is higher than the accepted "
             f"revision {event.head.revision}")
-    state = state._replace(head=event.head)
+    state = state._replace(head=event.head, era=event.era)
     if base_revision == 0:
         state = state._replace(base=_EMPTY)
     if state.base is None:
@@ -381,12 +406,15 @@
 def _make_transaction(state: State) -> Transact:
     change, base = state.change, state.head.revision
     revision = base + 1
+    if state.era > state.head.era:
+        revision += _REVISION_GAP
     name = f"config/{revision}-{change.commit_id}"
     return Transact(
         state.head.version,
         HeadDocument(revision=revision,
                      document_name=name,
-                     commit_id=change.commit_id),
+                     commit_id=change.commit_id,
+                     era=state.era),
         ChangeDocument(revision=revision,
                        base_revision=base,
                        document_name=name,
--- a/persimmonspan/version/tests/test_adoption.py
+++ b/persimmonspan/version/tests/test_adoption.py
@@ -92,3 +92,22 @@
 def test_head_age_counts_from_the_send_time():
     _, commands = _run_events((1.0, _WHOLE), (9.0, _HEAD))
     assert not commands
+
+
+_OLDER_HEAD = adoption.HeadRead(3, "config/3-c", 2.0)
+
+
+def test_revision_that_a_later_read_of_the_head_lacks_is_restored():
+    state, commands = _run_events((1.0, _HEAD), (1.1, _WHOLE),
+                                  (2.1, _OLDER_HEAD))
+    assert commands == [adoption.Restore(4, {"rules": 1})]
+    assert state.revision == 4 and state.head_read_s == 2.0
+    for now_s, expected in ((3.0, []), (5.2,
+                                        [adoption.Restore(4, {"rules": 1})])):
+        head = _OLDER_HEAD._replace(sent_s=now_s - 0.1)
+        assert adoption.step(state, head, now_s)[1] == expected
+
+
+def test_read_of_the_head_that_began_before_the_adoption_restores_nothing():
+    _, commands = _run_events((1.0, _HEAD), (2.1, _WHOLE), (2.2, _OLDER_HEAD))
+    assert not commands
--- a/persimmonspan/version/tests/test_commit.py
+++ b/persimmonspan/version/tests/test_commit.py
@@ -6,6 +6,7 @@
 
 from persimmonspan.version import commit
 from persimmonspan.version import difference
+from persimmonspan.version import restoration
 
 
 def _document(**shares):
@@ -103,3 +104,33 @@
     assert command == commit.ReadHead()
     _, done = _run_commit(*_EVENTS_BEFORE_TRANSACTION, conflict, *retry * 7)
     assert done.status == "conflict"
+
+
+def test_commit_on_a_head_that_lost_a_known_revision_is_refused():
+    _, done = _run_commit(_HEAD._replace(known_revision=2))
+    assert done.status == "refused"
+
+
+def test_first_revision_of_an_era_skips_numbers_that_may_be_lost():
+
+    def next_revision(head_era, era):
+        head = commit.HeadRead(commit.Head(7, 1, "config/1-x", head_era), 1,
+                               era)
+        _, command = _run_commit(head, *_EVENTS_BEFORE_TRANSACTION[1:])
+        assert command.head["era"] == era
+        return command.head["revision"]
+
+    assert next_revision(3, 3) == 2
+    assert next_revision(2, 3) > 100
+
+
+def test_restored_revision_keeps_its_number_and_ends_the_gap():
+    transact = restoration.plan(commit.Head(7, 1, "config/1-x", 2), 5,
+                                _document(a=2, b=1), _BASE, 3)
+    assert (transact.head_version, transact.head["revision"],
+            transact.head["era"]) == (7, 5, 3)
+    assert transact.change["base_revision"] == 1
+    assert difference.apply(_BASE, transact.change["edits"]) == _document(a=2,
+                                                                          b=1)
+    again = restoration.plan(commit.Head(9, 0), 5, _document(a=2, b=1), {}, 4)
+    assert again.head["commit_id"] == transact.head["commit_id"]
--- a/testbed/configuration_world.py
+++ b/testbed/configuration_world.py
@@ -223,6 +223,8 @@
 
     def _execute_adoption_command(self, daemon: int,
                                   command: adoption.Command) -> None:
+        assert not isinstance(command, adoption.Restore), (
+            f"daemon {daemon} restores a revision that the store has")
         if isinstance(command, adoption.Adopt) and command.change is not None:
             self._send_to_peers(daemon, command.change)
         elif isinstance(command, adoption.FetchFromStore):
