Let no two holders share a lease after the store returned older

Engines would see: two holders with the same token, each with orders under way.

Cause: a daemon that the older copy names as holder, or that finds the lease released or absent, takes it at once with the next token, while the holder of the lost span still acts with that same token. And an absent row was taken for a late read after a newer row, so that nobody ever took the lease again.

The oracle now also requires a higher token from each next holder.

Ruled out: a wait alone. Tokens of the new era could equal those of orders that an engine accepted before.

Change: reads carry the era; nobody takes over for ttl_s after it has first seen an era, a holder goes on if the copy has its token, and tokens of an era are above all earlier ones. The restarts of the test's daemons count incarnations of their own, as the version they used goes back now.

--- a/persimmonspan/process/control_actor.py
+++ b/persimmonspan/process/control_actor.py
@@ -98,6 +98,9 @@
     ) -> pykka.Future[tuple[table_service.Row, ...]]:
         """Reads rows under a prefix."""
 
+    def era(self) -> int | None:
+        """Returns the era of the store."""
+
 
 class _OrderEvent(typing.NamedTuple):
     """An event for the orders of a group."""
@@ -236,7 +239,9 @@
         for name in names:
             row = rows.get(_LEASE_PREFIX + name, absent)
             found[name] = leases.decode_row(row.version, row.value)
-        self._post_message(leases.RowsRead(immutables.Map(found), sent_s))
+        self._post_message(
+            leases.RowsRead(immutables.Map(found), sent_s,
+                            self._store.era() or 0))
 
     def _write_lease(self, command: leases.WriteRow) -> None:
         key = _LEASE_PREFIX + command.name
--- a/persimmonspan/process/leases.py
+++ b/persimmonspan/process/leases.py
@@ -14,6 +14,11 @@
 - The holder calls `fence` before each action, so that after a pause it detects
   that its window has passed.
 
+A store that returns from an older copy may have lost takeovers and renewals.
+Nobody takes over for `ttl_s` after it has first seen a new era of the store, by
+when the act windows of lost holders have passed, and tokens start anew above
+those of earlier eras. A holder goes on if the copy has its token.
+
 The next read resolves a write without a response, because the row's value holds
 the write id. The window of such a write counts from its sending as well.
 
@@ -29,9 +34,11 @@
 import immutables
 import msgspec
 
+from persimmonspan.connection import store_era
 from persimmonspan.process import gossip_plan
 
 _WRITE_ID_BITS = 64
+_FENCE_BITS = 32  # For the tokens of one era.
 
 
 class Options(typing.NamedTuple):
@@ -93,6 +100,8 @@
     live_daemons: frozenset[str] = frozenset()
     last_read_sent_s: float = -math.inf
     is_draining: bool = False
+    era: int | None = None  # Era of the store in the last read.
+    era_seen_s: float = -math.inf
 
 
 class NamesChanged(typing.NamedTuple):
@@ -112,6 +121,7 @@
 
     rows: immutables.Map[str, Row]
     read_sent_s: float
+    era: int = 0
 
 
 class WriteEnded(typing.NamedTuple):
@@ -236,6 +246,12 @@
 @_step.register
 def _(event: RowsRead, state: State, now_s: float,
       rng: random.Random) -> Result:
+    if any(row.version and store_era.split_version(row.version)[0] != event.era
+           for row in event.rows.values()) or event.era < (state.era or 0):
+        return state, [Count("lease_read_of_earlier_era")]
+    if event.era != (state.era or 0):
+        state = _enter_era(state, event, now_s)
+    state = state._replace(era=event.era)
     for name, row in event.rows.items():
         if name in state.leases:
             lease = _merge_row(state, state.leases[name], row,
@@ -267,6 +283,29 @@
     return state._replace(leases=leases, last_read_sent_s=-math.inf), commands
 
 
+def _enter_era(state: State, event: RowsRead, now_s: float) -> State:
+    """Replaces all rows by those of a new era."""
+    leases = state.leases
+    for name, lease in leases.items():
+        row = event.rows.get(name, Row())
+        is_still_held = (row.holder == lease.row.holder == state.holder and
+                         row.fence == lease.row.fence and
+                         not _is_being_released(lease))
+        leases = leases.set(
+            name,
+            lease._replace(row=row, pending=None, unchanged_since_s=now_s)
+            if is_still_held else Lease(row, now_s))
+    return state._replace(leases=leases, era_seen_s=now_s)
+
+
+def _next_fence(state: State, row: Row) -> int:
+    return max(row.fence, (state.era or 0) << _FENCE_BITS) + 1
+
+
+def _is_takeover_safe(state: State, now_s: float) -> bool:
+    return now_s - state.era_seen_s >= state.options.ttl_s
+
+
 def _is_being_released(lease: Lease) -> bool:
     # The release may have been applied even if the response is lost.
     return lease.pending is not None and not lease.pending.row.holder
@@ -351,17 +390,19 @@
         if not is_in_act_window:
             # An earlier run held the lease, or the act window has passed: raise
             # the token as in a takeover.
-            return row._replace(fence=row.fence + 1)
+            return row._replace(
+                fence=_next_fence(state, row)) if _is_takeover_safe(
+                    state, now_s) else None
         if now_s >= lease.confirmed_s + options.renew_interval_s:
             return row
         return None
-    if state.is_draining:
+    if state.is_draining or not _is_takeover_safe(state, now_s):
         return None
     wait_s = options.ttl_s if row.holder else 0.0
     wait_s += _rank(state, name) * options.rank_delay_s
     if now_s - lease.unchanged_since_s < wait_s:
         return None
-    return Row(row.version, state.holder, row.fence + 1)
+    return Row(row.version, state.holder, _next_fence(state, row))
 
 
 def _rank(state: State, name: str) -> int:
--- a/persimmonspan/process/tests/test_control_actor.py
+++ b/persimmonspan/process/tests/test_control_actor.py
@@ -27,6 +27,9 @@
         self.version = 0
         self.lock = threading.Lock()
 
+    def era(self):
+        return 0
+
     def scan(self, prefix, **_):
         with self.lock:
             return _make_completed_future(
--- a/persimmonspan/process/tests/test_leases.py
+++ b/persimmonspan/process/tests/test_leases.py
@@ -8,6 +8,7 @@
 import immutables
 import pytest
 
+from persimmonspan.connection import store_era
 from persimmonspan.process import leases
 
 _STEP_S = 0.5
@@ -30,6 +31,9 @@
         self.now_s = 0.0
         self.rows = {}
         self.version = 0
+        self.era = 0
+        self.copies = []
+        self.incarnation = 1
         self.mode = "up"
         self.late = []
         self.offsets = {"north": 0.0, "south": 5000.0, "west": -700.0}
@@ -59,7 +63,7 @@
                 leases.RowsRead(
                     immutables.Map({
                         key: self.rows.get(key, leases.Row()) for key in _NAMES
-                    }), now_s))
+                    }), now_s, self.era))
         elif isinstance(command, leases.WriteRow):
             if self.mode == "late":
                 self.late.append(command)
@@ -78,12 +82,26 @@
         if row.version != command.expected_version:
             return False
         self.version += 1
-        self.rows[command.name] = leases.decode_row(self.version, command.value)
+        self.rows[command.name] = leases.decode_row(
+            store_era.qualify_version(self.era, self.version), command.value)
         return True
 
+    def return_store(self, steps):
+        """Returns to the rows of some steps ago, in a new era."""
+        rows, self.version = self.copies[-min(steps, len(self.copies))]
+        self.era += 1
+        self.rows = {
+            name:
+                row._replace(version=store_era.qualify_version(
+                    self.era,
+                    store_era.split_version(row.version)[1]))
+            for name, row in rows.items()
+        }
+
     def run(self, steps):
         for _ in range(steps):
             self.now_s += _STEP_S
+            self.copies.append((dict(self.rows), self.version))
             for name in sorted(set(self.states) - self.paused):
                 self.send_orders(name)
                 self.apply(name, leases.Tick())
@@ -97,6 +115,7 @@
             last_fence, holder, sent_s = self.last_orders.get(
                 lease, (0, name, -_ORDER_EFFECT_S))
             assert fence >= last_fence, "an older token after a newer"
+            assert holder == name or fence > last_fence, "a token issued twice"
             assert holder == name or self.now_s - sent_s >= _ORDER_EFFECT_S, (
                 "two holders act at the same time")
             self.last_orders[lease] = (fence, name, self.now_s)
@@ -137,13 +156,18 @@
     @stateful.rule(name=names)
     def restart(self, name):
         if name not in self.world.paused:
-            self.world.start(name, self.world.version + 2)
+            self.world.incarnation += 1
+            self.world.start(name, self.world.incarnation)
 
     @stateful.rule(name=names)
     def drain(self, name):
         if name not in self.world.paused:
             self.world.apply(name, leases.DrainStarted())
 
+    @stateful.rule(steps=strategies.integers(1, 60))
+    def return_store(self, steps):
+        self.world.return_store(steps)
+
     @stateful.rule()
     def land_late_writes(self):
         for command in self.world.late:
@@ -202,3 +226,17 @@
     world.mode = "applied_lost"
     world.run(60)
     assert world.now_s - world.last_orders["group-0"][2] <= 2.0
+
+
+def test_lease_that_the_store_lost_gets_a_holder_and_a_new_token():
+    """Guards against a token that is issued again after a return."""
+    world = World()
+    world.run(30)
+    first = dict(world.last_orders)
+    world.return_store(30)
+    assert not world.rows
+    world.run(60)
+    assert set(world.rows) == _NAMES
+    for name in _NAMES:
+        assert world.now_s - world.last_orders[name][2] <= 2.0
+        assert world.last_orders[name][0] > first[name][0] + 100
