--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -280,7 +280,8 @@
                      extra={
                          "version": configuration.version,
                          "routes": len(configuration.routes),
-                         "services": len(configuration.services)
+                         "services": len(configuration.services),
+                         "idle_timeout_s": configuration.limits.idle_timeout_s
                      })
         self._send_targets()
 
