Tell callers of HTTP/1.0 the idle limit without the slack, in whole seconds

Callers of HTTP/1.0 that kept to the Keep-Alive header met the close of their connection: they were told the limit and the slack, which is the moment at which the listener closes. The value had a fraction, which the header does not allow. Cause: cheroot's `timeout` is the value of the header and the timeout of sockets. Change: `timeout` holds the limit in whole seconds; new sockets get the limit with the slack, as before, so that heads may still arrive slowly. test_slow_heads.py sets that one. Callers of HTTP/1.1 are told nothing, as before. The own interface has no slack; its value was whole already if its setting is.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -176,8 +176,8 @@
             _respond(self.req, application, watchdog)
 
     http_server = _Server(address, _Gateway, application.count,
-                          _READINESS_TIMEOUT_S + _IDLE_SLACK_S,
-                          (_MIN_THREADS, _MAX_THREADS), _SERVER_NAME)
+                          _READINESS_TIMEOUT_S, (_MIN_THREADS, _MAX_THREADS),
+                          _SERVER_NAME, _IDLE_SLACK_S)
     http_server.request_queue_size = _BACKLOG
     http_server.max_request_header_size = _MAX_HEADER_BYTES
     return http_server
@@ -189,7 +189,7 @@
 
     A connection that is idle keeps the former limit, if that was larger.
     """
-    http_server.limit_idle_time(idle_timeout_s + _IDLE_SLACK_S)
+    http_server.limit_idle_time(idle_timeout_s, _IDLE_SLACK_S)
 
 
 def make_readiness_server(address: tuple[str, int],
--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -12,6 +12,7 @@
 import logging
 import select
 import selectors
+import socket
 import time
 
 from cheroot import connections
@@ -19,6 +20,7 @@
 
 from persimmonspan.connection import idle_limits
 
+_MIN_TOLD_S = 1
 # How long a stopping server goes on to accept connections.
 _MAX_STOP_S = 0.5
 
@@ -28,9 +30,14 @@
 class Server(server.HTTPServer):
     """A server whose connections are idle for a time that may change."""
 
-    def __init__(self, address: tuple[str, int], gateway: type[server.Gateway],
-                 count: collections.abc.Callable[[str], None], idle_s: float,
-                 threads: tuple[int, int], server_name: str) -> None:
+    def __init__(self,
+                 address: tuple[str, int],
+                 gateway: type[server.Gateway],
+                 count: collections.abc.Callable[[str], None],
+                 idle_s: float,
+                 threads: tuple[int, int],
+                 server_name: str,
+                 slack_s: float = 0.0) -> None:
         """Creates a server that is not started yet.
 
         Args:
@@ -40,6 +47,7 @@
             idle_s: How long connections may be idle.
             threads: Least and largest number of worker threads.
             server_name: Name of the server in responses.
+            slack_s: How much longer than `idle_s` connections are kept.
         """
         super().__init__(address,
                          gateway,
@@ -49,7 +57,8 @@
         self._connections: connections.ConnectionManager | None = None
         self.count = count
         self.limits: idle_limits.Limits = ()
-        self.limit_idle_time(idle_s)
+        self.read_timeout_s = 0.0
+        self.limit_idle_time(idle_s, slack_s)
 
     def prepare(self) -> None:
         """Opens the listening socket and starts the worker threads."""
@@ -58,10 +67,19 @@
         self._connections = _IdleConnections(self)
         unused.close()
 
-    def limit_idle_time(self, idle_s: float) -> None:
-        """Changes how long connections may be idle from now on."""
-        self.timeout = idle_s
-        self.limits = idle_limits.replace(self.limits, idle_s, time.monotonic())
+    def limit_idle_time(self, idle_s: float, slack_s: float = 0.0) -> None:
+        """Changes how long connections may be idle from now on.
+
+        Args:
+            idle_s: The time that callers know.
+            slack_s: How much longer connections are kept.
+        """
+        # cheroot tells callers of HTTP/1.0 this time; it must be whole. It also
+        # limits TLS handshakes.
+        self.timeout = max(_MIN_TOLD_S, int(idle_s))
+        self.read_timeout_s = idle_s + slack_s
+        self.limits = idle_limits.replace(self.limits, idle_s + slack_s,
+                                          time.monotonic())
 
 
 class _IdleConnections(connections.ConnectionManager):
@@ -76,6 +94,13 @@
             self._selector.register(conn.socket.fileno(), selectors.EVENT_READ,
                                     conn)
 
+    def _from_server_socket(
+            self, server_socket: socket.socket) -> server.HTTPConnection | None:
+        conn = super()._from_server_socket(server_socket)
+        if conn is not None:
+            conn.socket.settimeout(self.server.read_timeout_s)
+        return conn
+
     def stop(self) -> None:
         """Ends the loop, then processes what had arrived before its end."""
         super().stop()
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -159,6 +159,34 @@
         assert [_exchange(sock) for sock in sockets] == [200] * 5
 
 
+def test_callers_are_told_less_than_the_time_after_which_connections_close(
+        server, application):
+    # Guards against callers of HTTP/1.0 whose request crosses the close.
+    forwarding_listener.set_idle_timeout(server, 1.9)
+    with socket.create_connection(server.bind_addr,
+                                  _RESPONSE_TIMEOUT_S) as sock:
+        sock.sendall(
+            _REQUEST.replace(b"HTTP/1.1",
+                             b"HTTP/1.0\r\nConnection: Keep-Alive"))
+        response = http.client.HTTPResponse(sock)
+        response.begin()
+        assert response.read() == b"done"
+        assert response.headers["Keep-Alive"] == "timeout=1"
+        time.sleep(1.0)
+        assert not _is_closed(sock)
+    assert not application.counted
+
+
+def test_idle_limit_below_a_second_does_not_limit_the_reading(server):
+    forwarding_listener.set_idle_timeout(server, _LOW_LIMIT_S)
+    with socket.create_connection(server.bind_addr,
+                                  _RESPONSE_TIMEOUT_S) as sock:
+        sock.sendall(_REQUEST[:10])
+        time.sleep(0.2)
+        sock.sendall(_REQUEST[10:])
+        assert _read_status(sock) == 200
+
+
 def test_request_that_waits_at_an_expired_connection_is_served(
         server, monkeypatch):
     # Starting threads for other connections occupies the thread that waits for
--- a/persimmonspan/connection/tests/test_slow_heads.py
+++ b/persimmonspan/connection/tests/test_slow_heads.py
@@ -48,7 +48,7 @@
 @pytest.mark.parametrize("size", [0, 5, len(_HEAD) - 2])
 def test_incomplete_head_gets_one_408_whatever_ends_the_read(
         server, application, socket_timeout_s, size):
-    server.timeout = socket_timeout_s
+    server.read_timeout_s = socket_timeout_s
     with socket.create_connection(server.bind_addr,
                                   _RESPONSE_TIMEOUT_S) as sock:
         sock.sendall(_HEAD[:size])
