Move a silent stream early enough for its deadline

Callers of short streams that moved after a silence were cut at their deadline: a stream with 6 s in all moved after half of what its callers wait (3 s), and the next target had to begin and end in the rest. Change: a stream moves after a third of the time to its deadline, if that is less than half of what its callers wait; 1.5 s at least, as before.

--- a/persimmonspan/platform/tests/test_silent_targets.py
+++ b/persimmonspan/platform/tests/test_silent_targets.py
@@ -12,11 +12,11 @@
 _LATENCY_OBJECTIVE_MS = 1000
 
 
-def _world(**route_changes):
+def _world(latency_objective_ms=_LATENCY_OBJECTIVE_MS, **route_changes):
     world = edge_world.EdgeEnvironment()
     world.rows.write(
         "op", "config",
-        edge_world.configuration(targetLatencyMs=_LATENCY_OBJECTIVE_MS,
+        edge_world.configuration(targetLatencyMs=latency_objective_ms,
                                  **route_changes))
     return world
 
@@ -35,8 +35,9 @@
     return script
 
 
-def _read_ids(world):
-    status, _, body = world.send_request("/draft/1", X_Deadline_Ms="20000")
+def _read_ids(world, deadline_ms=20000):
+    status, _, body = world.send_request("/draft/1",
+                                         X_Deadline_Ms=str(deadline_ms))
     assert status == 200
     return [line for line in body.split(b"\n") if line.startswith(b"id:")]
 
@@ -66,3 +67,22 @@
         world.add_replica(f"i-{number}", "engines", _script(30.0))
     with world.running():
         assert _read_ids(world) == [b"id: 1", b"id: 2", b"id: 3"]
+
+
+def test_silent_stream_moves_early_enough_for_its_deadline():
+    world = _world(2 * _LATENCY_OBJECTIVE_MS, resumable=True, maxAttempts=2)
+
+    def script(request):
+        yield replica.stream_head(request)
+        if "last-event-id" in request.headers:
+            time.sleep(2.5)  # The prompt is read again.
+            yield replica.event_chunk(2)
+            yield replica.STREAM_END
+            return
+        yield replica.event_chunk(1)
+        time.sleep(30.0)
+
+    for number in range(2):
+        world.add_replica(f"i-{number}", "engines", script)
+    with world.running():
+        assert _read_ids(world, 6000) == [b"id: 1", b"id: 2"]
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -144,7 +144,8 @@
         self._has_attempts_left = False
         route = routed_call.route
         self._silence = pauses.limit_silence(route.latency_objective_s,
-                                             route.token_pause_s)
+                                             route.token_pause_s,
+                                             request_session.remaining_s())
         self._copies = copies.Copies(routed_call, context)
         self._timing = pauses.Pauses()
         self._handover_times_s: list[float] = []
--- a/persimmonspan/request/pauses.py
+++ b/persimmonspan/request/pauses.py
@@ -8,8 +8,9 @@
 _TOKEN_PAUSES_PER_PATIENCE = 8
 # A sound target may be silent for a second and go on.
 _MIN_MOVE_S = 1.5
-# The rest is for the next target to begin.
+# The rest is for the next target to begin, and to end before the deadline.
 _MOVE_SHARE = 0.5
+_MOVE_SHARE_OF_TIME_LEFT = 1 / 3
 # Callers that wait that long leave by themselves.
 _END_MARGIN_S = 0.5
 
@@ -44,8 +45,8 @@
     end_s: float
 
 
-def limit_silence(latency_objective_s: float,
-                  token_pause_s: float) -> SilenceLimits:
+def limit_silence(latency_objective_s: float, token_pause_s: float,
+                  time_left_s: float) -> SilenceLimits:
     """Returns the limits of a stream.
 
     A stream that cannot continue elsewhere ends no sooner than its caller would
@@ -55,14 +56,18 @@
         latency_objective_s: Objective for the time to the first event.
         token_pause_s: Longest pause of a stream that is on time; zero if there
             is no such objective.
+        time_left_s: Time to the deadline of the request.
 
-    >>> limit_silence(1.8, 0.18)
+    >>> limit_silence(1.8, 0.18, 39.0)
     SilenceLimits(move_s=3.6, end_s=7.7)
-    >>> limit_silence(0.3, 0.0)
+    >>> limit_silence(1.5, 0.18, 6.0)
+    SilenceLimits(move_s=2.0, end_s=6.5)
+    >>> limit_silence(0.3, 0.0, 39.0)
     SilenceLimits(move_s=1.5, end_s=2.5)
     """
     patience_s = max(_MIN_PATIENCE_S,
                      _OBJECTIVES_PER_PATIENCE * latency_objective_s,
                      _TOKEN_PAUSES_PER_PATIENCE * token_pause_s)
-    return SilenceLimits(max(_MIN_MOVE_S, _MOVE_SHARE * patience_s),
-                         patience_s + _END_MARGIN_S)
+    move_s = min(_MOVE_SHARE * patience_s,
+                 _MOVE_SHARE_OF_TIME_LEFT * time_left_s)
+    return SilenceLimits(max(_MIN_MOVE_S, move_s), patience_s + _END_MARGIN_S)
