--- a/persimmonspan/request/tests/test_faulty_engines.py
+++ b/persimmonspan/request/tests/test_faulty_engines.py
@@ -154,8 +154,8 @@
         json.dumps({
             "timeouts": {
                 "connect_ms": 500,
-                "first_token_ms": 1000,
-                "between_tokens_ms": 300,
+                "first_token_ms": 5000,
+                "between_tokens_ms": 5000,
                 "request_ms": 20000
             },
             "default_limits": {
