Ignore a Store-Era header that is too long for a number

Callers would see store operations end with an internal error: int() raises ValueError for more than 4,300 digits. Found by reading the client again; the new case of test_unreadable_era_counts_as_the_current_one covers it. Such a header now counts as unreadable, with its log line.

--- a/persimmonspan/connection/store_era.py
+++ b/persimmonspan/connection/store_era.py
@@ -20,6 +20,7 @@
 
 HEADER = "Store-Era"
 _VERSION_BITS = 48
+_MAX_DIGITS = 15
 
 _logger = logging.getLogger(__name__)
 
@@ -51,7 +52,8 @@
 
         A response without a readable era counts as one of the current era.
         """
-        if header is None or not (header.isascii() and header.isdigit()):
+        if header is None or not (header.isascii() and header.isdigit() and
+                                  len(header) <= _MAX_DIGITS):
             if header is not None:
                 _logger.warning("the store sent an era that is not a number",
                                 extra={"value": header[:40]})
--- a/persimmonspan/connection/tests/test_table_service.py
+++ b/persimmonspan/connection/tests/test_table_service.py
@@ -128,7 +128,8 @@
 
 
 @pytest.mark.parametrize("header, era", [(None, 4), ("5", 5), ("3", 3),
-                                         ("-1", 4), ("many", 4), ("", 4)])
+                                         ("-1", 4), ("many", 4), ("", 4),
+                                         ("9" * 5000, 4)])
 def test_unreadable_era_counts_as_the_current_one(header, era):
     tracker = store_era.EraTracker()
     tracker.observe("4")
