--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -5,7 +5,10 @@
 
 import contextlib
 import http.client
+import itertools
 import json
+import os
+import socket
 import threading
 import time
 
@@ -13,11 +16,18 @@
 from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
 from persimmonspan.process import row_store
-from testbed import processes
 from testbed import replica
 
 HOST = "a.example"
 TIMEOUT_S = 5.0
+# Ports below the ephemeral range: outgoing connections cannot take them.
+# Each test worker has its own range.
+_FIRST_PORT = 10_000
+_PORTS_PER_WORKER = 2_000
+_WORKER_INDEX = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 10
+_ports = itertools.cycle(
+    range(_FIRST_PORT + _WORKER_INDEX * _PORTS_PER_WORKER,
+          _FIRST_PORT + (_WORKER_INDEX + 1) * _PORTS_PER_WORKER))
 
 
 class InMemoryRowStore:
@@ -68,7 +78,10 @@
 
 def free_address():
     """Returns an address on which no process listens."""
-    return f"127.0.0.1:{processes.free_port()}"
+    while True:
+        address = "127.0.0.1", next(_ports)
+        with contextlib.suppress(OSError), socket.create_server(address):
+            return f"{address[0]}:{address[1]}"
 
 
 def configuration(version=1, **route_changes):
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import contextlib
-import itertools
 import os
 import pathlib
 import signal
@@ -15,26 +14,13 @@
 _POLL_INTERVAL_S = 0.02
 _STOP_TIMEOUT_S = 20.0
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-# Ports below the ephemeral range: outgoing connections cannot take them.
-# Each test worker has its own range; each process begins elsewhere in it.
-_FIRST_PORT = 10_000
-_PORTS_PER_WORKER = 2_000
-_WORKER_INDEX = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 10
-_ports = itertools.cycle(_FIRST_PORT + _WORKER_INDEX * _PORTS_PER_WORKER +
-                         (os.getpid() + offset) % _PORTS_PER_WORKER
-                         for offset in range(0, 13 * _PORTS_PER_WORKER, 13))
 
 
 def free_port() -> int:
-    """Returns a TCP port of the loopback interface that is free now.
-
-    It is not returned again until all others of this process were.
-    """
-    while True:
-        port = next(_ports)
-        with contextlib.suppress(OSError), socket.create_server(
-            ("127.0.0.1", port)):
-            return port
+    """Returns a TCP port of the loopback interface that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
 
 
 @contextlib.contextmanager
