Split the schedule of reads and the sums of loads from the digests

Change: process/read_schedule.py (pure functions of the state, the own reads and the limits) and process/load_totals.py (the sums of a hub). No behaviour changes. test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds replaced the state of a daemon by one without its name; it now has the name, since the decision takes it from there.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -36,6 +36,7 @@
 from persimmonspan.process import named_rates
 from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
+from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
@@ -424,13 +425,13 @@
                 self._options.name, self._options.peer_address, self.scheduler,
                 follower.apply_store_snapshot,
                 self._named_rates.record_peer_answers,
-                peering.Limits(self._options.drain_s,
-                               self._options.configuration_apply_s))
+                read_schedule.Limits(self._options.drain_s,
+                                     self._options.configuration_apply_s))
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
-                peering.Limits(self._options.drain_s).max_targets_age_s)
+                read_schedule.Limits(self._options.drain_s).max_targets_age_s)
             stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -32,12 +32,12 @@
 import hashlib
 import math
 import typing
-import zlib
 
 import immutables
 import msgspec
 
 from persimmonspan.process import directory
+from persimmonspan.process import load_totals
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
 from persimmonspan.request import events
@@ -63,11 +63,6 @@
 # Interval at which an unchanged digest is sent again.
 _UNCHANGED_DIGEST_INTERVAL_S = 0.5
 
-# A fast level: sums are small, and the hub compresses one at each interval.
-_COMPRESSION_LEVEL = 1
-# Limit after decompression; hundreds of targets need less.
-_MAX_TOTALS_BYTES = 1024 * 1024
-
 
 class StoreSnapshot(msgspec.Struct, array_like=True):
     """Targets and configuration as the reader read them from the store.
@@ -350,18 +345,12 @@
                      if peer.entries_id != entries_id)
 
 
-class Totals(typing.NamedTuple):
-    """Sums over all daemons: loads by target, demands by service."""
-
-    loads: dict[str, events.TargetLoad]
-    demands: dict[str, events.Demand]
-
-
 def sum_loads(state: State, loads: typing.Iterable[events.TargetLoad],
-              demands: typing.Iterable[events.Demand], now_s: float) -> Totals:
+              demands: typing.Iterable[events.Demand],
+              now_s: float) -> load_totals.Totals:
     """Sums loads and demands over this daemon and the peers not silent."""
-    sums = Totals({load.target: load for load in loads},
-                  {demand.service: demand for demand in demands})
+    sums = load_totals.Totals({load.target: load for load in loads},
+                              {demand.service: demand for demand in demands})
     for peer in state.peers.values():
         if now_s - peer.last_received_s > PEER_SILENCE_TIMEOUT_S:
             continue
@@ -378,27 +367,6 @@
     return sums
 
 
-def without_part(
-    sums: Totals, loads: typing.Iterable[events.TargetLoad],
-    demands: typing.Iterable[events.Demand]
-) -> tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...]]:
-    """Returns sums without one daemon's part, which must be in them."""
-    rest_loads = dict(sums.loads)
-    for load in loads:
-        rest = load_view.subtract_loads(rest_loads[load.target], load)
-        if rest.outstanding or rest.copy_tokens:
-            rest_loads[load.target] = rest
-        else:
-            del rest_loads[load.target]
-    rest_demands = dict(sums.demands)
-    for demand in demands:
-        total = rest_demands[demand.service]
-        rest_demands[demand.service] = events.Demand(
-            demand.service, round(total.starts_per_s - demand.starts_per_s, 1),
-            total.waiting - demand.waiting)
-    return tuple(rest_loads.values()), tuple(rest_demands.values())
-
-
 def counted_number(state: State, receiver: str, now_s: float) -> int:
     """Returns which digest of a daemon is in the sums, or 0 if none is."""
     peer = state.peers[receiver]
@@ -406,35 +374,6 @@
     return peer.number if is_counted else 0
 
 
-class _EncodedTotals(msgspec.Struct, array_like=True):
-    loads: tuple[events.TargetLoad, ...]
-    demands: tuple[events.Demand, ...]
-
-
-_totals_decoder = msgspec.msgpack.Decoder(_EncodedTotals)
-
-
-def encode_totals(sums: Totals) -> bytes:
-    """Returns sums as a hub sends them to all daemons."""
-    data = _encoder.encode(
-        _EncodedTotals(tuple(sums.loads.values()),
-                       tuple(sums.demands.values())))
-    return zlib.compress(data, _COMPRESSION_LEVEL)
-
-
-def decode_totals(data: bytes) -> Totals:
-    """Returns the sums that a hub sent.
-
-    Raises:
-        msgspec.DecodeError: The bytes are not sums.
-        zlib.error: The bytes are not compressed.
-    """
-    totals = _totals_decoder.decode(zlib.decompressobj().decompress(
-        data, _MAX_TOTALS_BYTES))
-    return Totals({load.target: load for load in totals.loads},
-                  {demand.service: demand for demand in totals.demands})
-
-
 def interval_s(state: State) -> float:
     """Returns the time between two digests."""
     return _HUB_DIGEST_INTERVAL_S if has_hub(state) else _DIGEST_INTERVAL_S
@@ -467,6 +406,6 @@
     # A digest that is not remembered was sent before a restart of this daemon:
     # its work ended with the process.
     own_loads, own_demands = own_parts.get(digest.counted_number, ((), ()))
-    loads, demands = without_part(decode_totals(digest.totals), own_loads,
-                                  own_demands)
+    loads, demands = load_totals.without_part(load_totals.decode(digest.totals),
+                                              own_loads, own_demands)
     return events.PeerLoad(OTHERS, loads, demands, True)
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -2,6 +2,7 @@
 
 See Also:
     `persimmonspan.process.edge_peers`: the content of digests.
+    `persimmonspan.process.read_schedule`: which daemon reads the store when.
     `persimmonspan.connection.digest_links`: the sockets.
 """
 
@@ -9,7 +10,6 @@
 import collections.abc
 import contextlib
 import logging
-import math
 import random
 import threading
 import typing
@@ -23,7 +23,9 @@
 from persimmonspan.process import configuration_exchange
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.process import load_totals
 from persimmonspan.process import quarantine_reports
+from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.request import events
@@ -33,22 +35,6 @@
 
 # Table of the store in which each daemon has a row with its address.
 TABLE = "edge_daemons"
-# Share of the time in which a change in the store must take effect after which
-# a daemon reads the store itself.
-_MAX_TARGETS_AGE_SHARE = 0.35
-_MAX_CONFIGURATION_AGE_SHARE = 0.65
-# Factors of these ages for daemons that wait for one of the first to read for
-# all. The load: an outage of the store, in which 195 daemons made most of the
-# calls of a day.
-_LATE_TARGETS_AGE_FACTOR = 2.0
-_LATE_CONFIGURATION_AGE_FACTOR = 1.3
-# Pauses after failed reads double from the least to the longest.
-_PAUSE_RANGE_S = (0.25, 1.0)
-_LATE_PAUSE_RANGE_S = (1.0, 2.0)
-# Time between two reads of the targets by the daemon that reads for all, and of
-# one that reads for itself because it receives nothing.
-_READ_INTERVAL_S = 0.2
-_OWN_READ_INTERVAL_SHARE = 0.8
 # A digest is counted in the next sums of the hub; older ones are not needed.
 _REMEMBERED_DIGESTS = 64
 _NUMBER_BITS = 48
@@ -60,48 +46,12 @@
 
 _logger = logging.getLogger(__name__)
 
-
-class Limits(typing.NamedTuple):
-    """Times in which changes in the store must take effect.
-
-    The defaults are those of the smallest deployments.
-    """
-
-    drain_s: float = 2.0  # A leaving target gets no new work.
-    configuration_apply_s: float = 2.0
-
-    @property
-    def max_targets_age_s(self) -> float:
-        """Age of the targets at which a daemon reads them itself."""
-        return _MAX_TARGETS_AGE_SHARE * self.drain_s
-
-    @property
-    def max_configuration_age_s(self) -> float:
-        """Age of the version at which a daemon reads it itself."""
-        return _MAX_CONFIGURATION_AGE_SHARE * self.configuration_apply_s
-
-
 # Loads, demands, refusals in force and rates that targets named.
 _SharedState = tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...],
                      tuple[events.QuarantineShared,
                            ...], tuple[rate_limits.Answer, ...]]
 
 
-class OwnRead(typing.NamedTuple):
-    """Data that this daemon itself read from the store.
-
-    `entries_s` and `version_s` are the times at which the reads of `entries`
-    and `version` began.
-    """
-
-    entries: tuple[directory.Registration, ...] = ()
-    entries_s: float = -math.inf
-    version: int = 0
-    version_s: float = -math.inf
-    configuration: bytes = b""  # Compressed.
-    era: int = 0  # Of the store at the read of the entries.
-
-
 class Peering:
     """Sends digests to the other daemons and merges theirs.
 
@@ -126,7 +76,7 @@
             [tuple[directory.Registration, ...] | None, int, bytes, int], None],
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
-        limits: Limits = Limits()
+        limits: read_schedule.Limits = read_schedule.Limits()
     ) -> None:
         self._name = name
         self._address = address
@@ -140,7 +90,7 @@
         # Guards `_state` and `_own_read`, which three threads replace.
         self._lock = threading.Lock()
         self._is_hub = False
-        self._own_read = OwnRead()
+        self._own_read = read_schedule.OwnRead()
         self._own_version = 0
         # Readers that asked this daemon for its newer configuration.
         self._wanted_by: frozenset[str] = frozenset()
@@ -189,60 +139,37 @@
 
     def must_read_targets(self) -> bool:
         """Returns whether this daemon should read the registered targets."""
-        now_s = clock.now_s()
-        factor = 1.0 if self._is_early() else _LATE_TARGETS_AGE_FACTOR
-        return (now_s - self.targets_confirmed_s()
-                > factor * self._limits.max_targets_age_s or
-                edge_peers.is_reader(self._state, self._name, now_s))
+        return read_schedule.must_read_targets(self._state, self._own_read,
+                                               self._limits, clock.now_s())
 
     def targets_read_interval_s(self) -> float:
         """Returns the time between two own reads of the targets."""
-        if edge_peers.is_reader(self._state, self._name, clock.now_s()):
-            return _READ_INTERVAL_S
-        return max(_READ_INTERVAL_S,
-                   _OWN_READ_INTERVAL_SHARE * self._limits.max_targets_age_s)
+        return read_schedule.targets_read_interval_s(self._state, self._limits,
+                                                     clock.now_s())
 
     def targets_confirmed_s(self) -> float:
         """Returns when the registered targets were last current, on `clock`."""
-        return max(self._state.snapshot_s, self._own_read.entries_s)
+        return read_schedule.targets_confirmed_s(self._state, self._own_read)
 
     def configuration_pause_s(self) -> float:
-        """Returns the pause after an own read of the configuration.
-
-        A daemon that reads for all waits for changes at the store without a
-        pause. Others hear of a reader soon, and until then need no more than
-        the permitted age.
-        """
-        if self._is_early():
-            return 0.0
-        return _OWN_READ_INTERVAL_SHARE * self._limits.max_configuration_age_s
+        """Returns the pause after an own read of the configuration."""
+        return read_schedule.configuration_pause_s(self._state, self._limits)
 
     def last_confirmed_s(self) -> float:
         """Returns when targets and configuration were both last current.
 
-        The time is on `clock`. A read by this daemon counts from its start, a
-        peer's from the time that its digest gives.
+        The time is on `clock`.
         """
-        state, own_read = self._state, self._own_read
-        return min(self.targets_confirmed_s(),
-                   max(state.configuration_s, own_read.version_s))
+        return read_schedule.last_confirmed_s(self._state, self._own_read)
 
     def must_read_configuration(self) -> bool:
         """Returns whether this daemon should read configurations itself."""
-        now_s = clock.now_s()
-        factor = 1.0 if self._is_early() else _LATE_CONFIGURATION_AGE_FACTOR
-        return (now_s - self._state.configuration_s
-                > factor * self._limits.max_configuration_age_s or
-                edge_peers.is_reader(self._state, self._name, now_s))
+        return read_schedule.must_read_configuration(self._state, self._limits,
+                                                     clock.now_s())
 
     def retry_pause_range_s(self) -> tuple[float, float]:
         """Returns the least and the longest pause after a failed read."""
-        return _PAUSE_RANGE_S if self._is_early() else _LATE_PAUSE_RANGE_S
-
-    def _is_early(self) -> bool:
-        """Returns whether this daemon does not wait for others to read."""
-        return (not edge_peers.has_hub(self._state) or
-                edge_peers.is_early(self._state, self._name))
+        return read_schedule.retry_pause_range_s(self._state)
 
     def _record_can_read(self, can_read: bool) -> None:
         with self._lock:
@@ -409,11 +336,10 @@
                                    rates=rates)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
-            digest = msgspec.structs.replace(
-                digest,
-                loads=(),
-                demands=(),
-                totals=edge_peers.encode_totals(totals))
+            digest = msgspec.structs.replace(digest,
+                                             loads=(),
+                                             demands=(),
+                                             totals=load_totals.encode(totals))
         elif snapshot is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -5,6 +5,7 @@
 from persimmonspan.process import configuration_exchange
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.process import load_totals
 from persimmonspan.request import events
 
 _ONE = directory.Registration("i-1", "s", "10.0.0.1:80", "a", 4)
@@ -162,7 +163,7 @@
 
 def _others(state, own, part, now_s):
     sums = edge_peers.sum_loads(state, own, (), now_s)
-    return list(edge_peers.without_part(sums, part, ())[0])
+    return list(load_totals.without_part(sums, part, ())[0])
 
 
 def test_receiver_gets_the_sum_of_the_others_loads():
@@ -192,8 +193,8 @@
         state, _ = edge_peers.merge_digest(state, digest, 0.0, 0.0)
     sums = edge_peers.sum_loads(state, [], (events.Demand("s", 1.0, 4),), 0.1)
     own = (events.Demand("s", 0.5, 2),)
-    assert edge_peers.without_part(sums, (),
-                                   own)[1] == (events.Demand("s", 1.5, 5),)
+    assert load_totals.without_part(sums, (),
+                                    own)[1] == (events.Demand("s", 1.5, 5),)
 
 
 def _sum_digest(state, counted_number):
@@ -204,7 +205,7 @@
                               "",
                               True, (),
                               is_sum=True,
-                              totals=edge_peers.encode_totals(sums),
+                              totals=load_totals.encode(sums),
                               counted_number=counted_number)))
 
 
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -11,6 +11,7 @@
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import peering
+from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.request import events
 from testbed import edge_world
@@ -44,7 +45,7 @@
 class _Daemon:
     """The peering of one daemon and the targets that it has in force."""
 
-    def __init__(self, number, limits=peering.Limits()):
+    def __init__(self, number, limits=read_schedule.Limits()):
         self.name = f"d{number:02}"
         self.scheduler = _Scheduler(self.name)
         self.entries = None
@@ -104,7 +105,7 @@
 
 
 @contextlib.contextmanager
-def _running(limits=peering.Limits()):
+def _running(limits=read_schedule.Limits()):
     daemons = [_Daemon(number, limits) for number in range(_DAEMONS)]
     rows = _Rows(daemons)
     for daemon in daemons:
@@ -190,14 +191,15 @@
             edge_peers.State().peers.set(
                 "d00", edge_peers.Peer("", now_s, now_s, True)),
             snapshot_s=now_s - 1.0,
-            configuration_s=now_s - 1.5)
+            configuration_s=now_s - 1.5,
+            name="d01")
         return (daemon.peering.must_read_targets(),
                 daemon.peering.must_read_configuration())
 
 
 def test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds():
-    assert _must_read(peering.Limits()) == (True, True)
-    assert _must_read(peering.Limits(4.0, 4.0)) == (False, False)
+    assert _must_read(read_schedule.Limits()) == (True, True)
+    assert _must_read(read_schedule.Limits(4.0, 4.0)) == (False, False)
 
 
 def test_one_lost_response_of_the_store_does_not_change_the_reader():
@@ -208,7 +210,7 @@
         daemon.read([_entry(0)])
         daemon.peering.record_read_failure()
         assert daemon.peering._state.can_read  # pylint: disable=protected-access
-        time.sleep(peering.Limits().max_targets_age_s)
+        time.sleep(read_schedule.Limits().max_targets_age_s)
         daemon.peering.record_read_failure()
         assert not daemon.peering._state.can_read  # pylint: disable=protected-access
 
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -20,6 +20,7 @@
 import typing
 
 from persimmonspan.process import edge_peers
+from persimmonspan.process import load_totals
 from persimmonspan.request import events
 from persimmonspan.request import scheduler
 
@@ -309,8 +310,8 @@
         sums = edge_peers.sum_loads(peers, (), (), now_s)
         for daemon in range(self._scenario.daemons):
             peer = peers.peers[f"d{daemon}"]
-            loads, demands = edge_peers.without_part(sums, peer.loads,
-                                                     peer.demands)
+            loads, demands = load_totals.without_part(sums, peer.loads,
+                                                      peer.demands)
             event = events.PeerLoad(edge_peers.OTHERS, loads, demands, True)
             self._after(
                 _LINK_DELAY_S,
