Let each daemon that reads for all follow the configuration without a pause

Callers saw: nothing yet; found by reading.

Cause: configuration_pause_s asked only whether a daemon is among the first by name. If these are gone or cannot read, a later one reads for all, and paused 1.04 s after each answer, of the 2 s in which a change must be in force everywhere.

Evidence: the test failed before with a pause of 1.04 s for the reader of 30 daemons of which the first twelve cannot read.

Ruled out: that must_read_targets, targets_read_interval_s and must_read_configuration have the same fault; they ask is_reader.

Change: the pause is 0 for the daemon that reads for all.

--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -153,7 +153,8 @@
 
     def configuration_pause_s(self) -> float:
         """Returns the pause after an own read of the configuration."""
-        return read_schedule.configuration_pause_s(self._state, self._limits)
+        return read_schedule.configuration_pause_s(self._state, self._limits,
+                                                   clock.now_s())
 
     def last_confirmed_s(self) -> float:
         """Returns when targets and configuration were both last current.
--- a/persimmonspan/process/read_schedule.py
+++ b/persimmonspan/process/read_schedule.py
@@ -91,14 +91,15 @@
     return max(state.snapshot_s, own_read.entries_s)
 
 
-def configuration_pause_s(state: edge_peers.State, limits: Limits) -> float:
+def configuration_pause_s(state: edge_peers.State, limits: Limits,
+                          now_s: float) -> float:
     """Returns the pause after an own read of the configuration.
 
     A daemon that reads for all waits for changes at the store without a pause.
     Others hear of a reader soon, and until then need no more than the permitted
     age.
     """
-    if _is_early(state):
+    if _is_early(state) or edge_peers.is_reader(state, state.name, now_s):
         return 0.0
     return _OWN_READ_INTERVAL_SHARE * limits.max_configuration_age_s
 
