Return the version of the first page of a read of several pages

A configuration that changes between two pages of the read would not be in force until the next one is written.

Cause: a read of several pages returned the rows of the first page with the version of the last one. A row of the first page that changed in between is in neither, nor among the changes since that version.

Evidence: the test failed before: with pages at versions 9 and 12, the changes were asked since 12, while the row was written at 10.

Ruled out: that it acts on the tables of today's deployments. The table with the configuration has one row, a page holds 500, and the targets are read as a whole each time.

Change: the version of the first page. Changes that a later page already shows come once more, which does no harm: a configuration replaces older ones only.

--- a/persimmonspan/platform/store.py
+++ b/persimmonspan/platform/store.py
@@ -67,7 +67,8 @@
         """Returns all rows of a table.
 
         The rows are of one version only if they fit into one page, but always
-        of one era.
+        of one era. The returned version is that of the first page, so that the
+        changes since then include rows that changed between two pages.
         """
         for _ in range(_MAX_READS):
             rows = self._read_pages(table)
@@ -83,20 +84,22 @@
         """Returns all rows of a table, or None if they are of several eras."""
         rows: list[row_store.Row] = []
         start_key = ""
-        first_era: int | None = None
+        first_page: _Rows | None = None
+        first_era = 0
         while True:
             query = {"tableName": table, "part": ""}
             if start_key:
                 query["startKey"] = start_key
             page, era = self._fetch_page("/rows-get", query,
                                          _RESPONSE_TIMEOUT_S)
-            if first_era is None:
-                first_era = era
+            if first_page is None:
+                first_page, first_era = page, era
             elif era != first_era:
                 return None
             rows += map(_decode_row, page.rows)
             if not page.hasMore or not page.rows:
-                return row_store.Rows(tuple(rows), page.schemaVersion, era)
+                return row_store.Rows(tuple(rows), first_page.schemaVersion,
+                                      era)
             # `startKey` is inclusive, so the next page starts at the least key
             # after the last one.
             start_key = page.rows[-1].key + "\0"
--- a/persimmonspan/platform/tests/test_store.py
+++ b/persimmonspan/platform/tests/test_store.py
@@ -96,6 +96,27 @@
                                                            ("b", b"2")]
 
 
+def test_row_that_changes_between_two_pages_is_among_the_changes_since():
+    # The row "a" is written at version 10, between the two pages.
+    asked = []
+
+    def respond(method, path, query, body):
+        del method, body
+        if path == "/rows-feed":
+            asked.append(int(query["sinceRevision"]))
+            return 200, {"rows": [], "schemaVersion": 12}
+        is_first = "startKey" not in query
+        return 200, {
+            "rows": [_row("a" if is_first else "b", b"", 3)],
+            "hasMore": is_first,
+            "schemaVersion": 9 if is_first else 12
+        }
+
+    with _serve_store(respond) as client:
+        client.changes("t", client.read("t").version, 0.1)
+    assert asked[0] < 10
+
+
 def test_removed_rows_have_no_value():
 
     def respond(method, path, query, body):
