Keep lapsed targets against a reader that started while the store was lost

Callers saw: 503 for up to two seconds after an outage of the store, at all daemons, while sound targets registered again.

Cause: entries of targets lapse while the store is away, and stay usable for 2 s after that. A reader that started during the outage knows of no lapsed entries, and took them away from all.

The machine of the directory now has lapsing entries and readers that have just started, with a deliberate fault that ignores them.

Ruled out: to hold entries after each failed read of this daemon. One that the store turns away, and that tries on as the first by name, would then use removed targets for as long as it does.

If that is later than the last confirmation before this daemon lost the store, missing entries are kept until 2 s after the first confirmation since. A confirmation by the id of the targets ends the loss too, so that a peer that starts later is believed at once.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from persimmonspan import errors
 from testbed import edge_world
 from testbed import replica
 
@@ -128,3 +129,40 @@
         world.rows.write("op", "config", edge_world.configuration())
         edge_world.wait_until(
             lambda: world.send_request("/idempotent/1")[0] == 200)
+
+
+class _AbsentRows(edge_world.InMemoryRowStore):
+    """Rows of a store that may be away."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_away = False
+
+    def changes(self, table, since, wait_s):
+        """Waits for changes, unless the store is away."""
+        if self.is_away:
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE, "away")
+        return super().changes(table, since, wait_s)
+
+
+def test_reader_that_started_in_an_outage_takes_away_no_lapsed_target():
+    rows = _AbsentRows()
+    second = edge_world.EdgeEnvironment("edge-2", rows)
+    rows.write("op", "config", edge_world.configuration())
+    added = second.add_replica(
+        "i-1", "desk",
+        lambda request: [replica.complete_response(request, b"")])
+    with second.running():
+        edge_world.wait_until(
+            lambda: second.send_request("/idempotent/1")[0] == 200)
+        rows.is_away = True
+        rows.write("servers", "i-1", None)
+        assert _statuses(second, 1.5) == {200}
+        # It is the first by name, which reads for all.
+        first = edge_world.EdgeEnvironment("edge-1", rows)
+        with first.edge.running():
+            assert _statuses(second, 0.5) == {200}
+            rows.is_away = False
+            assert _statuses(second, 1.5) == {200}
+            second.register_replica("i-1", "desk", added.address)
+            assert _statuses(second, 1.5) == {200}
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -58,8 +58,9 @@
 class State(typing.NamedTuple):
     """Targets as last read.
 
-    `is_lost` holds while the store cannot be read; `regained_s` is the time of
-    the first read after that. `lapsed` holds the entries that were missing
+    `is_lost` holds while the store cannot be read; `lost_since_s` is the time
+    of the last confirmation before that, `regained_s` of the first one after
+    it, by an own read or a peer's. `lapsed` holds the entries that were missing
     shortly after `regained_s` or `returned_s`, the time of the first read after
     the store came back from a copy. `doubted` holds the rows that are not
     believed as they are, `gone` recent entries by name.
@@ -68,6 +69,7 @@
     present: immutables.Map[str, Registration] = immutables.Map()
     lapsed: immutables.Map[str, Registration] = immutables.Map()
     is_lost: bool = False
+    lost_since_s: float = math.inf
     regained_s: float = -math.inf
     read_s: float = -math.inf
     era: int = 0
@@ -94,9 +96,14 @@
         return not (self.joined or self.leaving or self.gone or self.restarted)
 
 
-def failed(state: State) -> State:
-    """Records that the store could not be read."""
-    return state._replace(is_lost=True)
+def failed(state: State, confirmed_s: float) -> State:
+    """Records that the store could not be read.
+
+    Args:
+        state: The state before the read.
+        confirmed_s: When the targets were last confirmed.
+    """
+    return state._replace(is_lost=True, lost_since_s=confirmed_s)
 
 
 def apply_rows(state: State,
@@ -115,33 +122,52 @@
     >>> state, change = apply_rows(State(), [one], 0.0)
     >>> change.joined == (one,)
     True
-    >>> state, change = apply_rows(failed(state), [], 10.0)  # Lapsed.
+    >>> state, change = apply_rows(failed(state, 0.0), [], 10.0)  # Lapsed.
     >>> change.is_empty
     True
     >>> apply_rows(state, [], 12.5)[1].gone == (one,)
     True
     """
-    state = _enter_era(state, era, now_s)._replace(
-        is_lost=False,
-        regained_s=now_s if state.is_lost else state.regained_s,
-        read_s=now_s)
+    state = _regain(_enter_era(state, era, now_s), now_s)._replace(read_s=now_s)
     return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
 
 
-def apply_snapshot(state: State, rows: typing.Iterable[Registration],
-                   now_s: float, era: int) -> tuple[State, Change]:
+def apply_snapshot(state: State,
+                   rows: typing.Iterable[Registration],
+                   now_s: float,
+                   era: int,
+                   known_since_s: float = -math.inf) -> tuple[State, Change]:
     """Applies the targets of a peer that reads the store.
 
-    They include the entries that lapsed for the peer, so that failed reads of
-    this daemon count no more. In another era the peer may have just started,
-    and not know what was there before.
+    They include the entries that lapsed for the peer. A peer that has started
+    since this daemon lost the store, or in another era, does not know what was
+    there before.
+
+    Args:
+        state: The state before.
+        rows: The targets.
+        now_s: Time.
+        era: Era of the store at the peer's read, 0 if it was not told.
+        known_since_s: Since when the peer has known targets.
     """
-    state = _enter_era(state, era, now_s)._replace(is_lost=False)
-    return _apply(state, rows, state.returned_s, now_s)
+    state = _regain(_enter_era(state, era, now_s), now_s)
+    available_s = state.returned_s
+    if known_since_s > state.lost_since_s:
+        available_s = max(available_s, state.regained_s)
+    return _apply(state, rows, available_s, now_s)
 
 
-def apply_time(state: State, now_s: float) -> tuple[State, Change]:
-    """Applies the rows of the last read again at a later time."""
+def apply_time(state: State, now_s: float,
+               confirmed_s: float) -> tuple[State, Change]:
+    """Applies the rows of the last read again at a later time.
+
+    Args:
+        state: The state before.
+        now_s: Time.
+        confirmed_s: When the rows were last confirmed.
+    """
+    if confirmed_s > state.lost_since_s:
+        state = _regain(state, now_s)
     return _apply(state, last_rows(state),
                   max(state.regained_s, state.returned_s), now_s)
 
@@ -151,6 +177,11 @@
     return tuple({**state.present, **state.doubted}.values())
 
 
+def _regain(state: State, now_s: float) -> State:
+    return state._replace(
+        is_lost=False, regained_s=now_s if state.is_lost else state.regained_s)
+
+
 def _enter_era(state: State, era: int, now_s: float) -> State:
     if not era or not state.era or era == state.era:
         return state._replace(era=era or state.era)
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -70,6 +70,7 @@
     `age_s` is the time since the read of the entries began;
     `configuration_age_s` is the time since the read of the configuration's
     version began. `entries` is None for a daemon that reported `entries_id`.
+    `known_age_s` is the time since the daemon first knew targets.
     """
 
     age_s: float
@@ -79,6 +80,7 @@
     configuration: bytes = b""  # Compressed; empty for daemons that have it.
     entries_id: int = 0
     era: int = 0  # Of the store when the entries were read; 0 if not told.
+    known_age_s: float = math.inf
 
 
 class Digest(msgspec.Struct, array_like=True):
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -128,8 +128,11 @@
 
     def apply_store_snapshot(self,
                              registrations: tuple[directory.Registration, ...] |
-                             None, configuration_version: int,
-                             configuration: bytes, era: int) -> None:
+                             None,
+                             configuration_version: int,
+                             configuration: bytes,
+                             era: int,
+                             known_since_s: float = -math.inf) -> None:
         """Applies a store snapshot of a peer.
 
         Args:
@@ -138,6 +141,7 @@
             configuration_version: Version in force in the store.
             configuration: The value of its row, if the peer sent it.
             era: Era of the store when the targets were read, or 0.
+            known_since_s: Since when the peer has known targets.
         """
         if configuration_version > self._peer_version:
             self._peer_version = configuration_version
@@ -160,7 +164,7 @@
                 # from it for some time, and would be sent again and again.
                 self.peers.record_entries(registrations)
             self._directory, change = directory.apply_snapshot(
-                state, rows, clock.now_s(), era)
+                state, rows, clock.now_s(), era, known_since_s)
             self._receiver.apply_directory(self._directory, change)
 
     def last_checked_s(self) -> float:
@@ -315,10 +319,11 @@
     def _apply_time(self) -> None:
         """Ends spans of time of entries while a peer confirms the rows."""
         with self._directory_lock:
-            if not self._directory.lapsed and not self._directory.doubted:
+            state = self._directory
+            if not (state.lapsed or state.doubted or state.is_lost):
                 return
             self._directory, change = directory.apply_time(
-                self._directory, clock.now_s())
+                state, clock.now_s(), self.peers.targets_confirmed_s())
             self._receiver.apply_directory(self._directory, change)
 
     def _read_targets(self, store: row_store.RowStore) -> bool:
@@ -328,7 +333,8 @@
             rows = store.read(table)
         except errors.StoreError as error:
             with self._directory_lock:
-                self._directory = directory.failed(self._directory)
+                self._directory = directory.failed(
+                    self._directory, self.peers.targets_confirmed_s())
             self.peers.record_read_failure()
             self._record_failure(table, error)
             return False
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import random
 import threading
 import typing
@@ -62,7 +63,8 @@
         apply_store_snapshot: Called with the targets that the reader read, or
             None if they are not newer than the recorded ones, with the version
             of the configuration in the store, with the configuration if this
-            daemon reported an older version, and with the era of the store.
+            daemon reported an older version, with the era of the store, and
+            with the time since which the reader has known targets.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
     """
@@ -73,7 +75,8 @@
         address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
         apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes, int], None],
+            [tuple[directory.Registration, ...] | None, int, bytes, int, float],
+            None],
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
         limits: read_schedule.Limits = read_schedule.Limits()
@@ -96,6 +99,7 @@
         self._wanted_by: frozenset[str] = frozenset()
         # Id of the registered targets in force.
         self._entries_id = 0
+        self._known_since_s = math.inf
         # Starts at random: after a restart, a hub may still count a digest of
         # the process before.
         self._number = random.getrandbits(_NUMBER_BITS)
@@ -191,6 +195,7 @@
             self,
             entries: collections.abc.Iterable[directory.Registration]) -> None:
         """Records the registered targets that were read or received last."""
+        self._known_since_s = min(self._known_since_s, clock.now_s())
         self._entries_id = edge_peers.identify_entries(entries)
 
     def record_era(self, era: int) -> None:
@@ -289,14 +294,16 @@
                              "version": digest.version
                          })
             self._apply_store_snapshot(None, digest.version,
-                                       _decompress(digest.configuration), 0)
+                                       _decompress(digest.configuration), 0,
+                                       -math.inf)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
             self._apply_store_snapshot(snapshot.entries if is_newer else None,
                                        snapshot.configuration_version,
                                        _decompress(snapshot.configuration),
-                                       snapshot.era)
+                                       snapshot.era,
+                                       now_s - snapshot.known_age_s)
 
     def _compose_digests(self) -> dict[str, bytes]:
         """Returns the digest that is due now, by receiver's address."""
@@ -477,7 +484,8 @@
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
                                             own_read.entries),
-                                        era=own_read.era)
+                                        era=own_read.era,
+                                        known_age_s=now_s - self._known_since_s)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/process/tests/test_directory.py
+++ b/persimmonspan/process/tests/test_directory.py
@@ -25,7 +25,7 @@
 
 def test_entry_that_lapsed_while_the_store_was_lost_is_usable():
     state, _ = _read([_ONE])
-    state, change = _read([], 10.0, directory.failed(state))
+    state, change = _read([], 10.0, directory.failed(state, 0.0))
     assert change.is_empty and directory.usable_targets(state) == (_ONE,)
     state, change = _read([_ONE], 11.0, state)
     assert change.is_empty and directory.usable_targets(state) == (_ONE,)
@@ -33,7 +33,7 @@
 
 def test_lapsed_entry_that_does_not_register_again_is_gone():
     state, _ = _read([_ONE])
-    state, _ = _read([], 10.0, directory.failed(state))
+    state, _ = _read([], 10.0, directory.failed(state, 0.0))
     state, change = _read([], 11.9, state)
     assert change.is_empty
     state, change = _read([], 12.1, state)
@@ -42,7 +42,7 @@
 
 def test_missing_entry_of_a_leaving_target_is_gone_not_lapsed():
     state, _ = _read([_ONE._replace(is_leaving=True)])
-    _, change = _read([], 10.0, directory.failed(state))
+    _, change = _read([], 10.0, directory.failed(state, 0.0))
     assert len(change.gone) == 1
 
 
@@ -126,3 +126,44 @@
     state, _ = _read_in(1, [], 100.0, state)
     state, _ = _read_in(1, [], 161.0, state)
     assert not state.gone
+
+
+def _read_by_peer(rows, now_s, known_since_s, state):
+    return directory.apply_snapshot(state, rows, now_s, 1, known_since_s)
+
+
+def test_peer_that_started_in_an_outage_takes_away_no_lapsed_entry():
+    state, _ = _read_in(1, [_BORN, _TWO])
+    state = directory.failed(state, 0.0)
+    state, change = _read_by_peer([_TWO], 10.0, 9.9, state)
+    assert change.is_empty and len(directory.usable_targets(state)) == 2
+    state, change = _read_by_peer([_TWO], 11.9, 9.9, state)
+    assert change.is_empty
+    state, change = _read_by_peer([_TWO], 12.1, 9.9, state)
+    assert change.gone == (_BORN,)
+
+
+def test_such_a_peer_takes_away_no_entry_after_another_read_either():
+    state, _ = _read_in(1, [_BORN])
+    state = directory.failed(state, 0.0)
+    state, _ = _read_by_peer([_BORN], 10.0, -5.0, state)
+    state, change = _read_by_peer([], 10.3, 9.9, state)
+    assert change.is_empty and directory.usable_targets(state) == (_BORN,)
+
+
+def test_peer_that_read_through_an_outage_of_this_daemon_is_believed_at_once():
+    # A daemon that the store turns away would use targets that are gone.
+    state, _ = _read_in(1, [_BORN])
+    state = directory.failed(state, 0.0)
+    state, change = _read_by_peer([], 10.0, -5.0, state)
+    assert change.gone == (_BORN,)
+
+
+def test_peer_that_starts_after_the_loss_has_ended_is_believed_at_once():
+    state, _ = _read_in(1, [_BORN])
+    state = directory.failed(state, 0.0)
+    # A peer confirmed the rows by their id.
+    state, change = directory.apply_time(state, 1.0, 0.9)
+    assert not any(change)
+    state, change = _read_by_peer([], 10.0, 9.9, state)
+    assert change.gone == (_BORN,)
--- a/persimmonspan/process/tests/test_directory_machine.py
+++ b/persimmonspan/process/tests/test_directory_machine.py
@@ -36,6 +36,9 @@
         self.left = set()
         self.usable = {}  # At the last read.
         self.returned_s = -100.0
+        self.confirmed_s = 0.0
+        self.is_lost = False
+        self.regained_s = -100.0
 
     @stateful.rule(name=_NAMES)
     def start(self, name):
@@ -82,20 +85,33 @@
     @stateful.rule()
     def fail(self):
         """A read fails."""
-        self.state = directory.failed(self.state)
+        self.is_lost = True
+        self.state = directory.failed(self.state, self.confirmed_s)
+
+    @stateful.rule(name=_NAMES)
+    def lapse(self, name):
+        """An entry is removed while the store is lost."""
+        if self.is_lost:
+            self.rows.pop(name, None)
 
     @stateful.rule(pause_s=strategies.sampled_from([0.1, 0.5, 1.9, 2.1, 7.0]),
-                   by_peer=strategies.booleans())
-    def read(self, pause_s, by_peer):
+                   reader=strategies.sampled_from(
+                       ["this", "peer", "started peer"]))
+    def read(self, pause_s, reader):
         """This daemon or a peer reads the entries."""
         self.now_s += pause_s
         if self.now_s - self.came_back_s > _REMOVAL_S:
             self.rows = dict(self.live)
         self.copies.append((self.now_s, dict(self.rows)))
         before = self.state
-        if by_peer:
+        self._confirm()
+        if reader == "peer":
+            self.regained_s = -100.0  # It tells which entries have lapsed.
             self.state, change = directory.apply_snapshot(
                 before, self.rows.values(), self.now_s, self.era)
+        elif reader == "started peer":
+            self.state, change = directory.apply_snapshot(
+                before, self.rows.values(), self.now_s, self.era, self.now_s)
         else:
             self.state, change = directory.apply_rows(before,
                                                       self.rows.values(),
@@ -107,9 +123,16 @@
         """Time passes while the same rows are confirmed."""
         self.now_s += pause_s
         before = self.state
-        self.state, change = directory.apply_time(before, self.now_s)
+        self._confirm()
+        self.state, change = directory.apply_time(before, self.now_s,
+                                                  self.confirmed_s)
         self._check(before, change)
 
+    def _confirm(self):
+        self.confirmed_s = self.now_s
+        if self.is_lost:
+            self.is_lost, self.regained_s = False, self.now_s
+
     def _check(self, before, change):
         if before.era and self.state.era != before.era:
             self.returned_s = self.now_s
@@ -121,7 +144,8 @@
             assert (name, entry.incarnation) not in self.left
             assert entry.incarnation >= self.newest.get(name, 0)
             self.newest[name] = entry.incarnation
-        if self.now_s < self.returned_s + _REREGISTRATION_S:
+        available_s = max(self.returned_s, self.regained_s)
+        if self.now_s < available_s + _REREGISTRATION_S:
             for name, entry in self.usable.items():
                 # Only a report that it leaves, or a restart, ends its use.
                 shown = self.state.present.get(name)
@@ -173,3 +197,13 @@
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(DirectoryMachine,
                                            settings=_FAULTY_SETTINGS)
+
+
+def test_oracle_sees_a_directory_that_believes_a_peer_that_has_started(
+        monkeypatch):
+    apply_snapshot = directory.apply_snapshot
+    monkeypatch.setattr(directory, "apply_snapshot",
+                        lambda *args: apply_snapshot(*args[:4]))
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(DirectoryMachine,
+                                           settings=_FAULTY_SETTINGS)
--- a/persimmonspan/process/tests/test_edge_peers.py
+++ b/persimmonspan/process/tests/test_edge_peers.py
@@ -287,3 +287,11 @@
             state = configuration_exchange.record_asked(state, name, now_s)
     assert asked == ["d000", "d001", "d002"]
     assert configuration_exchange.select_source(state, 9, 2.0) is None
+
+
+def test_reader_that_does_not_tell_since_when_it_knows_targets_is_believed():
+    news = edge_peers.StoreSnapshot(0.1, (_ONE,), 7, 0.1, known_age_s=5.0)
+    fields = msgspec.msgpack.decode(edge_peers.encode(_digest(news=news)))
+    fields[4] = fields[4][:7]
+    digest = edge_peers.decode(msgspec.msgpack.encode(fields))
+    assert digest.news.known_age_s == float("inf")
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -70,6 +70,8 @@
         """Returns that nothing was confirmed."""
         return float("-inf")
 
+    targets_confirmed_s = last_confirmed_s
+
     def record_entries(self, entries):
         """Ignores targets of peers."""
 
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -51,12 +51,14 @@
         self.entries = None
         self.applied = 0
         self.configurations = []
+        self.known_since_s = None
         self.peering = peering.Peering(self.name, edge_world.free_address(),
                                        self.scheduler, self._apply,
                                        lambda rates: None, limits)
 
-    def _apply(self, entries, version, configuration, era):
+    def _apply(self, entries, version, configuration, era, known_since_s):
         del era
+        self.known_since_s = known_since_s
         if configuration:
             self.configurations.append((version, configuration))
             self.peering.record_configuration(version, configuration)
@@ -268,3 +270,17 @@
         daemons[1].peering.record_configuration(9, b"new")
         _read_until(daemons, [_entry(0)], lambda: daemons[0].configurations)
     assert daemons[0].configurations[0] == (9, b"new")
+
+
+def test_snapshot_tells_since_when_its_reader_has_known_targets():
+    daemons = [_Daemon(0), _Daemon(1)]
+    rows = _Rows(daemons)
+    with daemons[0].peering.running(), daemons[1].peering.running():
+        for daemon in daemons:
+            daemon.peering.exchange_addresses(rows, False)
+        before_s = clock.now_s()
+        _read_until(daemons, [_entry(0)], lambda: daemons[1].entries)
+        after_s = clock.now_s()
+        _read_until(daemons, [_entry(1)], lambda: daemons[1].applied > 1)
+    # The digest takes some time.
+    assert before_s <= daemons[1].known_since_s <= after_s + _INTERVAL_S
