Test that a configuration which no daemon has is in force once written again

Suspected in docs/incidents/store-returns-older.md: if all daemons start after a return, the configuration of the copy is in force until the operator writes the newer one again. The daemons have no disk and the store lost it, so that nothing is left to adopt earlier. What can fail is that the newer one is not adopted when it comes at a version that was issued before; the test shows that it is, at the reader and at a daemon that does not read. It passes on the code as it is.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -166,3 +166,23 @@
             assert _statuses(second, 1.5) == {200}
             second.register_replica("i-1", "desk", added.address)
             assert _statuses(second, 1.5) == {200}
+
+
+def test_configuration_that_no_daemon_has_is_in_force_once_written_again():
+    # All daemons start after the return, on a copy with the older one.
+    first = edge_world.EdgeEnvironment("edge-1")
+    rows = first.rows
+    rows.write("op", "config", edge_world.configuration())
+    copy = rows.copy()
+    newer = edge_world.configuration(2, pathPrefix="/new/")
+    rows.write("op", "config", newer)
+    rows.restore(copy)
+    second = edge_world.EdgeEnvironment("edge-2", rows)
+    with first.running(), second.running():
+        for world in (first, second):
+            edge_world.wait_until(
+                lambda world=world: world.send_request("/new/1")[0] == 404)
+        rows.write("op", "config", newer)
+        for world in (first, second):
+            edge_world.wait_until(
+                lambda world=world: world.send_request("/new/1")[0] == 503)
