Split the evidence of one crash from the quarantine

Change: request/crash_evidence.py holds what the death of a target says about the requests that it ran (suspects, proof, records); the quarantine keeps the state, refusals and what daemons share. No behaviour changes.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -19,6 +19,7 @@
 from persimmonspan.process import health
 from persimmonspan.process import leaving
 from persimmonspan.process import prefix_index
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import retry
@@ -51,7 +52,7 @@
     state = quarantine.State()
     for i in range(count * _STREAMS):
         state = quarantine.record_dispatch(state, f"r{i}",
-                                           quarantine.Fingerprints(f"f{i}"),
+                                           crash_evidence.Fingerprints(f"f{i}"),
                                            f"e{i % count}", 0.0)
     return state
 
@@ -108,7 +109,7 @@
     sick, quiet = _health_state(count), _quarantine_state(count)
     left, spent = _leaving_state(count), _retry_state(count)
     suspects, _ = quarantine.step(quiet, events.TargetDied("e0"), 1.0)
-    new = quarantine.Fingerprints("new", ("part:a", "part:b"))
+    new = crash_evidence.Fingerprints("new", ("part:a", "part:b"))
     attempt = retry.Attempt("drafts", ("e1",), True, True)
     request = retry.Request("drafts", "new")
     return {
--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -20,6 +20,7 @@
 import statistics
 import typing
 
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 
@@ -223,7 +224,7 @@
         self.running[target][daemon, request.key] = request
         self.states[daemon] = quarantine.record_dispatch(
             self.states[daemon], request.key,
-            quarantine.Fingerprints(request.key), target, now_s)
+            crash_evidence.Fingerprints(request.key), target, now_s)
 
     def _gossip_loads(self, now_s: float) -> None:
         for daemon in range(self.setup.daemons):
--- a/persimmonspan/process/tests/test_quarantine_reports.py
+++ b/persimmonspan/process/tests/test_quarantine_reports.py
@@ -7,11 +7,12 @@
 
 from persimmonspan.process import edge_peers
 from persimmonspan.process import quarantine_reports
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 
 _STEP_S = 0.2
-_CRASH = events.QuarantineShared("part:bad", 2, quarantine.SUSPECT_TTL_S, 0,
+_CRASH = events.QuarantineShared("part:bad", 2, crash_evidence.SUSPECT_TTL_S, 0,
                                  ("r1", "r2"))
 _CLEARED = events.QuarantineShared("part:bad", 0, 0.0)
 _REFUSAL = events.QuarantineShared("part:bad", 3, quarantine.REFUSAL_TTL_S, 0,
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -20,6 +20,7 @@
 from persimmonspan.process import load_view
 from persimmonspan.request import admission
 from persimmonspan.request import choice
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import length
 from persimmonspan.request import quarantine
@@ -203,10 +204,10 @@
     return state, [dispatch]
 
 
-def fingerprints(arrived: events.Arrived) -> quarantine.Fingerprints:
+def fingerprints(arrived: events.Arrived) -> crash_evidence.Fingerprints:
     """Returns by what the quarantine knows a request."""
-    return quarantine.Fingerprints(arrived.fingerprint,
-                                   arrived.part_fingerprints)
+    return crash_evidence.Fingerprints(arrived.fingerprint,
+                                       arrived.part_fingerprints)
 
 
 def refuse_quarantined(state: State, now_s: float,
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -10,11 +10,12 @@
   the most suspected only. A sound part of a prompt is thus not blamed for the
   one beside it.
 - An answer clears a fingerprint: no target survives one that crashes targets.
-- `CRASHES_TO_REFUSE` crashes without an answer in between condemn it; for a
-  whole request two are enough if it was alone on a target once. Crashes within
-  `MIN_CRASH_INTERVAL_S` may have one cause and count once. A part needs crashes
-  of two different requests. Of parts that always came together, the last one
-  in the prompt is condemned; the next crash shows whether it was another.
+- `crash_evidence.CRASHES_TO_REFUSE` crashes without an answer in between
+  condemn it; for a whole request two are enough if it was alone on a target
+  once. Crashes within `crash_evidence.MIN_CRASH_INTERVAL_S` may have one cause
+  and count once. A part needs crashes of two different requests. Of parts that
+  always came together, the last one in the prompt is condemned; the next crash
+  shows whether it was another.
 
 A condemned fingerprint is refused for `REFUSAL_TTL_S`. It then needs one more
 crash to be refused again.
@@ -34,12 +35,15 @@
 
 >>> state = State()
 >>> for number, target in enumerate(("e1", "e2", "e3")):
-...     request = Fingerprints(f"request-{number}", ("part:shared",))
+...     request = crash_evidence.Fingerprints(f"request-{number}",
+...                                          ("part:shared",))
 ...     state = record_dispatch(state, f"r{number}", request, target, number)
 ...     state, _ = step(state, events.TargetDied(target), number + 0.5)
->>> find_refused(state, Fingerprints("request-9", ("part:shared",)), 3.0)
+>>> request = crash_evidence.Fingerprints("request-9", ("part:shared",))
+>>> find_refused(state, request, 3.0)
 'part:shared'
->>> find_refused(state, Fingerprints("request-9", ("part:other",)), 3.0)
+>>> request = crash_evidence.Fingerprints("request-9", ("part:other",))
+>>> find_refused(state, request, 3.0)
 """
 
 import functools
@@ -48,14 +52,10 @@
 
 import immutables
 
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 
-CRASHES_TO_REFUSE = 3
-CRASHES_TO_REFUSE_ALONE = 2  # Of a whole request that was alone once.
-# Targets that die together, such as those of a failure domain, die within this.
-MIN_CRASH_INTERVAL_S = 0.5
 REFUSAL_TTL_S = 600.0
-SUSPECT_TTL_S = 300.0
 DEATH_GRACE_S = 5.0
 # Reports of crashes until this long after an answer are taken for older than
 # the answer, as they were on their way for a while.
@@ -64,7 +64,6 @@
 MAX_SHARED_SUSPECTS = 128  # Per death; keeps gossip in its byte budget.
 MAX_SHARED_REFUSALS = 16
 _PEER_LOAD_TTL_S = 5.0  # A peer that left has no work on a target.
-_MAX_COUNTED_REQUESTS = 8
 _MAY_RUN = frozenset({
     events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
     events.Outcome.FAILED_AFTER_FIRST_TOKEN, events.Outcome.CANCELLED,
@@ -72,31 +71,6 @@
 })
 
 
-class Fingerprints(typing.NamedTuple):
-    """Fingerprints of a request and of the parts that others may share."""
-
-    request: str
-    parts: tuple[str, ...] = ()
-
-
-class Record(typing.NamedTuple):
-    """The evidence against a fingerprint."""
-
-    expires_s: float
-    crashes: int = 0
-    crashes_alone: int = 0
-    requests: tuple[str, ...] = ()  # Requests whose crashes were counted.
-    crashed_s: float = -math.inf  # The last counted crash, or its report.
-    refused_until_s: float = -math.inf
-
-
-class _Run(typing.NamedTuple):
-    fingerprints: Fingerprints
-    started_s: float
-    is_answered: bool = False  # The target survived the start of its answer.
-    disconnected_s: float = math.inf
-
-
 class _PeerLoads(typing.NamedTuple):
     at_s: float
     outstanding: immutables.Map[str, int]
@@ -109,8 +83,8 @@
     which a fingerprint was cleared last.
     """
 
-    runs: immutables.Map[tuple[str, str], _Run] = immutables.Map()
-    records: immutables.Map[str, Record] = immutables.Map()
+    runs: immutables.Map[tuple[str, str], crash_evidence.Run] = immutables.Map()
+    records: immutables.Map[str, crash_evidence.Record] = immutables.Map()
     cleared_s: immutables.Map[str, float] = immutables.Map()
     peer_loads: immutables.Map[str, _PeerLoads] = immutables.Map()
 
@@ -118,7 +92,7 @@
 Result = tuple[State, list[events.Command]]
 
 
-def find_refused(state: State, fingerprints: Fingerprints,
+def find_refused(state: State, fingerprints: crash_evidence.Fingerprints,
                  now_s: float) -> str | None:
     """Returns the fingerprint for which a request is refused, or None."""
     if not state.records:
@@ -142,7 +116,8 @@
     broken = sum(
         key[0] == request_id and run.disconnected_s < math.inf and now_s -
         run.disconnected_s < DEATH_GRACE_S for key, run in state.runs.items())
-    return bool(broken) and crashes + broken >= CRASHES_TO_REFUSE_ALONE
+    return bool(
+        broken) and crashes + broken >= crash_evidence.CRASHES_TO_REFUSE_ALONE
 
 
 def list_refusals(state: State,
@@ -158,11 +133,13 @@
         for _, fingerprint in latest)
 
 
-def record_dispatch(state: State, request_id: str, fingerprints: Fingerprints,
-                    target: str, now_s: float) -> State:
+def record_dispatch(state: State, request_id: str,
+                    fingerprints: crash_evidence.Fingerprints, target: str,
+                    now_s: float) -> State:
     """Records that a request was sent to a target."""
     return state._replace(
-        runs=state.runs.set((request_id, target), _Run(fingerprints, now_s)))
+        runs=state.runs.set((request_id,
+                             target), crash_evidence.Run(fingerprints, now_s)))
 
 
 def step(state: State,
@@ -217,7 +194,7 @@
         runs = state.runs.set((request_id, target),
                               run._replace(disconnected_s=now_s))
         runs = runs.set((request_id, event.target),
-                        _Run(run.fingerprints, now_s, True))
+                        crash_evidence.Run(run.fingerprints, now_s, True))
         return state._replace(runs=runs), []
     return state, []
 
@@ -230,31 +207,33 @@
         if key[1] == event.target and now_s - run.disconnected_s < DEATH_GRACE_S
     }
     state = state._replace(runs=_remove(state.runs, *in_flight))
-    suspects = _list_suspects(in_flight.values())
+    suspects = crash_evidence.list_suspects(in_flight.values())
     most = max(
         (_crashes(state, fingerprint, now_s) for fingerprint in suspects),
         default=0)
     is_alone = len(in_flight) == 1 and not _count_peer_work(
         state, event.target, now_s)
-    counted: dict[str, Record] = {}
+    counted: dict[str, crash_evidence.Record] = {}
     for fingerprint, runs in sorted(suspects.items()):
         record = _find_record(state, fingerprint, now_s)
-        run = next(
-            (run for run in runs if _is_another_crash(record, run, now_s)),
-            None)
+        run = next((run for run in runs
+                    if crash_evidence.is_another_crash(record, run, now_s)),
+                   None)
         if record.crashes == most and run is not None:
-            counted[fingerprint] = _add_crash(record, run, is_alone, now_s)
+            counted[fingerprint] = crash_evidence.add_crash(
+                record, run, is_alone, now_s)
     guilty = {
         fingerprint for fingerprint, record in counted.items()
-        if _is_proven(fingerprint, record)
+        if crash_evidence.is_proven(fingerprint, record)
     }
     commands: list[events.Command] = []
     for fingerprint, record in counted.items():
-        if fingerprint in guilty and not _is_explained(
+        if fingerprint in guilty and not crash_evidence.is_explained(
                 fingerprint, suspects[fingerprint], guilty):
             until_s = now_s + REFUSAL_TTL_S
             record = record._replace(refused_until_s=until_s,
-                                     expires_s=until_s + SUSPECT_TTL_S)
+                                     expires_s=until_s +
+                                     crash_evidence.SUSPECT_TTL_S)
             state, more = _clear_explained(state, record, now_s)
             commands += more
         state = _set_record(state, fingerprint, record)
@@ -291,7 +270,7 @@
 def _(event: events.QuarantineShared, state: State, now_s: float) -> Result:
     if event.crashes <= 0:
         return _clear(state, event.fingerprint, now_s), []
-    full_ttl_s = REFUSAL_TTL_S if event.is_refused else SUSPECT_TTL_S
+    full_ttl_s = REFUSAL_TTL_S if event.is_refused else crash_evidence.SUSPECT_TTL_S
     crashed_s = now_s - max(0.0, full_ttl_s - event.ttl_s)
     cleared_s = state.cleared_s.get(event.fingerprint, -math.inf)
     if crashed_s <= cleared_s + ANSWER_MARGIN_S:
@@ -307,7 +286,7 @@
     if event.is_refused:
         record = record._replace(
             refused_until_s=max(record.refused_until_s, until_s))
-        until_s += SUSPECT_TTL_S
+        until_s += crash_evidence.SUSPECT_TTL_S
     record = record._replace(expires_s=max(record.expires_s, until_s))
     return _set_record(state, event.fingerprint,
                        record), [events.Count("quarantine_shared")]
@@ -344,50 +323,8 @@
                                             *expired_answers)), []
 
 
-def _list_suspects(runs: typing.Iterable[_Run]) -> dict[str, tuple[_Run, ...]]:
-    """Returns the fingerprints that may have crashed a target, with runs."""
-    runs = tuple(runs)
-    unanswered = tuple(run for run in runs if not run.is_answered)
-    suspects: dict[str, tuple[_Run, ...]] = {}
-    for run in unanswered or runs:
-        parts = () if run.is_answered else run.fingerprints.parts
-        for fingerprint in (run.fingerprints.request, *parts):
-            suspects[fingerprint] = (*suspects.get(fingerprint, ()), run)
-    return suspects
-
-
-def _is_another_crash(record: Record, run: _Run, now_s: float) -> bool:
-    """Returns whether a crash has another cause than the one counted last."""
-    return (run.started_s > record.crashed_s or
-            _end_s(run, now_s) - record.crashed_s >= MIN_CRASH_INTERVAL_S)
-
-
-def _is_proven(fingerprint: str, record: Record) -> bool:
-    """Returns whether the evidence suffices to refuse a fingerprint."""
-    is_request = record.requests[-1] == fingerprint
-    if is_request and record.crashes_alone:
-        return record.crashes >= CRASHES_TO_REFUSE_ALONE
-    return record.crashes >= CRASHES_TO_REFUSE and (is_request or len(
-        set(record.requests)) > 1)
-
-
-def _is_explained(fingerprint: str, runs: typing.Iterable[_Run],
-                  guilty: typing.Container[str]) -> bool:
-    """Returns whether a later part of a prompt is as likely the cause.
-
-    The first parts of a prompt are those that most other prompts share. If an
-    earlier one is the cause, the next crash shows it.
-    """
-    for run in runs:
-        parts = run.fingerprints.parts
-        if fingerprint in parts and any(
-                part in guilty
-                for part in parts[parts.index(fingerprint) + 1:]):
-            return True
-    return False
-
-
-def _clear_explained(state: State, record: Record, now_s: float) -> Result:
+def _clear_explained(state: State, record: crash_evidence.Record,
+                     now_s: float) -> Result:
     """Lifts refusals of parts whose crashes the condemned one explains."""
     return _clear_answered(state, [
         fingerprint for fingerprint, other in state.records.items()
@@ -396,22 +333,7 @@
     ], now_s)
 
 
-def _end_s(run: _Run, now_s: float) -> float:
-    """Returns when a run broke, which is before its death is known."""
-    return min(now_s, run.disconnected_s)
-
-
-def _add_crash(record: Record, run: _Run, is_alone: bool,
-               now_s: float) -> Record:
-    requests = (*record.requests, run.fingerprints.request)
-    return record._replace(expires_s=now_s + SUSPECT_TTL_S,
-                           crashes=record.crashes + 1,
-                           crashes_alone=record.crashes_alone + is_alone,
-                           requests=requests[-_MAX_COUNTED_REQUESTS:],
-                           crashed_s=_end_s(run, now_s))
-
-
-def _report(fingerprint: str, record: Record,
+def _report(fingerprint: str, record: crash_evidence.Record,
             now_s: float) -> tuple[typing.Any, ...]:
     """Returns the fields of a report to peers."""
     is_refused = record.refused_until_s > now_s
@@ -420,16 +342,19 @@
             record.requests, is_refused)
 
 
-def _find_record(state: State, fingerprint: str, now_s: float) -> Record:
+def _find_record(state: State, fingerprint: str,
+                 now_s: float) -> crash_evidence.Record:
     record = state.records.get(fingerprint)
-    return record if record and record.expires_s > now_s else Record(now_s)
+    return record if record and record.expires_s > now_s else crash_evidence.Record(
+        now_s)
 
 
 def _crashes(state: State, fingerprint: str, now_s: float) -> int:
     return _find_record(state, fingerprint, now_s).crashes
 
 
-def _set_record(state: State, fingerprint: str, record: Record) -> State:
+def _set_record(state: State, fingerprint: str,
+                record: crash_evidence.Record) -> State:
     if len(state.records) >= MAX_RECORDS and fingerprint not in state.records:
         return state  # Expiry makes room; a poison request returns.
     return state._replace(records=state.records.set(fingerprint, record))
--- a/persimmonspan/request/tests/test_quarantine.py
+++ b/persimmonspan/request/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 
@@ -19,7 +20,7 @@
     def send(self, request, target, now_s, parts=()):
         """Sends a request whose id is its fingerprint."""
         self.state = quarantine.record_dispatch(
-            self.state, request, quarantine.Fingerprints(request, parts),
+            self.state, request, crash_evidence.Fingerprints(request, parts),
             target, now_s)
 
     def step(self, event, now_s):
@@ -40,9 +41,8 @@
 
     def refused(self, request, now_s, parts=()):
         """Returns the fingerprint for which a request is refused."""
-        return quarantine.find_refused(self.state,
-                                       quarantine.Fingerprints(request, parts),
-                                       now_s)
+        return quarantine.find_refused(
+            self.state, crash_evidence.Fingerprints(request, parts), now_s)
 
 
 @pytest.fixture(name="fleet")
@@ -238,7 +238,7 @@
 
 def test_crashes_that_peers_counted_add_up_with_own_ones(fleet):
     fleet.step(
-        events.QuarantineShared(_BAD, 2, quarantine.SUSPECT_TTL_S, 0,
+        events.QuarantineShared(_BAD, 2, crash_evidence.SUSPECT_TTL_S, 0,
                                 ("r1", "r1")), 1.0)
     fleet.send("r1", "e1", 1.1, (_BAD,))  # A repeat of a counted request.
     fleet.die("e1", 2.0)
--- a/persimmonspan/request/tests/test_quarantine_machine.py
+++ b/persimmonspan/request/tests/test_quarantine_machine.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import pytest
 
+from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 
@@ -62,7 +63,8 @@
                    parts=strategies.sets(strategies.sampled_from(_PARTS)),
                    name=strategies.sampled_from(_TARGETS))
     def send(self, request, parts, name):
-        fingerprints = quarantine.Fingerprints(request, tuple(sorted(parts)))
+        fingerprints = crash_evidence.Fingerprints(request,
+                                                   tuple(sorted(parts)))
         refused = quarantine.find_refused(self.state, fingerprints, self.now_s)
         if refused is not None:
             self._check_evidence(refused)
@@ -75,12 +77,12 @@
     def _check_evidence(self, fingerprint):
         requests = self.deaths.get(fingerprint, [])
         if fingerprint in _PARTS:
-            assert len(requests) >= quarantine.CRASHES_TO_REFUSE
+            assert len(requests) >= crash_evidence.CRASHES_TO_REFUSE
             assert len(set(requests)) > 1
         elif fingerprint in self.died_alone:
-            assert len(requests) >= quarantine.CRASHES_TO_REFUSE_ALONE
+            assert len(requests) >= crash_evidence.CRASHES_TO_REFUSE_ALONE
         else:
-            assert len(requests) >= quarantine.CRASHES_TO_REFUSE
+            assert len(requests) >= crash_evidence.CRASHES_TO_REFUSE
 
     @stateful.precondition(lambda self: self.runs)
     @stateful.rule(data=strategies.data(),
