Take the name of the id's header in a test from the adapter

Cause: test_idle_connections.py named a header of the users' platform, which only persimmonspan/platform/ knows.

Change: the request is built with the adapter's header; its bytes are the same. Result: all tests of the file pass.

--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -20,8 +20,9 @@
 _HIGH_LIMIT_S = 20.0
 _LOW_LIMIT_S = 0.3
 _SLACK_S = 0.2
-_REQUEST = (b"POST /idempotent/1 HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: r1\r\n"
-            b"Content-Length: 1\r\n\r\nx")
+_REQUEST = (b"POST /idempotent/1 HTTP/1.1\r\nHost: a\r\n%s: %s\r\n"
+            b"Content-Length: 1\r\n\r\nx" %
+            program.PLATFORM.wire.encode_request_id("r1"))
 _RESPONSE_TIMEOUT_S = 5.0
 # The listener checks for expired connections twice a second.
 _EXPIRED_AFTER_S = _LOW_LIMIT_S + _SLACK_S + 1.5
