Tell a reader that has just started which targets of a copy have left

Callers saw: requests at a target that had left, from a daemon that started after the store came back from a copy, for up to six seconds.

Cause: daemons that knew of the leaving do not believe the copy's entry. One that starts later knows the copy only; if it is the first by name it reads for all, and nobody tells it. The class: what only some daemons know flows from the reader to the others, never back.

Evidence: test_daemon_that_starts_on_an_older_copy_uses_no_target_that_had_left failed before, with 200 from the target that had left in place of 503, with a peer that knew better for all of that second.

Ruled out: that the rest of the daemons use such a target; they keep their doubts. Also that all daemons tell the reader all they know: 195 daemons with a failure domain of targets each would fill its link. Each tells 16 entries, chosen at random, only of those that the reader shows, and for the 6 s in which such entries are removed.

Change: process/departures.py. The reader believes what it is told of targets that it did not know before the return, so that a peer with older knowledge takes away no target in use.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -186,3 +186,33 @@
         for world in (first, second):
             edge_world.wait_until(
                 lambda world=world: world.send_request("/new/1")[0] == 503)
+
+
+def test_daemon_that_starts_on_an_older_copy_uses_no_target_that_had_left():
+    second = edge_world.EdgeEnvironment("edge-2")
+    rows = second.rows
+    rows.write("op", "config", edge_world.configuration())
+    arrived = []
+
+    def respond(request):
+        arrived.append(request)
+        return [replica.complete_response(request, b"")]
+
+    added = second.add_replica("i-1", "desk", respond)
+    copy = rows.copy()
+    with second.running():
+        edge_world.wait_until(
+            lambda: second.send_request("/idempotent/1")[0] == 200)
+        second.register_replica("i-1", "desk", added.address, "draining")
+        edge_world.wait_until(
+            lambda: second.send_request("/idempotent/1")[0] == 503)
+        rows.write("servers", "i-1", None)
+        rows.restore(copy)
+        # It is the first by name, which reads for all.
+        first = edge_world.EdgeEnvironment("edge-1", rows)
+        with first.running():
+            # Until it has heard of its peer, it knows the copy only.
+            edge_world.wait_until(
+                lambda: first.send_request("/idempotent/1")[0] == 503)
+            arrived.clear()
+            assert _statuses(first, 1.0) == {503} and not arrived
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -27,7 +27,7 @@
 _REREGISTRATION_TIMEOUT_S = 2.0
 # Entries that nobody renews are removed within this time. Source: contract of
 # the platform, three heartbeats.
-_REMOVAL_TIMEOUT_S = 6.0
+REMOVAL_TIMEOUT_S = 6.0
 # Entries that are gone are remembered for longer than a copy is old. The load:
 # a failure domain of 2,300 targets that restarts.
 _GONE_EXPIRY_S = 60.0
@@ -48,7 +48,10 @@
 
 
 class Gone(typing.NamedTuple):
-    """An entry that is gone, and when and in which era it was missed."""
+    """An entry that is gone, and when and in which era it was missed.
+
+    The era is 0 if a peer told it.
+    """
 
     entry: Registration
     era: int
@@ -63,7 +66,8 @@
     it, by an own read or a peer's. `lapsed` holds the entries that were missing
     shortly after `regained_s` or `returned_s`, the time of the first read after
     the store came back from a copy. `doubted` holds the rows that are not
-    believed as they are, `gone` recent entries by name.
+    believed as they are, `gone` recent entries by name, `remembered` the names
+    that were known when the store came back.
     """
 
     present: immutables.Map[str, Registration] = immutables.Map()
@@ -76,6 +80,7 @@
     returned_s: float = -math.inf
     doubted: immutables.Map[str, Registration] = immutables.Map()
     gone: immutables.Map[str, Gone] = immutables.Map()
+    remembered: frozenset[str] = frozenset()
 
 
 class Change(typing.NamedTuple):
@@ -168,8 +173,13 @@
     """
     if confirmed_s > state.lost_since_s:
         state = _regain(state, now_s)
-    return _apply(state, last_rows(state),
-                  max(state.regained_s, state.returned_s), now_s)
+    return apply_last_rows(state, last_rows(state), now_s)
+
+
+def apply_last_rows(state: State, rows: typing.Iterable[Registration],
+                    now_s: float) -> tuple[State, Change]:
+    """Applies the rows of the last read to a state that has changed since."""
+    return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
 
 
 def last_rows(state: State) -> tuple[Registration, ...]:
@@ -185,7 +195,10 @@
 def _enter_era(state: State, era: int, now_s: float) -> State:
     if not era or not state.era or era == state.era:
         return state._replace(era=era or state.era)
-    return state._replace(era=era, returned_s=now_s, doubted=immutables.Map())
+    return state._replace(era=era,
+                          returned_s=now_s,
+                          doubted=immutables.Map(),
+                          remembered=frozenset((*state.present, *state.lapsed)))
 
 
 def _apply(state: State, rows: typing.Iterable[Registration],
@@ -249,7 +262,7 @@
     if last.is_leaving:
         return row._replace(is_leaving=True)
     is_removal_lost = (known is None and past.era != state.era and
-                       now_s < state.returned_s + _REMOVAL_TIMEOUT_S)
+                       now_s < state.returned_s + REMOVAL_TIMEOUT_S)
     return None if is_removal_lost else row
 
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -426,7 +426,8 @@
                 follower.apply_store_snapshot,
                 self._named_rates.record_peer_answers,
                 read_schedule.Limits(self._options.drain_s,
-                                     self._options.configuration_apply_s))
+                                     self._options.configuration_apply_s),
+                follower.apply_departures)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -18,6 +18,7 @@
 
 from persimmonspan import errors
 from persimmonspan.process import clock
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
@@ -98,6 +99,7 @@
         self._adoption_lock = threading.Lock()
         self._era = store_eras.State()
         self._addresses_due_s = -math.inf
+        self._generator = random.Random()
         self._era_lock = threading.Lock()
         self._version = 0  # Of the last adopted configuration.
         self._peer_version = 0  # Newest version that a peer reported.
@@ -166,6 +168,17 @@
             self._directory, change = directory.apply_snapshot(
                 state, rows, clock.now_s(), era, known_since_s)
             self._receiver.apply_directory(self._directory, change)
+            if registrations is not None:
+                self.peers.record_departures(
+                    departures.select(self._directory, self._generator))
+
+    def apply_departures(self, departed: departures.Departures) -> None:
+        """Applies what a peer knows of targets that left before the start."""
+        with self._directory_lock:
+            self._directory, change = departures.apply(self._directory,
+                                                       departed, clock.now_s())
+            if any(change):
+                self._receiver.apply_directory(self._directory, change)
 
     def last_checked_s(self) -> float:
         """Returns when what is in force was last confirmed or uncheckable.
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,6 +22,7 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import load_totals
@@ -67,6 +68,8 @@
             with the time since which the reader has known targets.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
+        apply_departures: Called with what a peer knows of targets that left
+            before this daemon started.
     """
 
     def __init__(
@@ -79,13 +82,16 @@
             None],
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
-        limits: read_schedule.Limits = read_schedule.Limits()
+        limits: read_schedule.Limits = read_schedule.Limits(),
+        apply_departures: collections.abc.Callable[[departures.Departures],
+                                                   None] = lambda departed: None
     ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
         self._record_rates = record_rates
+        self._apply_departures = apply_departures
         self._limits = limits
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
@@ -100,6 +106,7 @@
         # Id of the registered targets in force.
         self._entries_id = 0
         self._known_since_s = math.inf
+        self._departures: departures.Selection | None = None
         # Starts at random: after a restart, a hub may still count a digest of
         # the process before.
         self._number = random.getrandbits(_NUMBER_BITS)
@@ -198,6 +205,10 @@
         self._known_since_s = min(self._known_since_s, clock.now_s())
         self._entries_id = edge_peers.identify_entries(entries)
 
+    def record_departures(self, selection: departures.Selection | None) -> None:
+        """Records what the reader does not know, for the next digests to it."""
+        self._departures = selection
+
     def record_era(self, era: int) -> None:
         """Records the present era of the store."""
         with self._lock:
@@ -296,6 +307,8 @@
             self._apply_store_snapshot(None, digest.version,
                                        _decompress(digest.configuration), 0,
                                        -math.inf)
+        if digest.departed is not None:
+            self._apply_departures(digest.departed)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
@@ -324,11 +337,13 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         requests = self._take_requests(receivers, now_s)
+        departed = departures.encode(self._departures, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates], requests), is_hub, now_s):
+             ], [answer[:2] for answer in rates
+                ], requests, departed and departed.entries), is_hub, now_s):
             return {}
         digest = edge_peers.Digest(self._name,
                                    self._address,
@@ -341,14 +356,15 @@
                                    number=self._remember_part(loads, demands),
                                    entries_id=self._entries_id,
                                    reports=reports,
-                                   rates=rates)
+                                   rates=rates,
+                                   departed=departed)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
             digest = msgspec.structs.replace(digest,
                                              loads=(),
                                              demands=(),
                                              totals=load_totals.encode(totals))
-        elif snapshot is None and not any(requests):
+        elif snapshot is None and departed is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
@@ -359,6 +375,7 @@
                           now_s: float) -> dict[str, bytes]:
         """Returns the digest with what each peer needs, by its address."""
         snapshot = digest.news
+        reader = edge_peers.select_reader(state, self._name, now_s)
         outdated = self._select_outdated_peers(snapshot, receivers, now_s)
         entries_id = snapshot.entries_id if snapshot is not None else 0
         without_entries = edge_peers.peers_without_entries(state, entries_id)
@@ -370,8 +387,10 @@
                             digest,
                             wants_configuration=name == requests.source,
                             configuration=self._own_read.configuration
-                            if name in requests.wanted_by else b""), name
-                        in outdated, name in without_entries,
+                            if name in requests.wanted_by else b"",
+                            departed=digest.departed
+                            if name == reader else None), name in outdated, name
+                        in without_entries,
                         edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -75,6 +75,9 @@
     def record_entries(self, entries):
         """Ignores targets of peers."""
 
+    def record_departures(self, selection):
+        """Ignores what other daemons do not know."""
+
     def record_era(self, era):
         """Ignores the era of the store."""
 
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -8,6 +8,7 @@
 import time
 
 from persimmonspan.process import clock
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import peering
@@ -284,3 +285,22 @@
         _read_until(daemons, [_entry(1)], lambda: daemons[1].applied > 1)
     # The digest takes some time.
     assert before_s <= daemons[1].known_since_s <= after_s + _INTERVAL_S
+
+
+def test_reader_that_has_just_started_is_told_of_departures():
+    told = []
+    daemons = [_Daemon(0), _Daemon(1), _Daemon(2)]
+    for daemon in daemons:
+        daemon.peering._apply_departures = (  # pylint: disable=protected-access
+            lambda departed, name=daemon.name: told.append((name, departed)))
+    rows = _Rows(daemons)
+    with contextlib.ExitStack() as stack:
+        for daemon in daemons:
+            stack.enter_context(daemon.peering.running())
+            daemon.peering.exchange_addresses(rows, False)
+        daemons[1].peering.record_departures(
+            departures.Selection(2, clock.now_s(),
+                                 clock.now_s() + 6.0, (_entry(3, True),)))
+        _read_until(daemons, [_entry(0)], lambda: told)
+    assert {name for name, _ in told} == {"d00"}
+    assert told[0][1].entries == (_entry(3, True),)
