Let few daemons find each other at once after the store came back from a copy

Callers saw: a daemon that started after a return served by the configuration and the targets of the copy for up to four seconds, and read the store for all beside the reader.

Cause: each daemon writes its lost address again within 4 s, whatever their number. Until then a daemon that starts finds no peer that knows better. The span is meant for 330 daemons.

Evidence: test_few_daemons_find_each_other_soon_after_the_store_came_back failed before: with eight daemons and the longest pause, the addresses were not read again within a second.

Ruled out: no spread at all, since 330 daemons would make 660 calls at once.

Change: 12 ms for each known daemon: 0.1 s for 8 of them, 4 s for 330 as before.

--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -36,10 +36,10 @@
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
 _ADDRESSES_READ_INTERVAL_S = 45.0
-# Within this time after the store came back from a copy, each daemon reads the
-# addresses again, and writes its own if it is lost. The load: 330 daemons, 83
-# calls a second of the 400 that the store takes.
-_ADDRESSES_RETURN_SPREAD_S = 4.0
+# After the store came back from a copy, each daemon reads the addresses again,
+# and writes its own if it is lost, within this time for each known daemon. The
+# load: 330 daemons, 83 calls a second of the 400 that the store takes.
+_ADDRESSES_RETURN_SPREAD_S = 0.012
 # Longest time of a call to the store that is not answered.
 _CALL_TIMEOUT_S = 2.0
 _DIGEST = "digest of a peer"  # Stands for a table as the source of an era.
@@ -254,7 +254,8 @@
                                                     began_s, now_s)
             if verdict is store_eras.Verdict.CHANGED:
                 self._addresses_due_s = now_s + random.uniform(
-                    0.0, _ADDRESSES_RETURN_SPREAD_S)
+                    0.0,
+                    _ADDRESSES_RETURN_SPREAD_S * len(self.peers.list_daemons()))
         if verdict is store_eras.Verdict.LATE:
             self._receiver.count("store_answer_late")
             _logger.warning("answer of an earlier era of the store left out",
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -75,6 +75,10 @@
     def record_entries(self, entries):
         """Ignores targets of peers."""
 
+    def list_daemons(self):
+        """Returns a few daemons."""
+        return tuple(f"edge-{number}" for number in range(8))
+
     def record_departures(self, selection):
         """Ignores what other daemons do not know."""
 
@@ -279,3 +283,31 @@
         time.sleep(1.0)
     # The pause after a failed call is 0.1 s.
     assert 2 <= store.calls <= 12
+
+
+class _AddressedPeers(_ReadingPeers):
+    """Counts the reads of the addresses."""
+
+    def __init__(self):
+        super().__init__()
+        self.exchanges = 0
+
+    def exchange_addresses(self, store, is_first):
+        """Counts a read."""
+        self.exchanges += 1
+
+
+def test_few_daemons_find_each_other_soon_after_the_store_came_back(
+        monkeypatch):
+    # A daemon that started on the copy read for all beside another for 4 s.
+    monkeypatch.setattr("random.uniform", lambda low, high: high)
+    follower = followers.Followers(lambda address: _Store(), "",
+                                   _formats(lambda key, data: None),
+                                   _Receiver())
+    follower.peers = peers = _AddressedPeers()
+    follower.apply_store_snapshot((_born("i-1"),), 0, b"", 1)
+    with follower.running():
+        edge_world.wait_until(lambda: peers.exchanges == 1)
+        follower.apply_store_snapshot((_born("i-1"),), 0, b"", 2)
+        time.sleep(1.0)
+    assert peers.exchanges == 2
