Do not count a pause of the daemon as slowness of its callers

Callers saw 400 for a whole, proper request: its body arrived while the daemon was paused for longer than the limit for reading it.

Cause: the watchdog of reads compared the clock with the end of a limit and shut the socket down, without a look at what had arrived. After a pause, the reader and the watchdog raced.

Evidence: 16 callers send a part of the body, the process is stopped by SIGSTOP for 2 s with a limit of 1 s, and the rest arrives meanwhile.

Ruled out: heads that arrive in a pause; they were served before, as their reader looks whether the head is complete.

Change: a limit counts at most 0.2 s between two checks, which are 0.1 s apart, and ends 0.1 s later if bytes wait when it does. A caller that sends a byte now and then is still ended, as the second test shows.

--- a/persimmonspan/connection/deadlines.py
+++ b/persimmonspan/connection/deadlines.py
@@ -4,6 +4,9 @@
 sends a byte could hold a worker thread for hours. When the time limit is over,
 the watchdog shuts down the receiving side of the socket, which ends the blocked
 read.
+
+Time in which this process did not run is not the caller's, and counts little.
+What arrived meanwhile is still read.
 """
 
 import collections.abc
@@ -12,16 +15,35 @@
 import threading
 import time
 
+from persimmonspan.connection import exchange
+
 _CHECK_INTERVAL_S = 0.1
+# The most that counts between two checks. After a longer time, this process was
+# paused.
+_MAX_STEP_S = 2 * _CHECK_INTERVAL_S
 
 
 class ReadLimit:
     """A time limit for reading from a socket."""
 
-    def __init__(self, sock: socket.socket, end_s: float) -> None:
+    def __init__(self, sock: socket.socket, limit_s: float) -> None:
         self.sock = sock
-        self.end_s = end_s
+        self.left_s = limit_s
+        self.checked_s = time.monotonic()
         self.is_expired = False
+        self._is_overdue = False
+
+    def check(self, now_s: float) -> bool:
+        """Counts the time since the last check; returns whether it is over."""
+        self.left_s -= min(now_s - self.checked_s, _MAX_STEP_S)
+        self.checked_s = now_s
+        if self.left_s > 0:
+            return False
+        if not self._is_overdue and exchange.has_input(self.sock):
+            self._is_overdue = True
+            self.left_s = _CHECK_INTERVAL_S
+            return False
+        return True
 
 
 class Watchdog:
@@ -44,7 +66,7 @@
         Yields:
             The limit; its `is_expired` is set if the time was over.
         """
-        limit = ReadLimit(sock, time.monotonic() + limit_s)
+        limit = ReadLimit(sock, limit_s)
         with self._limits_changed:
             if not self._limits:
                 self._limits_changed.notify()
@@ -61,7 +83,7 @@
                 self._limits_changed.wait_for(lambda: self._limits)
                 now_s = time.monotonic()
                 for limit in self._limits:
-                    if limit.end_s <= now_s and not limit.is_expired:
+                    if not limit.is_expired and limit.check(now_s):
                         limit.is_expired = True
                         # The `shutdown` method of a TLS socket would turn it
                         # into a plain socket while the reader uses it.
