--- a/persimmonspan/connection/tests/test_exchange.py
+++ b/persimmonspan/connection/tests/test_exchange.py
@@ -1,7 +1,10 @@
 """Tests exchanges with targets on connections that are not as expected."""
 
 import contextlib
+import math
 import socket
+import threading
+import time
 
 import pytest
 
@@ -15,6 +18,7 @@
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
     b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 2\n\n{}",
 ]
+_UNENDED_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"
 
 
 @pytest.mark.parametrize("is_closed", [False, True])
@@ -49,3 +53,36 @@
     reader = exchange.ResponseReader("GET")
     reader.feed(_ANSWERS[0] + b"H")
     assert reader.is_complete and reader.has_trailing_bytes
+
+
+def test_response_that_arrived_while_the_process_was_paused_is_read():
+    body = b"x" * 60_000
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" %
+                       len(body) + body)
+        reader, received = exchange.receive(ours, "GET",
+                                            time.monotonic() - 5.0, math.inf)
+    assert reader.is_complete and received == body
+
+
+@pytest.mark.parametrize("part", [b"x", b"x" * 10_000])
+def test_response_without_end_is_ended_though_bytes_wait(part):
+    ours, theirs = socket.socketpair()
+    is_ended = threading.Event()
+
+    def send():
+        with contextlib.suppress(OSError):
+            theirs.sendall(_UNENDED_HEAD)
+            while not is_ended.is_set():
+                theirs.sendall(part)
+
+    with theirs:
+        sender = threading.Thread(target=send)
+        sender.start()
+        began_s = time.monotonic()
+        with ours, pytest.raises(exchange.BrokenResponseError):
+            exchange.receive(ours, "GET", began_s + 0.2, math.inf)
+        is_ended.set()
+        sender.join()
+    assert time.monotonic() - began_s < 2.0
