Take the wait for a worker thread from the time of a request

Callers whose request came while all worker threads were busy were held past the timeout of their route, and targets ran requests past the deadline of their callers.

Cause: the time of a request began when a thread parsed its head, not when it had become readable, so that X-Deadline-Ms and the timeout of the route counted from there.

Ruled out: the wait for a place at a target; it was counted before. Not covered: time in which the whole process is paused, as the kernel does not say when bytes arrived.

Change: the listener notes when a connection becomes readable, and tells the daemon when the request arrived.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -9,6 +9,7 @@
 import logging
 import socket
 import struct
+import time
 import typing
 
 from cheroot import errors as cheroot_errors
@@ -81,6 +82,7 @@
         self._request = request
         self._application = application
         self.caller: socket.socket = request.conn.socket
+        self.arrived_s = time.monotonic() - request.conn.waited_s
 
     def whole(self, status: int, headers: exchange.Headers,
               body: bytes) -> None:
@@ -134,6 +136,13 @@
     """A connection that may end with a reset."""
 
     is_reset = False
+    readable_s = 0.0  # When its last request began to wait for a thread.
+    waited_s = 0.0  # How long it waited.
+
+    def communicate(self) -> bool:
+        """Serves one request; returns whether the connection stays open."""
+        self.waited_s = time.monotonic() - self.readable_s
+        return super().communicate()
 
     def close(self) -> None:
         """Closes the connection."""
@@ -158,6 +167,7 @@
         if conn.last_used is None:
             self._connections.put(conn)
             return
+        conn.readable_s = time.monotonic()
         super().process_conn(conn)
         if self.requests.idle - self.requests.qsize < _SPARE_THREADS:
             # New threads may process the connection while `grow` blocks.
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -142,7 +142,7 @@
     def _forward(self, call: forwarded.Call,
                  read_body: forwarding_listener.ReadBody,
                  responder: forwarded.Responder) -> forwarded.Response | None:
-        arrived_s = time.monotonic()
+        arrived_s = responder.arrived_s
         configuration = self._configuration
         if configuration is None or self._registrations is None:
             raise errors.RefusalError(
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -142,6 +142,7 @@
     """Writes the response to the caller."""
 
     caller: socket.socket
+    arrived_s: float  # When the request arrived, on the monotonic clock.
 
     def stream_head(self, status: int, headers: exchange.Headers) -> bytes:
         """Returns the head of a streamed response and marks it as sent."""
