Do not subtract from the next hub's sums what was never sent

Callers saw nothing by itself: the daemon that had been the hub lost one or two digests of the next one, with the configuration and the targets in them, just when it could not read the store and had no other source for them.

Cause: a hub tells its own load in its sums only, but remembered it as the content of its digest. The next hub, which takes over when the store turns the first away, counts that digest without any load. The former hub then subtracted its load from sums that do not contain it: KeyError, and the whole digest was dropped; or, for targets that others use too, the load of others was too low.

The test failed with the same KeyError before.

Ruled out: a target that was removed (the sums keep the targets of a peer's digest), a silent daemon (its number is then 0), and a restart (numbers start at random).

Change: a hub remembers that its digest contains no load.

--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -322,6 +322,12 @@
                  (number, report.fingerprint) for number, report in reports
              ], [answer[:2] for answer in rates], requests), is_hub, now_s):
             return {}
+        totals = b""
+        if is_hub:
+            totals = load_totals.encode(
+                edge_peers.sum_loads(state, loads, demands, now_s))
+            # No other hub can count them: they are in these sums only.
+            loads, demands = (), ()
         digest = edge_peers.Digest(self._name,
                                    self._address,
                                    self._state.can_read,
@@ -330,17 +336,12 @@
                                    is_hub,
                                    self._own_version,
                                    demands,
+                                   totals=totals,
                                    number=self._remember_part(loads, demands),
                                    entries_id=self._entries_id,
                                    reports=reports,
                                    rates=rates)
-        if is_hub:
-            totals = edge_peers.sum_loads(state, loads, demands, now_s)
-            digest = msgspec.structs.replace(digest,
-                                             loads=(),
-                                             demands=(),
-                                             totals=load_totals.encode(totals))
-        elif snapshot is None and not any(requests):
+        if not is_hub and snapshot is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -139,6 +139,29 @@
         assert f"target-{name}" not in loads
 
 
+def test_sums_of_the_next_hub_reach_the_former_one_unchanged(caplog):
+    # The former hub subtracted loads that it had not sent, or lost the digest.
+    entries = [_entry(number) for number in range(_TARGETS)]
+    with _running() as daemons:
+        former, following = daemons[:2]
+        _read_until(
+            daemons, entries, lambda: all(
+                len(daemon.others() or ()) == _DAEMONS
+                for daemon in daemons[1:]))
+
+        def has_sums_of_the_next_hub():
+            former.peering.record_read_failure()
+            following.read(entries)
+            return former.count_sums()
+
+        edge_world.wait_until(has_sums_of_the_next_hub)
+        first_sums = next(
+            event for event in former.scheduler.told if event.is_sum)
+    assert "receiving or sending a digest failed" not in caplog.text
+    loads = {load.target: load.outstanding for load in first_sums.loads}
+    assert loads.pop("common") == sum(loads.values())
+
+
 def test_unchanged_targets_are_sent_once_and_changes_reach_all():
     entries = [_entry(number) for number in range(_TARGETS)]
     leaving = [_entry(0, True), *entries[1:]]
