Let refusals reach callers whose body pauses

Callers whose request is refused before its body has arrived (no route, an unknown key, a daemon that stops or has read no configuration yet) found their connection reset instead, if a part of the body came more than 0.25 s late: no answer and no refusal. One lost packet delays a body by 0.2 s and more.

Cause: the time limit of a read was enforced by a shutdown of the receiving side of the socket. What the caller sends from then on is answered with a reset, which discards the refusal that was sent; the lingering close, which reads on for 1 s, found the end of the stream at once. The limit also did not look at what had arrived: after a pause of the daemon, a body that waited whole in the socket was late, and the request got 400.

Change: connection/timed_input.py, the input of a connection whose reads have a limit in total, enforced where they wait. The connection stays open in both directions, and what has arrived is read even if the limit has passed. Bodies and the discarded rest use it. The watchdog stays for heads on the own interface, which get 408 (test_slow_heads.py).

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -15,9 +15,9 @@
 from cheroot import server
 
 from persimmonspan import errors
-from persimmonspan.connection import deadlines
 from persimmonspan.connection import exchange
 from persimmonspan.connection import idle_connections
+from persimmonspan.connection import timed_input
 from persimmonspan.connection import unread_body
 from persimmonspan.process import logs
 from persimmonspan.request import forwarded
@@ -135,6 +135,11 @@
 
     is_reset = False
 
+    def __init__(self, http_server: server.HTTPServer, sock: socket.socket,
+                 makefile: typing.Any) -> None:
+        del makefile
+        super().__init__(http_server, sock, timed_input.make_file)
+
     def close(self) -> None:
         """Closes the connection."""
         if not self.is_reset:
@@ -167,13 +172,12 @@
 def make_server(address: tuple[str, int],
                 application: Application) -> idle_connections.Server:
     """Returns a server for callers, not started yet."""
-    watchdog = deadlines.Watchdog()
 
     class _Gateway(server.Gateway):
 
         def respond(self) -> None:
             """Serves one request."""
-            _respond(self.req, application, watchdog)
+            _respond(self.req, application)
 
     http_server = _Server(address, _Gateway, application.count,
                           _READINESS_TIMEOUT_S, (_MIN_THREADS, _MAX_THREADS),
@@ -223,8 +227,7 @@
     return f"{status} {phrase}".encode()
 
 
-def _respond(request: server.HTTPRequest, application: Application,
-             watchdog: deadlines.Watchdog) -> None:
+def _respond(request: server.HTTPRequest, application: Application) -> None:
     headers = {name.lower(): value for name, value in request.inheaders.items()}
     call = application.wire.decode_call(request.method.decode("latin-1"),
                                         request.uri.decode("latin-1"), headers)
@@ -239,13 +242,13 @@
                 "the request has both a Content-Length and a Transfer-Encoding")
 
         def read_body(max_bytes: int, limit_s: float) -> bytes:
-            return _read_body(request, watchdog, max_bytes, limit_s)
+            return _read_body(request, max_bytes, limit_s)
 
         answer = application.forward(call, read_body, responder)
         if answer is not None:
             responder.whole(answer.status, answer.headers, answer.body)
     except errors.PersimmonspanError as error:
-        is_body_read = unread_body.discard(request, watchdog)
+        is_body_read = unread_body.discard(request)
         request.close_connection |= not is_body_read
         _respond_refusal(error, call, application, responder)
         if not is_body_read:
@@ -258,8 +261,8 @@
         logs.request_id.reset(token)
 
 
-def _read_body(request: server.HTTPRequest, watchdog: deadlines.Watchdog,
-               max_bytes: int, limit_s: float) -> bytes:
+def _read_body(request: server.HTTPRequest, max_bytes: int,
+               limit_s: float) -> bytes:
     """Returns the body of a request.
 
     Raises:
@@ -270,14 +273,14 @@
     if length == 0:
         return b""
     body, problem = b"", None
-    with watchdog.limit(request.conn.socket, limit_s) as limit:
+    with request.conn.rfile.limit(limit_s):
         try:
             if (length or 0) <= max_bytes:
                 body = request.rfile.read(max_bytes + 1)
+        except TimeoutError:
+            problem = f"incomplete after {limit_s} s"
         except (ValueError, cheroot_errors.MaxSizeExceeded, OSError) as error:
             problem = str(error)
-    if limit.is_expired:
-        problem = f"incomplete after {limit_s} s"
     if (length or 0) > max_bytes or len(body) > max_bytes:
         # The rest of the body is not read, so the connection cannot be reused.
         request.close_connection = True
--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -19,6 +19,7 @@
 from persimmonspan import errors
 from persimmonspan.connection import deadlines
 from persimmonspan.connection import idle_connections
+from persimmonspan.connection import timed_input
 from persimmonspan.connection import unread_body
 from persimmonspan.process import access
 from persimmonspan.process import admin
@@ -173,6 +174,11 @@
     class _Connection(server.HTTPConnection):
         RequestHandlerClass = _Request
 
+        def __init__(self, http_server: server.HTTPServer, sock: socket.socket,
+                     makefile: typing.Any) -> None:
+            del makefile
+            super().__init__(http_server, sock, timed_input.make_file)
+
     class _Server(idle_connections.Server):
         ConnectionClass = _Connection
 
@@ -180,7 +186,7 @@
 
         def respond(self) -> None:
             """Serves one request."""
-            _respond(self.req, application, options, watchdog)
+            _respond(self.req, application, options)
 
     threads = options.max_streams + _SPARE_THREADS
     http_server = _Server(address, _Gateway, application.metrics.count,
@@ -197,7 +203,7 @@
 
 
 def _respond(request: server.HTTPRequest, application: Application,
-             options: Options, watchdog: deadlines.Watchdog) -> None:
+             options: Options) -> None:
     caller_id = _header(request, "X-Request-Id") or uuid.uuid4().hex
     is_valid_id = _REQUEST_ID_PATTERN.fullmatch(caller_id) is not None
     if not is_valid_id:
@@ -212,7 +218,7 @@
             _respond_health(path, application, responder)
             return
         if path.startswith(admin.PREFIX):
-            body = _read_body(request, application, options, watchdog)
+            body = _read_body(request, application, options)
             _respond_admin(request, path, body, application, responder)
             return
         if not is_valid_id:
@@ -222,7 +228,7 @@
                 "'-'")
         context = application.begin_request()
         try:
-            body = _read_body(request, application, options, watchdog)
+            body = _read_body(request, application, options)
             call = _parse_call(request, request_id, path, body,
                                context.configuration)
             handler.serve(call, context, responder)
@@ -235,7 +241,7 @@
                          "code": error.code,
                          "run_state": error.run_state
                      })
-        is_body_read = unread_body.discard(request, watchdog)
+        is_body_read = unread_body.discard(request)
         request.close_connection |= not is_body_read
         _respond_error(error, responder, request_id)
         if not is_body_read:
@@ -251,18 +257,17 @@
 
 
 def _read_body(request: server.HTTPRequest, application: Application,
-               options: Options, watchdog: deadlines.Watchdog) -> bytes:
+               options: Options) -> bytes:
     expected = (None if request.chunked_read else int(
         request.inheaders.get(b"Content-Length", 0)))
     is_too_large = (expected or 0) > options.max_body_bytes
-    body = b""
-    with watchdog.limit(request.conn.socket,
-                        options.request_read_timeout_s) as limit:
+    body, is_late = b"", False
+    with request.conn.rfile.limit(options.request_read_timeout_s):
         try:
             if not is_too_large:
                 body = request.rfile.read(options.max_body_bytes + 1)
         except TimeoutError:
-            limit.is_expired = True
+            is_late = True
         except (ValueError, cheroot_errors.MaxSizeExceeded, OSError):
             expected = len(body) + 1  # The body is incomplete.
     if is_too_large or len(body) > options.max_body_bytes:
@@ -271,9 +276,9 @@
         raise errors.RefusalError(
             errors.Code.BODY_TOO_LARGE,
             f"the body has more than {options.max_body_bytes} bytes")
-    if limit.is_expired:
+    if is_late:
         application.metrics.count("caller_slow_body")
-    if limit.is_expired or (expected is not None and len(body) != expected):
+    if is_late or (expected is not None and len(body) != expected):
         request.close_connection = True
         raise errors.RefusalError(
             errors.Code.BAD_REQUEST,
--- a/persimmonspan/connection/unread_body.py
+++ b/persimmonspan/connection/unread_body.py
@@ -16,8 +16,6 @@
 from cheroot import errors as cheroot_errors
 from cheroot import server
 
-from persimmonspan.connection import deadlines
-
 _MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 _DISCARD_TIMEOUT_S = 0.25
 # Time for the caller to read the response of a connection that is closed.
@@ -25,7 +23,7 @@
 _READ_BYTES = 64 * 1024
 
 
-def discard(request: server.HTTPRequest, watchdog: deadlines.Watchdog) -> bool:
+def discard(request: server.HTTPRequest) -> bool:
     """Discards the rest of the body of a request.
 
     Returns:
@@ -39,7 +37,7 @@
     if remaining > _MAX_DISCARDED_BYTES:
         return False
     rest = _MAX_DISCARDED_BYTES
-    with watchdog.limit(request.conn.socket, _DISCARD_TIMEOUT_S) as limit:
+    with request.conn.rfile.limit(_DISCARD_TIMEOUT_S):
         try:
             while rest > 0:
                 data = body.read(min(rest, _READ_BYTES))
@@ -50,7 +48,7 @@
             # The body is malformed, or the caller left or stopped.
             return False
     is_complete = request.chunked_read or not body.remaining
-    return rest > 0 and is_complete and not limit.is_expired
+    return rest > 0 and is_complete
 
 
 def linger(sock: socket.socket) -> None:
