--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -427,7 +427,7 @@
                 self._named_rates.record_peer_answers,
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
-                follower.apply_departures)
+                follower.apply_stale_entries)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -36,11 +36,11 @@
 import immutables
 import msgspec
 
-from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import load_totals
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 
@@ -105,7 +105,7 @@
     wants_configuration: bool = False
     configuration: bytes = b""  # Of `version`, if the receiver wanted it.
     # What a reader that has just started does not know.
-    departed: departures.Departures | None = None
+    stale: stale_entries.StaleEntries | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -18,10 +18,10 @@
 
 from persimmonspan import errors
 from persimmonspan.process import clock
-from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
+from persimmonspan.process import stale_entries
 from persimmonspan.process import store_eras
 from persimmonspan.process import threads
 from persimmonspan.version import routes
@@ -169,14 +169,14 @@
                 state, rows, clock.now_s(), era, known_since_s)
             self._receiver.apply_directory(self._directory, change)
             if registrations is not None:
-                self.peers.record_departures(
-                    departures.select(self._directory, self._generator))
+                self.peers.record_stale_entries(
+                    stale_entries.select(self._directory, self._generator))
 
-    def apply_departures(self, departed: departures.Departures) -> None:
+    def apply_stale_entries(self, stale: stale_entries.StaleEntries) -> None:
         """Applies what a peer knows of targets that left before the start."""
         with self._directory_lock:
-            self._directory, change = departures.apply(self._directory,
-                                                       departed, clock.now_s())
+            self._directory, change = stale_entries.apply(
+                self._directory, stale, clock.now_s())
             if any(change):
                 self._receiver.apply_directory(self._directory, change)
 
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,7 +22,6 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
-from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import load_totals
@@ -30,6 +29,7 @@
 from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import rate_limits
@@ -68,7 +68,7 @@
             with the time since which the reader has known targets.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
-        apply_departures: Called with what a peer knows of targets that left
+        apply_stale_entries: Called with what a peer knows of targets that left
             before this daemon started.
     """
 
@@ -83,15 +83,15 @@
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
         limits: read_schedule.Limits = read_schedule.Limits(),
-        apply_departures: collections.abc.Callable[[departures.Departures],
-                                                   None] = lambda departed: None
+        apply_stale_entries: collections.abc.Callable[
+            [stale_entries.StaleEntries], None] = lambda stale: None
     ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
         self._record_rates = record_rates
-        self._apply_departures = apply_departures
+        self._apply_stale_entries = apply_stale_entries
         self._limits = limits
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
@@ -106,7 +106,7 @@
         # Id of the registered targets in force.
         self._entries_id = 0
         self._known_since_s = math.inf
-        self._departures: departures.Selection | None = None
+        self._stale_entries: stale_entries.Selection | None = None
         # Starts at random: after a restart, a hub may still count a digest of
         # the process before.
         self._number = random.getrandbits(_NUMBER_BITS)
@@ -205,9 +205,10 @@
         self._known_since_s = min(self._known_since_s, clock.now_s())
         self._entries_id = edge_peers.identify_entries(entries)
 
-    def record_departures(self, selection: departures.Selection | None) -> None:
+    def record_stale_entries(self,
+                             selection: stale_entries.Selection | None) -> None:
         """Records what the reader does not know, for the next digests to it."""
-        self._departures = selection
+        self._stale_entries = selection
 
     def record_era(self, era: int) -> None:
         """Records the present era of the store."""
@@ -307,8 +308,8 @@
             self._apply_store_snapshot(None, digest.version,
                                        _decompress(digest.configuration), 0,
                                        -math.inf)
-        if digest.departed is not None:
-            self._apply_departures(digest.departed)
+        if digest.stale is not None:
+            self._apply_stale_entries(digest.stale)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
@@ -337,13 +338,13 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         requests = self._take_requests(receivers, now_s)
-        departed = departures.encode(self._departures, now_s)
+        stale = stale_entries.encode(self._stale_entries, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
              ], [answer[:2] for answer in rates
-                ], requests, departed and departed.entries), is_hub, now_s):
+                ], requests, stale and stale.entries), is_hub, now_s):
             return {}
         totals = b""
         if is_hub:
@@ -364,8 +365,8 @@
                                    entries_id=self._entries_id,
                                    reports=reports,
                                    rates=rates,
-                                   departed=departed)
-        if (not is_hub and snapshot is None and departed is None and
+                                   stale=stale)
+        if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
@@ -390,9 +391,8 @@
                             wants_configuration=name == requests.source,
                             configuration=self._own_read.configuration
                             if name in requests.wanted_by else b"",
-                            departed=digest.departed
-                            if name == reader else None), name in outdated, name
-                        in without_entries,
+                            stale=digest.stale if name == reader else None),
+                        name in outdated, name in without_entries,
                         edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
--- a/persimmonspan/process/departures.py
+++ b/persimmonspan/process/stale_entries.py
@@ -1,4 +1,4 @@
-"""Tells a reader that has just started which targets of a copy have left.
+"""Tells a reader that has just started which entries of a copy are stale.
 
 The store may come back from a copy that shows targets as ready which have left.
 Daemons that knew them do not believe these entries. A reader that started since
@@ -20,7 +20,7 @@
 _MAX_ENTRIES = 16
 
 
-class Departures(msgspec.Struct, array_like=True):
+class StaleEntries(msgspec.Struct, array_like=True):
     """Entries as a daemon knows them, in place of those of the copy.
 
     `returned_age_s` is the time since it saw the store come back, in `era`.
@@ -73,15 +73,15 @@
         tuple(generator.sample(entries, min(len(entries), _MAX_ENTRIES))))
 
 
-def encode(selection: Selection | None, now_s: float) -> Departures | None:
+def encode(selection: Selection | None, now_s: float) -> StaleEntries | None:
     """Returns a selection for a digest, or None if it holds no longer."""
     if selection is None or now_s >= selection.valid_until_s:
         return None
-    return Departures(selection.era, now_s - selection.returned_s,
-                      selection.entries)
+    return StaleEntries(selection.era, now_s - selection.returned_s,
+                        selection.entries)
 
 
-def apply(state: directory.State, departures: Departures,
+def apply(state: directory.State, stale: StaleEntries,
           now_s: float) -> tuple[directory.State, directory.Change]:
     """Applies what a peer knows of entries of the copy.
 
@@ -91,17 +91,17 @@
     rows = {row.name: row for row in directory.last_rows(state)}
     added = {
         entry.name: _to_gone(entry, rows[entry.name], state, now_s)
-        for entry in departures.entries
+        for entry in stale.entries
         if entry.name in rows and _is_new(entry, state)
     }
-    if departures.era != state.era or not added:
+    if stale.era != state.era or not added:
         return state, directory.Change()
     targets = {entry.name: entry for entry in directory.all_targets(state)}
     # What is removed from both is judged anew from its row.
     present, lapsed = (immutables.Map({
         name: entry for name, entry in entries.items() if name not in added
     }) for entries in (state.present, state.lapsed))
-    returned_s = max(state.returned_s, now_s - departures.returned_age_s)
+    returned_s = max(state.returned_s, now_s - stale.returned_age_s)
     state, change = directory.apply_last_rows(
         state._replace(present=present,
                        lapsed=lapsed,
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -79,7 +79,7 @@
         """Returns a few daemons."""
         return tuple(f"edge-{number}" for number in range(8))
 
-    def record_departures(self, selection):
+    def record_stale_entries(self, selection):
         """Ignores what other daemons do not know."""
 
     def record_era(self, era):
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -8,12 +8,12 @@
 import time
 
 from persimmonspan.process import clock
-from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import peering
 from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from testbed import edge_world
 
@@ -310,20 +310,20 @@
     assert before_s <= daemons[1].known_since_s <= after_s + _INTERVAL_S
 
 
-def test_reader_that_has_just_started_is_told_of_departures():
+def test_reader_that_has_just_started_is_told_which_entries_are_stale():
     told = []
     daemons = [_Daemon(0), _Daemon(1), _Daemon(2)]
     for daemon in daemons:
-        daemon.peering._apply_departures = (  # pylint: disable=protected-access
-            lambda departed, name=daemon.name: told.append((name, departed)))
+        daemon.peering._apply_stale_entries = (  # pylint: disable=protected-access
+            lambda stale, name=daemon.name: told.append((name, stale)))
     rows = _Rows(daemons)
     with contextlib.ExitStack() as stack:
         for daemon in daemons:
             stack.enter_context(daemon.peering.running())
             daemon.peering.exchange_addresses(rows, False)
-        daemons[1].peering.record_departures(
-            departures.Selection(2, clock.now_s(),
-                                 clock.now_s() + 6.0, (_entry(3, True),)))
+        daemons[1].peering.record_stale_entries(
+            stale_entries.Selection(2, clock.now_s(),
+                                    clock.now_s() + 6.0, (_entry(3, True),)))
         _read_until(daemons, [_entry(0)], lambda: told)
     assert {name for name, _ in told} == {"d00"}
     assert told[0][1].entries == (_entry(3, True),)
--- a/persimmonspan/process/tests/test_departures.py
+++ b/persimmonspan/process/tests/test_stale_entries.py
@@ -2,8 +2,8 @@
 
 import random
 
-from persimmonspan.process import departures
 from persimmonspan.process import directory
+from persimmonspan.process import stale_entries
 
 _READY = directory.Registration("i-1",
                                 "s",
@@ -21,8 +21,8 @@
     for now_s, rows in enumerate(read):
         state, _ = directory.apply_rows(state, rows, now_s, 1)
     state, _ = directory.apply_snapshot(state, copy, 5.0, 2)
-    selection = departures.select(state, random.Random(1))
-    return departures.encode(selection, 5.5)
+    selection = stale_entries.select(state, random.Random(1))
+    return stale_entries.encode(selection, 5.5)
 
 
 def _start(*rows):
@@ -32,15 +32,16 @@
 
 def test_leaving_target_of_the_copy_gets_no_new_work():
     told = _tell([_READY], [_LEAVING])
-    assert told == departures.Departures(2, 0.5, (_LEAVING,))
-    state, change = departures.apply(_start(_READY), told, 5.6)
+    assert told == stale_entries.StaleEntries(2, 0.5, (_LEAVING,))
+    state, change = stale_entries.apply(_start(_READY), told, 5.6)
     assert change.leaving == (_LEAVING,)
     assert not directory.usable_targets(state)
-    assert departures.apply(state, told, 5.7)[1].is_empty
+    assert stale_entries.apply(state, told, 5.7)[1].is_empty
 
 
 def test_removed_target_of_the_copy_waits_for_its_renewal():
-    state, change = departures.apply(_start(_READY), _tell([_READY], []), 5.6)
+    state, change = stale_entries.apply(_start(_READY), _tell([_READY], []),
+                                        5.6)
     assert change.gone == (_READY,) and not directory.all_targets(state)
     state, change = directory.apply_rows(state, [_READY], 10.9, 2)
     assert change.is_empty and not directory.all_targets(state)
@@ -50,7 +51,7 @@
 
 def test_older_incarnation_of_the_copy_is_not_used():
     told = _tell([_READY], [_NEWER])
-    state, change = departures.apply(_start(_READY), told, 5.6)
+    state, change = stale_entries.apply(_start(_READY), told, 5.6)
     assert change.gone == (_READY,) and not directory.all_targets(state)
     state, change = directory.apply_rows(state, [_NEWER], 5.8, 2)
     assert change.joined == (_NEWER,)
@@ -58,7 +59,7 @@
 
 def test_target_that_has_registered_again_is_not_taken_away():
     told = _tell([_READY], [])
-    state, change = departures.apply(_start(_NEWER), told, 5.6)
+    state, change = stale_entries.apply(_start(_NEWER), told, 5.6)
     assert change.is_empty and directory.usable_targets(state) == (_NEWER,)
 
 
@@ -67,28 +68,28 @@
     state, _ = directory.apply_rows(state, [_NEWER], 1.0, 1)
     state, _ = directory.apply_rows(state, [], 2.0, 1)
     state, _ = directory.apply_snapshot(state, [_READY], 62.1, 2)
-    assert state.doubted and not departures.select(state, random.Random(1))
+    assert state.doubted and not stale_entries.select(state, random.Random(1))
 
 
 def test_peer_takes_away_no_target_that_was_known_before_the_return():
     state, _ = directory.apply_rows(directory.State(), [_READY], 0.0, 1)
     state, _ = directory.apply_rows(state, [_READY], 5.4, 2)
-    state, change = departures.apply(state, _tell([_READY], []), 5.6)
+    state, change = stale_entries.apply(state, _tell([_READY], []), 5.6)
     assert change.is_empty and directory.usable_targets(state) == (_READY,)
 
 
 def test_what_holds_in_another_era_changes_nothing():
-    told = departures.Departures(3, 0.5, (_LEAVING,))
+    told = stale_entries.StaleEntries(3, 0.5, (_LEAVING,))
     state = _start(_READY)
-    assert departures.apply(state, told, 5.6) == (state, directory.Change())
+    assert stale_entries.apply(state, told, 5.6) == (state, directory.Change())
 
 
 def test_nothing_is_told_once_lost_entries_are_removed():
     state, _ = directory.apply_rows(directory.State(), [_LEAVING], 0.0, 1)
     state, _ = directory.apply_snapshot(state, [_READY], 5.0, 2)
-    selection = departures.select(state, random.Random(1))
-    assert departures.encode(selection, 10.9) is not None
-    assert departures.encode(selection, 11.0) is None
+    selection = stale_entries.select(state, random.Random(1))
+    assert stale_entries.encode(selection, 10.9) is not None
+    assert stale_entries.encode(selection, 11.0) is None
 
 
 def test_all_departures_are_told_while_the_reader_believes_them():
@@ -103,10 +104,9 @@
         knowing, _ = directory.apply_snapshot(knowing,
                                               directory.all_targets(reader),
                                               now_s, 2)
-        selection = departures.select(knowing, generator)
+        selection = stale_entries.select(knowing, generator)
         if selection is not None:
             assert len(selection.entries) <= 16
-            reader, _ = departures.apply(reader,
-                                         departures.encode(selection, now_s),
-                                         now_s)
+            reader, _ = stale_entries.apply(
+                reader, stale_entries.encode(selection, now_s), now_s)
     assert not directory.all_targets(reader)
