--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -36,6 +36,7 @@
 import immutables
 import msgspec
 
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import load_totals
 from persimmonspan.process import load_view
@@ -101,6 +102,8 @@
     # Whether the receiver is to send its configuration, as it is newer.
     wants_configuration: bool = False
     configuration: bytes = b""  # Of `version`, if the receiver wanted it.
+    # Targets that leave according to their answers.
+    leaving: tuple[departures.Departure, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
