Send no new work to targets that say in an answer that they leave

What callers saw: requests went to a target that says `Server-Leaving: 1` in all its answers, for as long as the store showed it as ready: in an outage without end, and again after the store came back from a copy. Streams there were not copied.

Cause: no line read the header.

Change: the head of any answer that is accepted for its request reports the target with the incarnation to which the attempt was sent; so do the answers to the copy of a stream, to its drop and to a question about the state. One value of 1 among the values suffices. An answer to another request, a rejected head, a 421 and a head that is not complete say nothing; an answer that breaks off after its head counts. The engines that are asked in an outage and the entries of the store mark targets in the same place, so that one line with the source tells each begin and end.

--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -9,6 +9,9 @@
 from persimmonspan.connection import exchange
 from persimmonspan.request import forwarded
 
+# Says in the answers of a replica that it leaves.
+LEAVING_HEADER = b"server-leaving"
+
 _MS_PER_S = 1000.0
 # Apply to a single connection (RFC 9110, section 7.6.1), so never forwarded.
 _HOP_BY_HOP_HEADERS = frozenset({
@@ -95,7 +98,8 @@
         is_encoded=head.get(b"content-encoding") is not None,
         load=_parse_load(head.get(b"x-instance-load")),
         max_requests_per_s=_parse_rate(head.get(b"server-limit")),
-        media_type=_parse_media_type(head.get(b"content-type")))
+        media_type=_parse_media_type(head.get(b"content-type")),
+        is_leaving=says_leaving(head))
 
 
 class _MoveResult(msgspec.Struct):
@@ -165,6 +169,19 @@
     return report.state == _DRAINING or report.leaves_ms is not None
 
 
+def says_leaving(head: exchange.RawResponseHead) -> bool:
+    """Returns whether the head of an answer says that its replica leaves.
+
+    One value of 1 suffices, alone or among others. The replica that refuses a
+    request for another one speaks of itself.
+    """
+    if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return False
+    return any(part.strip() == b"1"
+               for value in head.get_all(LEAVING_HEADER)
+               for part in value.split(b","))
+
+
 def copy_location(address: str, name: str) -> str:
     """Returns the location of a run's copy.
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -27,6 +27,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import clock
 from persimmonspan.process import death_probe
+from persimmonspan.process import departure_tracker
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
@@ -104,6 +105,8 @@
             notify_peers=self._notify_peers)
         self._death_probe = death_probe.DeathProbe(self.scheduler.tell)
         self._named_rates = named_rates.NamedRates(self.scheduler.tell)
+        self._departures = departure_tracker.DepartureTracker(
+            self.scheduler.tell, self.metrics.count)
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
@@ -164,12 +167,11 @@
             routes.pick_service(route, self._rng), workspace, arrived_s,
             forwarded.compute_end_s(call, route, arrived_s))
         self._refuse_while_stopping(routed_call)
-        context = forwarding.Context(configuration, self._find_target,
-                                     self._record_moved_target,
-                                     self._death_probe.check,
-                                     self._named_rates.record, self.scheduler,
-                                     self.metrics, self._relay, self.wire,
-                                     self._response_budget)
+        context = forwarding.Context(
+            configuration, self._find_target, self._record_moved_target,
+            self._death_probe.check, self._named_rates.record, self.scheduler,
+            self.metrics, self._relay, self.wire, self._response_budget,
+            self._departures.record_answer)
         return forwarding.serve(routed_call, context, responder)
 
     def _await_confirmation(self) -> bool:
@@ -290,6 +292,8 @@
                         change: directory.Change) -> None:
         """Logs changes of the registered targets and applies them."""
         is_first = self._registrations is None
+        if is_first or not change.is_empty:
+            self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
         for entry in change.doubted:
             self.metrics.count("target_entry_doubted")
@@ -300,7 +304,8 @@
                                 "is_leaving": entry.is_leaving,
                                 "era": state.era
                             })
-        for name, entries in change._replace(doubted=())._asdict().items():
+        for name, entries in change._replace(doubted=(),
+                                             leaving=())._asdict().items():
             for entry in entries:
                 _logger.info("target %s",
                              name,
@@ -309,12 +314,12 @@
                                  "service": entry.service,
                                  "address": entry.address
                              })
-        for entry in (*change.leaving, *change.gone):
+        for entry in change.gone:
             self.scheduler.tell(events.TargetLeaving(entry.name))
         for entry in (*change.restarted, *change.joined):
             self._moved_targets.discard(entry.name)
         for entry in (*change.restarted, *change.joined):
-            if not entry.is_leaving:
+            if not self._departures.is_leaving(entry):
                 # The notice of its former process or entry holds no longer.
                 self.scheduler.tell(events.TargetReturned(entry.name))
         if is_first or not change.is_empty:
@@ -335,8 +340,8 @@
         targets = tuple(
             _to_target(entry, configuration.services[entry.service])
             for entry in registrations
-            if entry.service in configuration.services and
-            entry.name not in self._moved_targets)
+            if entry.service in configuration.services and entry.name not in
+            self._moved_targets and not self._departures.is_leaving(entry))
         # Removed targets stay: a dispatch to one may still be under way.
         self._targets = {
             **self._targets,
@@ -426,12 +431,14 @@
                 follower.apply_store_snapshot,
                 self._named_rates.record_peer_answers,
                 read_schedule.Limits(self._options.drain_s,
-                                     self._options.configuration_apply_s))
+                                     self._options.configuration_apply_s),
+                self._departures)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
-                read_schedule.Limits(self._options.drain_s).max_targets_age_s)
+                read_schedule.Limits(self._options.drain_s).max_targets_age_s,
+                self._departures)
             stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
@@ -482,7 +489,8 @@
     return events.Target(
         entry.name, entry.service, entry.address, entry.failure_domain,
         engine.kv_capacity_tokens if engine is not None else 0,
-        engine.max_running if engine is not None else entry.max_running)
+        engine.max_running if engine is not None else entry.max_running,
+        entry.incarnation)
 
 
 # Requests of routes with a shorter timeout count as short work.
--- a/persimmonspan/process/notice_poller.py
+++ b/persimmonspan/process/notice_poller.py
@@ -36,27 +36,40 @@
         """Returns when the targets were last current, on `clock`."""
 
 
+class Departures(typing.Protocol):
+    """Receives the targets that say that they leave."""
+
+    def record_answer(self, target: events.Target) -> None:
+        """Records that the head of an answer says so."""
+
+    def record_notice(self, target: events.Target) -> None:
+        """Records that a report says so."""
+
+
 class NoticePoller:
     """Asks the engines with own streams, and reports those that leave.
 
     Args:
-        scheduler_ref: Says which engines run streams; receives the notices.
+        scheduler_ref: Says which engines run streams.
         find_target: Returns the target of a name, or None.
         wire: The formats of the platform.
         peers: Tells how old the targets are.
         max_age_s: Age of the targets from which engines are asked.
+        departures: Receives the engines that say that they leave.
     """
 
     def __init__(self,
                  scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
                  find_target: collections.abc.Callable[[str],
                                                        events.Target | None],
-                 wire: forwarded.Wire, peers: Peers, max_age_s: float) -> None:
+                 wire: forwarded.Wire, peers: Peers, max_age_s: float,
+                 departures: Departures) -> None:
         self._scheduler = scheduler_ref
         self._find_target = find_target
         self._wire = wire
         self._peers = peers
         self._max_age_s = max_age_s
+        self._departures = departures
 
     def poll(self) -> None:
         """Asks all engines with own streams once, if the targets are old."""
@@ -66,19 +79,14 @@
         for name in self._scheduler.ask(
                 scheduler_actor.Evaluate(_engines_with_streams)):
             target = self._find_target(name)
-            if target is not None and self._is_leaving(target):
-                _logger.info("engine leaves while the store is silent",
-                             extra={
-                                 "target": name,
-                                 "age_s": round(age_s, 2)
-                             })
-                self._scheduler.tell(events.TargetLeaving(name))
-
-    def _is_leaving(self, target: events.Target) -> bool:
+            if target is not None:
+                self._ask(target)
+
+    def _ask(self, target: events.Target) -> None:
         try:
-            return self._wire.decode_leaving(
-                *exchange.call(target.address, self._wire.encode_report_query(),
-                               _RESPONSE_TIMEOUT_S))
+            head, body = exchange.call(target.address,
+                                       self._wire.encode_report_query(),
+                                       _RESPONSE_TIMEOUT_S)
         except errors.TargetError as error:
             # Its streams tell themselves if the engine is gone.
             _logger.info("engine did not answer whether it leaves",
@@ -86,7 +94,11 @@
                              "target": target.name,
                              "reason": str(error)
                          })
-            return False
+            return
+        if self._wire.says_leaving(head):
+            self._departures.record_answer(target)
+        elif self._wire.decode_leaving(head, body):
+            self._departures.record_notice(target)
 
 
 def _engines_with_streams(state: scheduler.State,
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -21,6 +21,7 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import load_totals
@@ -52,6 +53,17 @@
                            ...], tuple[rate_limits.Answer, ...]]
 
 
+class Tracker(typing.Protocol):
+    """Keeps the targets that leave according to their answers."""
+
+    def record_peer_departures(
+            self, told: collections.abc.Iterable[departures.Departure]) -> None:
+        """Records what a peer tells."""
+
+    def select(self, turn: int) -> tuple[departures.Departure, ...]:
+        """Returns what the digest of a number tells."""
+
+
 class Peering:
     """Sends digests to the other daemons and merges theirs.
 
@@ -65,25 +77,28 @@
             daemon reported an older version, and with the era of the store.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
+        tracker: Keeps the targets that leave according to their answers.
     """
 
     def __init__(
-        self,
-        name: str,
-        address: str,
-        scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-        apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes, int], None],
-        record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
-                                               None],
-        limits: read_schedule.Limits = read_schedule.Limits()
-    ) -> None:
+            self,
+            name: str,
+            address: str,
+            scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+            apply_store_snapshot: collections.abc.Callable[
+                [tuple[directory.Registration, ...] | None, int, bytes, int],
+                None],
+            record_rates: collections.abc.Callable[
+                [tuple[rate_limits.Answer, ...]], None],
+            limits: read_schedule.Limits = read_schedule.Limits(),
+            tracker: Tracker | None = None) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
         self._record_rates = record_rates
         self._limits = limits
+        self._tracker = tracker
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
                                        name=name)
@@ -276,6 +291,8 @@
         for report in reports:
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
+        if self._tracker is not None and digest.leaving:
+            self._tracker.record_peer_departures(digest.leaving)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         if digest.wants_configuration and digest.version < self._own_version:
             with self._lock:
@@ -316,11 +333,14 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         requests = self._take_requests(receivers, now_s)
+        departing = (self._tracker.select(self._number)
+                     if self._tracker is not None else ())
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates], requests), is_hub, now_s):
+             ], [answer[:2] for answer in rates
+                ], requests, [item[:2] for item in departing]), is_hub, now_s):
             return {}
         digest = edge_peers.Digest(self._name,
                                    self._address,
@@ -333,7 +353,8 @@
                                    number=self._remember_part(loads, demands),
                                    entries_id=self._entries_id,
                                    reports=reports,
-                                   rates=rates)
+                                   rates=rates,
+                                   leaving=departing)
         if is_hub:
             totals = edge_peers.sum_loads(state, loads, demands, now_s)
             digest = msgspec.structs.replace(digest,
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -9,6 +9,7 @@
     `persimmonspan.request.evacuation`: decides which target receives a copy.
 """
 
+import collections.abc
 import logging
 import typing
 
@@ -39,6 +40,10 @@
     def wire(self) -> forwarded.Wire:
         """The formats of the platform."""
 
+    @property
+    def report_leaving(self) -> collections.abc.Callable[[events.Target], None]:
+        """Called with a target that says that it leaves."""
+
 
 class Copies:
     """The copies of one stream at its current target."""
@@ -103,9 +108,10 @@
         if handle is None:
             return
         try:
-            exchange.call(source.address,
-                          self._context.wire.encode_drop(handle),
-                          _DROP_TIMEOUT_S)
+            head, _ = exchange.call(source.address,
+                                    self._context.wire.encode_drop(handle),
+                                    _DROP_TIMEOUT_S)
+            self._check_leaving(source, head)
         except errors.TargetError as error:
             _logger.info("failed to free the copy of a stream",
                          extra={"reason": str(error)})
@@ -115,8 +121,7 @@
         order = self._context.wire.encode_move(
             self._routed_call.call.request_id, target.address)
         try:
-            move = self._context.wire.decode_move(
-                *exchange.call(source.address, order, _COPY_TIMEOUT_S))
+            head, body = exchange.call(source.address, order, _COPY_TIMEOUT_S)
         except errors.TargetError as error:
             _logger.warning("move failed",
                             extra={
@@ -125,6 +130,8 @@
                                 "reason": str(error)
                             })
             return None
+        self._check_leaving(source, head)
+        move = self._context.wire.decode_move(head, body)
         _logger.info("move",
                      extra={
                          "target": source.name,
@@ -132,3 +139,8 @@
                          "status": move.status
                      })
         return move
+
+    def _check_leaving(self, source: events.Target,
+                       head: exchange.RawResponseHead) -> None:
+        if self._context.wire.says_leaving(head):
+            self._context.report_leaving(source)
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -41,6 +41,7 @@
     failure_domain: str
     kv_capacity_tokens: int = 0  # Zero for plain services.
     max_running: int = 64
+    incarnation: int = 0  # Zero if it is not known.
 
 
 class KindPolicy(typing.NamedTuple):
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -75,6 +75,7 @@
     load: Load | None
     max_requests_per_s: float | None = None  # From all daemons together.
     media_type: str | None = None  # In lower case, without parameters.
+    is_leaving: bool = False  # Whether the target says that it leaves.
 
 
 class MoveResponse(typing.NamedTuple):
@@ -128,6 +129,9 @@
                        body: bytes) -> bool:
         """Decodes from the response to this call whether a target leaves."""
 
+    def says_leaving(self, head: exchange.RawResponseHead) -> bool:
+        """Returns whether the head of an answer says that its target leaves."""
+
     def copy_location(self, address: str, name: str) -> str:
         """Returns the location of a copy, named by request id or by handle."""
 
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -64,6 +64,7 @@
     relay: relay.Relay
     wire: forwarded.Wire
     response_budget: response_body.Budget
+    report_leaving: collections.abc.Callable[[events.Target], None]
 
 
 def serve(routed_call: forwarded.RoutedCall, context: Context,
@@ -412,6 +413,9 @@
                     self._context.report_rate,
                     events.RateNamed(self._target.name,
                                      self._head.max_requests_per_s))
+                if self._head.is_leaving:
+                    self._context.relay.call_soon(self._context.report_leaving,
+                                                  self._target)
             if self._is_streaming():
                 if body:
                     output, count = self._encode_events(body, now_s)
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -150,7 +150,7 @@
         self.register_replica(name, service, added.address)
         return added
 
-    def register_replica(self, name, service, address, state="ready"):
+    def register_replica(self, name, service, address, state="ready", born=1):
         """Writes the store row of a replica."""
         self.rows.write(
             "servers", name, {
@@ -159,7 +159,7 @@
                 "zone": "a",
                 "slots": 6,
                 "state": state,
-                "born": 1
+                "born": born
             })
 
     @contextlib.contextmanager
--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -75,6 +75,7 @@
 
 
 STREAM_END = b"0\r\n\r\n"
+_LEAVING_LINE = b"\r\nServer-Leaving: 1\r\n"
 
 
 class Replica:
@@ -84,6 +85,7 @@
         self.requests: list[Request] = []
         self.script = script
         self.is_stopped = False
+        self.is_leaving = False  # Said in all answers.
         self.greeting = b""  # Sent before the first request is read.
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
@@ -126,6 +128,8 @@
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                           _LINGER_RESET)
                     return
+                if self.is_leaving and part.startswith(b"HTTP/"):
+                    part = part.replace(b"\r\n", _LEAVING_LINE, 1)
                 connection.sendall(part)
 
 
