Copy streams that begin after their target was taken from the list

What callers saw: a draft whose first token came after its engine had announced that it leaves was cut when the engine ended, without a copy to go on from.

Cause: at the next list of targets, which leaves out those that leave, the scheduler forgot that they leave. It copies a stream at the notice or at its first token, but only from targets that it knows to leave.

Evidence: test_draft_that_begins_after_its_engine_left_the_list_is_moved fails on the code before: no copy is ordered at the first token.

Change: the list names the targets that leave too.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -363,7 +363,8 @@
                         item.name
                         for item in configuration.workspaces_by_key.values()
                     })), self._options.name,
-                edge_peers.interval_s(edge_peers.State())))
+                edge_peers.interval_s(edge_peers.State()),
+                self._departures.leaving_targets()))
 
     def reload(self, options: edge_settings.EdgeSettings) -> None:
         """Applies changed settings, except those that need a restart."""
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -182,6 +182,8 @@
     workspaces: tuple[WorkspaceShare, ...]
     daemon: str = ""  # This daemon; selects its subset of targets.
     digest_interval_s: float = 1.0  # Between two digests of a peer.
+    # Targets that leave; they are not listed, but may still run requests.
+    leaving: frozenset[str] = frozenset()
 
 
 class TargetLeaving(typing.NamedTuple):
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -283,7 +283,8 @@
         {item.name: item.share for item in event.workspaces})
     return state._replace(
         view=view,
-        leaving=state.leaving & {item.name for item in event.targets},
+        leaving=(state.leaving & {item.name for item in event.targets} |
+                 event.leaving),
         queue=state.queue._replace(shares=shares),
         health_state=health_state,
         kinds=immutables.Map({item.name: item for item in event.kinds
--- a/persimmonspan/request/tests/test_evacuation.py
+++ b/persimmonspan/request/tests/test_evacuation.py
@@ -25,10 +25,13 @@
         ]
         self.list(self.engines)
 
-    def list(self, engines):
+    def list(self, engines, leaving=frozenset()):
         """Lists engines."""
         kind = events.KindPolicy("draft", "drafts", 1.0, False, False, 39.0)
-        self.send(events.TargetsChanged(1, tuple(engines), (kind,), ()))
+        self.send(
+            events.TargetsChanged(1,
+                                  tuple(engines), (kind,), (),
+                                  leaving=leaving))
 
     def send(self, event, after_s=0.01):
         """Steps the scheduler; returns its commands except counts."""
@@ -42,6 +45,12 @@
 
     def start(self, request_id):
         """Runs a draft up to its first token; returns its dispatch."""
+        dispatch = self.send_draft(request_id)
+        self.send(events.FirstToken(request_id, dispatch.target))
+        return dispatch
+
+    def send_draft(self, request_id):
+        """Sends a draft to an engine; returns its dispatch."""
         dispatch, = self.send(
             events.Arrived(request_id,
                            "w",
@@ -55,7 +64,6 @@
                            idempotency_key=request_id,
                            max_attempts=1,
                            wants_backup=True))
-        self.send(events.FirstToken(request_id, dispatch.target))
         return dispatch
 
 
@@ -187,3 +195,15 @@
     harness = _SchedulerHarness(engines=2)
     backups = [harness.start(f"r{number}").backup for number in range(9)]
     assert backups[0] is not None and backups[-1] is None
+
+
+def test_draft_that_begins_after_its_engine_left_the_list_is_moved():
+    harness = _SchedulerHarness()
+    dispatch = harness.send_draft("r")
+    harness.send(events.TargetLeaving(dispatch.target))
+    harness.list(
+        [item for item in harness.engines if item.name != dispatch.target],
+        frozenset({dispatch.target}))
+    command, = harness.send(events.FirstToken("r", dispatch.target))
+    assert isinstance(command, events.Evacuate)
+    assert command.target != dispatch.target
