Keep that a target leaves for its streams when its entry is gone

What callers would see: a draft that gets its first token after the entry of its leaving engine was removed is cut without a copy.

Cause: the list of targets named only those that leave and are registered.

Evidence: test_target_that_left_and_whose_entry_is_gone_still_leaves fails without the change.

Change: all marks are named, also of targets without an entry.

--- a/persimmonspan/process/departure_tracker.py
+++ b/persimmonspan/process/departure_tracker.py
@@ -66,7 +66,7 @@
         return departures.is_leaving(self._state, entry)
 
     def leaving_targets(self) -> frozenset[str]:
-        """Returns the names of the registered targets that leave."""
+        """Returns the names of the targets that leave, registered or not."""
         return departures.leaving_targets(self._state)
 
     def select(self, turn: int) -> tuple[departures.Departure, ...]:
--- a/persimmonspan/process/departures.py
+++ b/persimmonspan/process/departures.py
@@ -190,9 +190,8 @@
 
 
 def leaving_targets(state: State) -> frozenset[str]:
-    """Returns the names of the registered targets that leave."""
-    return frozenset(
-        name for name, mark in state.marks.items() if mark.absent_s == math.inf)
+    """Returns the names of the targets that leave, registered or not."""
+    return frozenset(state.marks)
 
 
 def select(state: State, now_s: float, turn: int) -> tuple[Departure, ...]:
--- a/persimmonspan/process/tests/test_departures.py
+++ b/persimmonspan/process/tests/test_departures.py
@@ -95,6 +95,13 @@
     assert len(state.marks) <= 4096 and "i-4999" in state.marks
 
 
+def test_target_that_left_and_whose_entry_is_gone_still_leaves():
+    # Its streams that begin later are copied.
+    state, _ = departures.record(_registered(_ENTRY), _REPORT, 1.0)
+    state, _ = departures.apply_entries(state, (), 2.0)
+    assert departures.leaving_targets(state) == {"i-1"}
+
+
 def test_entries_that_leave_are_not_told_in_digests():
     state = _registered(_ENTRY._replace(is_leaving=True))
     assert departures.leaving_targets(state) == {"i-1"}
