Believe an entry without an incarnation that is ready again

What callers would see: a target whose entry names no incarnation, and which was shown as draining once, gets no requests until its entry is removed.

Cause: the directory believes such an entry as it is, but its mark ended only with another address.

Evidence: test_entry_without_an_incarnation_that_is_ready_again_is_used fails without the change.

Change: a mark that came from such an entry alone follows it. The oracle's check of digests fails instead of raising KeyError on a name that it does not expect.

--- a/persimmonspan/process/departures.py
+++ b/persimmonspan/process/departures.py
@@ -10,7 +10,8 @@
 comes from an older copy of it. A report about an incarnation before the present
 one is void. A report about a later incarnation than that of the entry holds for
 both, since the former has ended. Entries without an incarnation are told apart
-by their address, and their mark ends when they are gone.
+by their address, and their mark ends when they are gone; one that comes from
+such an entry alone follows it.
 
 The load: a failure domain of 2,300 targets that leave at once while the store
 is silent, at 195 daemons. A daemon tells the others for `_TELL_S`, in digests
@@ -165,27 +166,27 @@
         entries: All targets, with those whose entries have lapsed.
         now_s: Time.
     """
-    entries = tuple(entries)
-    present = immutables.Map(
-        {entry.name: (entry.incarnation, entry.address) for entry in entries})
+    by_name = {entry.name: entry for entry in entries}
     marks = {}
     changes: list[Change] = []
     for name, mark in state.marks.items():
-        entry = present.get(name)
-        is_ended = (not _covers(mark, *entry)
-                    if entry is not None else not mark.incarnation)
-        if is_ended:
+        entry = by_name.get(name)
+        if _is_ended(mark, entry):
             changes.append(_end(name, mark, now_s))
         elif entry is not None:
             marks[name] = mark._replace(absent_s=math.inf)
         else:
             marks[name] = mark._replace(absent_s=min(mark.absent_s, now_s))
-    for entry in entries:
+    for entry in by_name.values():
         if entry.is_leaving and entry.name not in marks:
             marks[entry.name] = Mark(entry.incarnation, entry.address,
                                      Source.STORE, now_s)
             changes.append(
                 Begun(entry.name, entry.incarnation, Source.STORE, 0.0))
+    present = immutables.Map({
+        name: (entry.incarnation, entry.address)
+        for name, entry in by_name.items()
+    })
     return _limit_absent(State(present, immutables.Map(marks)), now_s, changes)
 
 
@@ -220,6 +221,15 @@
     return address == mark.address
 
 
+def _is_ended(mark: Mark, entry: directory.Registration | None) -> bool:
+    """Returns whether the entry of a target, if any, ends its mark."""
+    if entry is None:
+        return not mark.incarnation
+    if mark.source is Source.STORE and not mark.incarnation:
+        return not entry.is_leaving
+    return not _covers(mark, entry.incarnation, entry.address)
+
+
 def _end(name: str, mark: Mark, now_s: float) -> Ended:
     return Ended(name, mark.incarnation, Source.STORE, now_s - mark.said_s)
 
--- a/persimmonspan/process/tests/test_departures.py
+++ b/persimmonspan/process/tests/test_departures.py
@@ -72,6 +72,13 @@
     assert not departures.is_leaving(state, _UNNUMBERED)
 
 
+def test_entry_without_an_incarnation_that_is_ready_again_is_used():
+    # The directory believes such entries as they are.
+    state = _registered(_UNNUMBERED._replace(is_leaving=True))
+    state, _ = departures.apply_entries(state, [_UNNUMBERED], 1.0)
+    assert not departures.is_leaving(state, _UNNUMBERED)
+
+
 def test_targets_of_a_leaving_failure_domain_are_all_told_and_then_forgotten():
     names = [f"i-{number}" for number in range(2300)]
     state = _registered(*(_ENTRY._replace(name=name) for name in names))
--- a/persimmonspan/process/tests/test_departures_machine.py
+++ b/persimmonspan/process/tests/test_departures_machine.py
@@ -112,7 +112,7 @@
                                   departures.Source.PEER, item.age_s),
                 self.now_s)
         for name, mark in other.marks.items():
-            assert mark.incarnation == self.left[name]
+            assert mark.incarnation == self.left.get(name)
 
 
 @pytest.mark.timeout(120)
