Send no new work to engines and services that say X-Leaving in an answer

What callers would see: a target of the own interface that leaves gets requests until the inventory, the list of VMs or its own refusal shows it, some of which it cuts.

Cause: the own interface had no way for a target to say so in its answers, and no line would have read it.

Evidence: with the report of the header left out, test_engine_that_says_in_its_answers_that_it_leaves_gets_no_requests fails: the engine gets more runs.

Change: a target that leaves repeats `X-Leaving` with its incarnation in all its answers. It is one more source of `leaving`, and counts only for the incarnation that reported its load last, so that a late answer does not mark the next one and a target without load reports is not lost for good. Peers are not told: the message has no incarnation, and each daemon reads the load of its targets itself. The lines and counters name the source. The stand-in engine says it after POST /v1/leave.

--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -29,9 +29,11 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.connection import leaving_header
 
 REQUEST_ID_HEADER = "X-Request-Id"
 
+_LEAVING_NAME = leaving_header.NAME.lower().encode()
 _REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
 _EVENT_PREFIX = b"data: "
 _EVENT_END = b"\n\n"
@@ -77,7 +79,10 @@
 
 
 class LoadDocument(typing.TypedDict):
-    """Load report of an engine."""
+    """Load report of an engine.
+
+    `leaving` is the incarnation that leaves according to the answer's head.
+    """
 
     kv_used_tokens: int
     kv_capacity_tokens: int
@@ -86,6 +91,7 @@
     preemptions: int
     measured_age_s: float
     incarnation: str
+    leaving: typing.NotRequired[str]
 
 
 class _RefusalDocument(typing.TypedDict):
@@ -164,6 +170,8 @@
     def __init__(self, address: str, request_id: str,
                  generation_id: str) -> None:
         self.failure: errors.TargetError | None = None
+        # The incarnation that leaves according to the head.
+        self.leaving_incarnation: str | None = None
         self._address = address
         identity = msgspec.json.encode({"r": request_id, "g": generation_id})
         self._expected_prefix = _EVENT_PREFIX + identity[:-1] + b',"i":'
@@ -309,6 +317,7 @@
             raise self._broken_stream_error("not an HTTP response")
         if int(parts[1]) < _MIN_FINAL_STATUS:
             return
+        leaving: list[bytes] = []
         for field in fields:
             name, _, value = field.partition(b":")
             name = name.lower()
@@ -318,6 +327,10 @@
                 self._is_chunked = value.strip().lower() == b"chunked"
             elif name == b"content-length" and value.strip().isdigit():
                 self._length = int(value)
+            elif name == _LEAVING_NAME:
+                leaving.append(value)
+        if not self._names_other_request:
+            self.leaving_incarnation = leaving_header.decode(leaving)
         self._status = int(parts[1])
 
     def _read_chunks(self, raw: bytes) -> bytes:
--- a/persimmonspan/connection/load_reports.py
+++ b/persimmonspan/connection/load_reports.py
@@ -11,6 +11,7 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
+from persimmonspan.connection import leaving_header
 
 _load_decoder = msgspec.json.Decoder(engine.LoadDocument)
 
@@ -43,7 +44,7 @@
             response = self._pools[address].request("GET",
                                                     "/v1/load",
                                                     timeout=timeout_s)
-            return _load_decoder.decode(response.data)
+            report = _load_decoder.decode(response.data)
         except urllib3.exceptions.NewConnectionError as error:
             raise engine.NotSentError(errors.Code.TARGET_FAILED,
                                       f"cannot connect to target {address}",
@@ -54,6 +55,13 @@
             raise errors.TargetError(
                 errors.Code.TARGET_FAILED,
                 f"no load report from {address}") from error
+        report.pop("leaving", None)
+        values = response.headers.getlist(leaving_header.NAME)
+        incarnation = leaving_header.decode(
+            value.encode("latin-1") for value in values)
+        if incarnation is not None:
+            report["leaving"] = incarnation
+        return report
 
     def keep_only(self, addresses: collections.abc.Set[str]) -> None:
         """Closes connections to other addresses."""
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -6,6 +6,7 @@
 can wrap it in an at-most-once ledger.
 """
 
+import collections.abc
 import math
 import time
 import typing
@@ -13,10 +14,12 @@
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import exchange
+from persimmonspan.connection import leaving_header
 
 REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
 RUN_STATE_HEADER = "X-Run-State"
 
+_LEAVING_NAME = leaving_header.NAME.lower().encode()
 _REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
 _RUN_STATE_NAME = RUN_STATE_HEADER.lower().encode()
 _MIN_FAILURE_STATUS = 400
@@ -44,8 +47,13 @@
     """The response belongs to another request."""
 
 
-def dispatch(address: str, request: Request, connect_s: float,
-             response_timeout_s: float) -> Response:
+def dispatch(
+    address: str,
+    request: Request,
+    connect_s: float,
+    response_timeout_s: float,
+    report_leaving: collections.abc.Callable[[str], None] | None = None
+) -> Response:
     """Sends a request once, over a connection of its own.
 
     Args:
@@ -54,6 +62,8 @@
         connect_s: Timeout for connecting, in seconds.
         response_timeout_s: Limit from sending the request to the end of the
             response, in seconds.
+        report_leaving: Called with the incarnation that leaves according to the
+            response, also if it is a failure.
 
     Raises:
         engine.NotSentError: No byte was sent.
@@ -82,16 +92,20 @@
     except exchange.NotSentError as error:
         raise engine.NotSentError(error.code, str(error),
                                   error.run_state) from error
-    return _check_response(address, request, reader, body)
-
-
-def _check_response(address: str, request: Request,
-                    reader: exchange.ResponseReader, body: bytes) -> Response:
     head = reader.head
     if head.get_all(_REQUEST_ID_NAME) != {request.request_id.encode()}:
         raise MismatchedResponseError(
             errors.Code.TARGET_FAILED,
             f"response of {address} belongs to another request")
+    incarnation = leaving_header.decode(head.get_all(_LEAVING_NAME))
+    if incarnation is not None and report_leaving is not None:
+        report_leaving(incarnation)
+    return _check_response(address, reader, body)
+
+
+def _check_response(address: str, reader: exchange.ResponseReader,
+                    body: bytes) -> Response:
+    head = reader.head
     if head.get(b"content-encoding", _NO_ENCODING) != _NO_ENCODING:
         raise errors.TargetError(errors.Code.TARGET_FAILED,
                                  f"response of {address} is encoded")
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -79,11 +79,12 @@
         self._is_configuration_current = True
         self._last_verified_s = -math.inf
         self._ledger: at_most_once.Context
-        self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell)
+        self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell,
+                                                       self.metrics.count)
         self._load_reader = load_reports.LoadReader()
         self._poller = report_poller.ReportPoller(
             self.scheduler.tell, self._load_reader.read,
-            self._leaving.record_incarnation)
+            self._leaving.record_incarnation, self._leaving.apply_answer)
         self._configuration: model.Configuration | None = None
         self._targets: list[dict[str, events.Target]] = []
         self._in_flight = 0
@@ -174,7 +175,8 @@
                                    self.scheduler, self.metrics, self._relay,
                                    self._gate, self._ledger,
                                    self._settings.write_timeout_s,
-                                   self._poller.check)
+                                   self._poller.check,
+                                   self._leaving.apply_answer)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request as no longer in flight."""
--- a/persimmonspan/process/leaving.py
+++ b/persimmonspan/process/leaving.py
@@ -1,9 +1,10 @@
 """Decides from all sources which targets and VMs are leaving.
 
 A target is leaving as soon as one source reports it: the inventory or the
-rules, the platform's list of VMs, a reclaim notice, or the target's own refusal
-because it is draining. No source needs the confirmation of another, because
-stopping new work needlessly costs little and stopping it late breaks requests.
+rules, the platform's list of VMs, a reclaim notice, the target's own refusal
+because it is draining, or another answer of the target. No source needs the
+confirmation of another, because stopping new work needlessly costs little and
+stopping it late breaks requests.
 
 Only two signs end this: an operator's undrain (explicit, or a newer revision
 that no longer lists the target), or a new incarnation. A mark in the inventory
@@ -51,6 +52,7 @@
     VM_LIST = "vm_list"
     RECLAIM = "reclaim"
     REFUSAL = "refusal"
+    ANSWER = "answer"
 
 
 class VmsAssigned(typing.NamedTuple):
@@ -90,6 +92,18 @@
     incarnation: str | None = None
 
 
+class LeavingAnswered(typing.NamedTuple):
+    """An incarnation of a target says in an answer that it leaves.
+
+    It counts only for the incarnation that reported its load last: another one
+    may be a former one, and without reports nothing would end the mark. A new
+    one says so again in its later answers.
+    """
+
+    target: str
+    incarnation: str
+
+
 class IncarnationSeen(typing.NamedTuple):
     """A target reported its incarnation."""
 
@@ -117,7 +131,7 @@
 
 
 Event = (VmsAssigned | InventoryRead | VmsListed | ReclaimNoticed |
-         DrainRefused | IncarnationSeen | UndrainOrdered)
+         DrainRefused | LeavingAnswered | IncarnationSeen | UndrainOrdered)
 Command = LeavingStarted | LeavingEnded
 
 
@@ -230,6 +244,14 @@
                          now_s)
 
 
+@_step.register
+def _(event: LeavingAnswered, state: State, now_s: float) -> Result:
+    seen = state.incarnations.get(event.target, ())
+    if event.incarnation not in seen[:1]:
+        return state, []
+    return _mark_leaving(state, event.target, Source.ANSWER, now_s)
+
+
 @_step.register
 def _(event: IncarnationSeen, state: State, now_s: float) -> Result:
     seen = state.incarnations.get(event.target, ())
--- a/persimmonspan/process/leaving_tracker.py
+++ b/persimmonspan/process/leaving_tracker.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import logging
 import threading
 import time
 
@@ -17,13 +18,22 @@
 from persimmonspan.version import model
 
 Send = collections.abc.Callable[[events.Event], None]
+Count = collections.abc.Callable[[str], None]
+
+_END_SOURCES = {
+    leaving.InventoryRead: "inventory",
+    leaving.IncarnationSeen: "incarnation"
+}
+
+_logger = logging.getLogger(__name__)
 
 
 class LeavingTracker:
     """Applies events to the leaving state and sends the changes."""
 
-    def __init__(self, send: Send) -> None:
+    def __init__(self, send: Send, count: Count) -> None:
         self._send = send
+        self._count = count
         self._state = leaving.State()
         self._targets: tuple[events.Target, ...] = ()
         self._leaving: frozenset[str] = frozenset()
@@ -72,16 +82,52 @@
         with self._lock:
             self._apply(leaving.IncarnationSeen(target, incarnation))
 
+    def apply_answer(self, target: str, incarnation: str) -> None:
+        """Applies that an incarnation says in an answer that it leaves."""
+        # A target that leaves says so in each answer.
+        if target in self._leaving:
+            return
+        with self._lock:
+            self._apply(leaving.LeavingAnswered(target, incarnation))
+            is_leaving = target in self._leaving
+        if not is_leaving:
+            self._count("target_leaving_void")
+            _logger.info("report that a target leaves is void",
+                         extra={
+                             "target": target,
+                             "incarnation": incarnation
+                         })
+
     def _apply(self, *received: leaving.Event) -> None:
         now_s = time.monotonic()
+        source = ""
         for event in received:
-            self._state, _ = leaving.step(self._state, event, now_s)
+            self._state, commands = leaving.step(self._state, event, now_s)
+            for command in commands:
+                if isinstance(command, leaving.LeavingStarted):
+                    source = command.source
         leaving_now = frozenset(target.name
                                 for target in self._targets
                                 if leaving.is_leaving(self._state, target.name))
         for name in sorted(leaving_now - self._leaving):
+            # A target whose VM leaves already has joined the inventory.
+            source = source or leaving.Source.INVENTORY
+            self._count(f"target_leaving_{source}")
+            _logger.info("target leaving",
+                         extra={
+                             "target": name,
+                             "source": source,
+                             "age_s": getattr(received[-1], "age_s", 0.0)
+                         })
             self._send(events.TargetLeaving(name))
         for name in sorted(self._leaving - leaving_now):
+            self._count("target_leaving_ended")
+            _logger.info(
+                "target no longer leaving",
+                extra={
+                    "target": name,
+                    "source": _END_SOURCES.get(type(received[-1]), "unknown")
+                })
             self._send(events.TargetReturned(name))
         self._leaving = leaving_now
 
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -32,6 +32,7 @@
 
 SendEvent = collections.abc.Callable[[events.Event], None]
 ReadLoad = collections.abc.Callable[[str, float], engine.LoadDocument]
+# Called with a target and one of its incarnations.
 RecordIncarnation = collections.abc.Callable[[str, str], None]
 
 
@@ -45,9 +46,11 @@
     """Polls single targets and turns their responses into events."""
 
     def __init__(self, read_load: ReadLoad,
-                 record_incarnation: RecordIncarnation) -> None:
+                 record_incarnation: RecordIncarnation,
+                 record_leaving: RecordIncarnation) -> None:
         self._read_load = read_load
         self._record_incarnation = record_incarnation
+        self._record_leaving = record_leaving
         self._records: dict[str, _TargetRecord] = {}
 
     def record_use(self, target: events.Target) -> None:
@@ -70,6 +73,8 @@
             return [] if is_up else [events.TargetDied(target.name)]
         self._records[target.name] = _TargetRecord(report["incarnation"], True)
         self._record_incarnation(target.name, report["incarnation"])
+        if "leaving" in report:
+            self._record_leaving(target.name, report["leaving"])
         new_events: list[events.Event] = []
         if (before is not None and before.is_up and
                 before.incarnation not in (None, report["incarnation"])):
@@ -106,9 +111,11 @@
     """Polls all targets in rotation, several at the same time."""
 
     def __init__(self, send: SendEvent, read_load: ReadLoad,
-                 record_incarnation: RecordIncarnation) -> None:
+                 record_incarnation: RecordIncarnation,
+                 record_leaving: RecordIncarnation) -> None:
         self._send = send
-        self._target_poller = TargetPoller(read_load, record_incarnation)
+        self._target_poller = TargetPoller(read_load, record_incarnation,
+                                           record_leaving)
         self._targets: tuple[events.Target, ...] = ()
         self._busy_targets: set[str] = set()
         self._stopped = threading.Event()
--- a/persimmonspan/process/tests/test_leaving_machine.py
+++ b/persimmonspan/process/tests/test_leaving_machine.py
@@ -81,6 +81,13 @@
         if incarnation == self.incarnation[name]:
             self.log.append((self.now_s, name, True))
 
+    @stateful.rule(name=_TARGETS, offset=strategies.integers(-2, 1))
+    def answer(self, name, offset):
+        incarnation = self.incarnation[name] + offset
+        self._send(leaving.LeavingAnswered(name, str(incarnation)))
+        if not offset:
+            self.log.append((self.now_s, name, True))
+
     @stateful.rule(name=_TARGETS, is_new=strategies.booleans())
     def report(self, name, is_new):
         self.incarnation[name] += is_new
--- a/persimmonspan/process/tests/test_report_poller.py
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -36,6 +36,7 @@
         return _report(answer)
 
     target_poller = report_poller.TargetPoller(read_load,
+                                               lambda target, incarnation: None,
                                                lambda target, incarnation: None)
     return [[type(event).__name__
              for event in target_poller.poll(_TARGET)]
@@ -70,6 +71,7 @@
         raise engine.NotSentError(errors.Code.TARGET_FAILED, "refused")
 
     target_poller = report_poller.TargetPoller(refuse,
+                                               lambda target, incarnation: None,
                                                lambda target, incarnation: None)
     target_poller.record_use(_TARGET)
     assert target_poller.poll(_TARGET) == [events.TargetDied("t")]
--- a/persimmonspan/process/tests/test_whole_path.py
+++ b/persimmonspan/process/tests/test_whole_path.py
@@ -1,9 +1,11 @@
 """Tests a daemon and engines, started as processes from an inventory."""
 
+from concurrent import futures
 import contextlib
 import json
 import pathlib
 import signal
+import time
 
 import pytest
 import urllib3
@@ -12,6 +14,8 @@
 from testbed import processes
 
 _SAMPLES = pathlib.Path(__file__).parents[3] / "samples"
+# All loads are read in this time.
+_POLLED_S = 4.0
 _KEY = {"Authorization": "Bearer demo-miraflores"}
 
 
@@ -85,3 +89,42 @@
     response = urllib3.request("POST", url + "/desk/fees", json={})
     assert response.status == 401
     assert response.json()["error"]["run_state"] == "not_run"
+
+
+def _count_runs(address):
+    return len(urllib3.request("GET", f"http://{address}/v1/runs").json())
+
+
+def test_engine_that_says_in_its_answers_that_it_leaves_gets_no_requests(
+        deployment, tmp_path):
+    url, _ = deployment
+    inventory = json.loads((tmp_path / "inventory.json").read_text())
+    addresses = [
+        replica["address"] for service in inventory["services"]
+        if service["kind"] == "model" for replica in service["replicas"]
+    ]
+
+    def send(number):
+        return urllib3.request("POST",
+                               url + "/v1/completions",
+                               json={
+                                   "prompt": f"fair {number}",
+                                   "max_tokens": 20
+                               },
+                               headers=_KEY).status
+
+    def send_many():
+        with futures.ThreadPoolExecutor(8) as pool:
+            return set(pool.map(send, range(32)))
+
+    def busiest():
+        return max(addresses, key=_count_runs)
+
+    send_many()
+    left = busiest()
+    time.sleep(_POLLED_S)
+    urllib3.request("POST", f"http://{left}/v1/leave")
+    send_many()
+    runs = _count_runs(left)
+    assert send_many() == {200}
+    assert runs and _count_runs(left) == runs
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -263,7 +263,10 @@
                     self._formatter.format_encoded_token(text)), 1, False)
         self._apply_ahead()
         output: list[bytes] = []
-        for token in self._reader.feed(data):
+        received = self._reader.feed(data)
+        if self._reader.leaving_incarnation is not None:
+            self._report_leaving(self._reader.leaving_incarnation)
+        for token in received:
             delivery = self._apply_event(
                 stream.TokenReceived(token["r"], token["g"], token["i"],
                                      token["t"], token["f"]))
@@ -282,6 +285,13 @@
                    self._reader.failure is not None)
         return body, self.tokens - tokens_before, is_done
 
+    def _report_leaving(self, incarnation: str) -> None:
+        """Reports once for each answer that the engine leaves."""
+        self._reader.leaving_incarnation = None
+        context = self._session.context
+        context.relay.call_soon(context.report_leaving, self._target.name,
+                                incarnation)
+
     def _apply_ahead(self) -> None:
         """Adds the tokens that were compared as bytes to the stream state."""
         if self._ahead_tokens:
--- a/persimmonspan/request/plain_call.py
+++ b/persimmonspan/request/plain_call.py
@@ -8,6 +8,7 @@
     `persimmonspan.request.at_most_once`: the claim and the record.
 """
 
+import functools
 import logging
 
 from persimmonspan import errors
@@ -97,7 +98,9 @@
     try:
         return plain_service.dispatch(
             target.address, plain_request, timeouts.connect_s,
-            min(timeouts.first_token_s, request_session.remaining_s()))
+            min(timeouts.first_token_s, request_session.remaining_s()),
+            functools.partial(request_session.context.report_leaving,
+                              target.name))
     except (engine.NotSentError, engine.NotRunError):
         raise
     except errors.TargetError as error:
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -36,6 +36,8 @@
     ledger: at_most_once.Context
     caller_write_timeout_s: float  # How long a caller may read no byte.
     report_broken_target: collections.abc.Callable[[events.Target], None]
+    # Called with a target and its incarnation that leaves.
+    report_leaving: collections.abc.Callable[[str, str], None]
 
 
 class Call(typing.NamedTuple):
--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -3,7 +3,7 @@
 The most recent generations stay in memory after their last token, so that a
 caller can resume them. The text of token `i` is the hash of the prompt, a dash
 and `i`, so a caller can check that a response belongs to its request and is
-complete and in order.
+complete and in order. After `POST /v1/leave` all answers say that it leaves.
 
 A prompt that contains `[fault@i]` triggers that fault at token `i` of the first
 connection: see `_FAULTS`.
@@ -23,6 +23,7 @@
 from cheroot import server
 
 from persimmonspan.connection import engine
+from persimmonspan.connection import leaving_header
 
 _PROMPT_HASH_CHARS = 6
 _MS_PER_S = 1000.0
@@ -74,6 +75,7 @@
     def __init__(self, options: Options, seed: int) -> None:
         self.options = options
         self.incarnation = uuid.uuid4().hex
+        self.is_leaving = False  # Said in all answers.
         self.generations: dict[str, Generation] = {}
         self.runs: dict[str, int] = {}
         self.cancelled: list[str] = []
@@ -146,6 +148,9 @@
 
         def respond(self) -> None:
             """Serves one request."""
+            if state.is_leaving:
+                self.req.outheaders.append(
+                    (leaving_header.NAME.encode(), state.incarnation.encode()))
             _respond(self.req, state)
 
     threads = state.options.max_running + 8
@@ -177,6 +182,9 @@
             _send_response(request, b"200 OK", {})
         case b"/v1/load":
             _send_response(request, b"200 OK", state.load())
+        case b"/v1/leave":
+            state.is_leaving = True
+            _send_response(request, b"200 OK", {})
         case b"/v1/runs":
             _send_response(request, b"200 OK", state.runs)
         case b"/v1/cancelled":
@@ -189,7 +197,7 @@
                    generation: Generation, index: int,
                    fault: tuple[str, int] | None) -> None:
     request.status = b"200 OK"
-    request.outheaders = [(b"Content-Type", b"text/event-stream")]
+    request.outheaders.append((b"Content-Type", b"text/event-stream"))
     request.ensure_headers_sent()
     while index < generation.tokens and not generation.is_cancelled:
         ready_s = (generation.started_s +
@@ -287,7 +295,7 @@
 def _send_response(request: server.HTTPRequest, status: bytes,
                    body: object) -> None:
     request.status = status
-    request.outheaders = [(b"Content-Type", b"application/json")]
+    request.outheaders.append((b"Content-Type", b"application/json"))
     request.ensure_headers_sent()
     request.write(msgspec.json.encode(body))
 
