--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -270,7 +270,8 @@
 def _(event: events.QuarantineShared, state: State, now_s: float) -> Result:
     if event.crashes <= 0:
         return _clear(state, event.fingerprint, now_s), []
-    full_ttl_s = REFUSAL_TTL_S if event.is_refused else crash_evidence.SUSPECT_TTL_S
+    full_ttl_s = (REFUSAL_TTL_S
+                  if event.is_refused else crash_evidence.SUSPECT_TTL_S)
     crashed_s = now_s - max(0.0, full_ttl_s - event.ttl_s)
     cleared_s = state.cleared_s.get(event.fingerprint, -math.inf)
     if crashed_s <= cleared_s + ANSWER_MARGIN_S:
@@ -345,8 +346,9 @@
 def _find_record(state: State, fingerprint: str,
                  now_s: float) -> crash_evidence.Record:
     record = state.records.get(fingerprint)
-    return record if record and record.expires_s > now_s else crash_evidence.Record(
-        now_s)
+    if record is None or record.expires_s <= now_s:
+        return crash_evidence.Record(now_s)
+    return record
 
 
 def _crashes(state: State, fingerprint: str, now_s: float) -> int:
