--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,6 +22,7 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import load_totals
@@ -54,6 +55,21 @@
                            ...], tuple[rate_limits.Answer, ...]]
 
 
+class Tracker(typing.Protocol):
+    """Keeps the targets that leave according to their answers."""
+
+    def record_peer_departures(
+            self, told: collections.abc.Iterable[departures.Departure]) -> None:
+        """Records what a peer tells."""
+
+    def select(self, turn: int) -> tuple[departures.Departure, ...]:
+        """Returns what the digest of a number tells."""
+
+
+_ApplySnapshot = collections.abc.Callable[
+    [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
+
+
 class Peering:
     """Sends digests to the other daemons and merges theirs.
 
@@ -68,6 +84,7 @@
             with the time since which the reader has known targets.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
+        tracker: Keeps the targets that leave according to their answers.
         apply_stale_entries: Called with what a peer knows of targets that left
             before this daemon started.
     """
@@ -77,12 +94,11 @@
         name: str,
         address: str,
         scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-        apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes, int, float],
-            None],
+        apply_store_snapshot: _ApplySnapshot,
         record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
                                                None],
         limits: read_schedule.Limits = read_schedule.Limits(),
+        tracker: Tracker | None = None,
         apply_stale_entries: collections.abc.Callable[
             [stale_entries.StaleEntries], None] = lambda stale: None
     ) -> None:
@@ -93,6 +109,7 @@
         self._record_rates = record_rates
         self._apply_stale_entries = apply_stale_entries
         self._limits = limits
+        self._tracker = tracker
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
                                        name=name)
@@ -294,6 +311,8 @@
         for report in reports:
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
+        if self._tracker is not None and digest.leaving:
+            self._tracker.record_peer_departures(digest.leaving)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         if digest.wants_configuration and digest.version < self._own_version:
             with self._lock:
@@ -338,13 +357,16 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         requests = self._take_requests(receivers, now_s)
+        departing = (self._tracker.select(self._number)
+                     if self._tracker is not None else ())
         stale = stale_entries.encode(self._stale_entries, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates
-                ], requests, stale and stale.entries), is_hub, now_s):
+             ], [answer[:2] for answer in rates], requests,
+             [item[:2] for item in departing], stale and stale.entries), is_hub,
+                now_s):
             return {}
         totals = b""
         if is_hub:
@@ -365,6 +387,7 @@
                                    entries_id=self._entries_id,
                                    reports=reports,
                                    rates=rates,
+                                   leaving=departing,
                                    stale=stale)
         if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
