Use a target that starts again after its clock was set back

Cause: takes an entry with an earlier incarnation for one of an older copy, whether or not the store has come back. The incarnation is the start time (born) by the clock of another VM.

Evidence: the tests failed before (503 at the caller; no restart, no join).

Change: incarnations are compared with those known when the store came back, for 60 s.

--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -128,3 +128,21 @@
         world.rows.write("op", "config", edge_world.configuration())
         edge_world.wait_until(
             lambda: world.send_request("/idempotent/1")[0] == 200)
+
+
+def test_replica_that_starts_again_after_its_clock_was_set_back_is_used(
+        desk_world):
+    world, address = desk_world
+    entry = {
+        "service": "desk",
+        "address": address,
+        "zone": "a",
+        "slots": 6,
+        "state": "ready",
+        "born": 1000
+    }
+    world.rows.write("servers", "i-1", entry)
+    time.sleep(_READ_WAIT_S)
+    world.rows.write("servers", "i-1", entry | {"born": 900})
+    time.sleep(_READ_WAIT_S)
+    assert _statuses(world, 0.5) == {200}
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -9,9 +9,10 @@
 The store may come back from a copy, in another era. Targets that registered
 after the copy are then missing, and count as lapsed. Entries of the copy may be
 older than what was read before; they are doubted. A target that was leaving
-still is. An older incarnation does not replace a newer one. A target whose
-entry was gone is not used until the entry has outlived the removal of those
-that nobody renews.
+still is. An older incarnation does not replace one of an earlier era. In one
+era the entry that was read last holds: a start time may be earlier than the one
+before, if the clock was set back between them. A target whose entry was gone is
+not used until the entry has outlived the removal of those that nobody renews.
 
 `apply_rows` is pure: it takes the rows and the time of the read, and returns
 the next state with the changes.
@@ -62,7 +63,8 @@
     the first read after that. `lapsed` holds the entries that were missing
     shortly after `regained_s` or `returned_s`, the time of the first read after
     the store came back from a copy. `doubted` holds the rows that are not
-    believed as they are, `gone` recent entries by name.
+    believed as they are, `gone` recent entries by name, `former` the entries
+    known when the store came back.
     """
 
     present: immutables.Map[str, Registration] = immutables.Map()
@@ -74,6 +76,7 @@
     returned_s: float = -math.inf
     doubted: immutables.Map[str, Registration] = immutables.Map()
     gone: immutables.Map[str, Gone] = immutables.Map()
+    former: immutables.Map[str, Registration] = immutables.Map()
 
 
 class Change(typing.NamedTuple):
@@ -154,7 +157,15 @@
 def _enter_era(state: State, era: int, now_s: float) -> State:
     if not era or not state.era or era == state.era:
         return state._replace(era=era or state.era)
-    return state._replace(era=era, returned_s=now_s, doubted=immutables.Map())
+    former = {name: item.entry for name, item in state.gone.items()}
+    return state._replace(era=era,
+                          returned_s=now_s,
+                          doubted=immutables.Map(),
+                          former=immutables.Map({
+                              **former,
+                              **state.lapsed,
+                              **state.present
+                          }))
 
 
 def _apply(state: State, rows: typing.Iterable[Registration],
@@ -163,6 +174,8 @@
 
     Entries that are missing count as lapsed shortly after `available_s`.
     """
+    if now_s > state.returned_s + _GONE_EXPIRY_S:
+        state = state._replace(former=immutables.Map())
     before = {**state.lapsed, **state.present}
     present, doubted = {}, {}
     for row in rows:
@@ -208,13 +221,16 @@
 
     A row without an incarnation cannot be compared, and is believed.
     """
+    former = state.former.get(row.name)
+    if former is not None and 0 < row.incarnation < former.incarnation:
+        return None
     past = state.gone.get(row.name)
     known = state.present.get(row.name, state.lapsed.get(row.name))
     last = known or (past and past.entry)
     if last is None or not row.incarnation or not last.incarnation:
         return row
     if row.incarnation != last.incarnation:
-        return row if row.incarnation > last.incarnation else None
+        return row
     if last.is_leaving:
         return row._replace(is_leaving=True)
     is_removal_lost = (known is None and past.era != state.era and
--- a/persimmonspan/process/tests/test_directory.py
+++ b/persimmonspan/process/tests/test_directory.py
@@ -99,6 +99,31 @@
     assert not any(change) and directory.usable_targets(state) == (newer,)
 
 
+def test_target_that_starts_again_after_its_clock_was_set_back_is_usable():
+    earlier = _BORN._replace(incarnation=3, address="10.0.0.9:80")
+    state, _ = _read_in(1, [_BORN])
+    state, change = _read_in(1, [earlier], 1.0, state)
+    assert change.restarted == (earlier,)
+    assert directory.usable_targets(state) == (earlier,)
+
+
+def test_target_that_is_back_after_its_clock_was_set_back_is_usable():
+    earlier = _BORN._replace(incarnation=3, address="10.0.0.9:80")
+    state, _ = _read_in(1, [_BORN])
+    state, _ = _read_in(1, [], 1.0, state)
+    state, change = _read_in(1, [earlier], 2.0, state)
+    assert change.joined == (earlier,)
+
+
+def test_older_incarnation_in_a_copy_is_not_used_once_the_newer_one_is_gone():
+    newer = _BORN._replace(incarnation=9, address="10.0.0.9:80")
+    state, _ = _read_in(1, [newer])
+    state, _ = _read_in(2, [_BORN], 1.0, state)
+    for now_s in (3.1, 9.0, 30.0):
+        state, _ = _read_in(2, [_BORN], now_s, state)
+        assert not directory.usable_targets(state)
+
+
 def test_target_that_registered_after_the_copy_is_usable_until_it_does_again():
     state, _ = _read_in(1, [_BORN])
     state, change = _read_in(2, [], 1.0, state)
