Do not take an empty continuation for the end of a stream

Callers saw a stream end as if it were complete after the events that they had when it broke off: the next target answered with a framed event stream without a new event (empty, with length 0, or with events that the callers had).

Cause: classify asked only whether the body had a frame, although a frame says that this answer is whole, not that the events before it were all.

Ruled out: the first answer of a request; an empty stream remains a success there (test_unframed_streams.py).

Change: a begun stream is complete only by an answer that adds an event. The price: a stream that breaks off between its last event and its end is cut, also if the next target knows that nothing is left.

--- a/persimmonspan/platform/tests/test_faulty_answers.py
+++ b/persimmonspan/platform/tests/test_faulty_answers.py
@@ -14,6 +14,7 @@
 
 _EVENTS = 6
 _EVENTS_BEFORE_CUT = 3
+_EVENT_STREAM = "Content-Type: text/event-stream"
 _PAUSE_S = 0.05  # So that parts arrive separately.
 
 
@@ -197,6 +198,12 @@
         _chunked(200, "Content-Type: application/json", body=b""),
     "200_unframed_empty":
         _unframed(200, b""),
+    "200_events_empty":
+        _whole(200, _EVENT_STREAM, body=b""),
+    "200_events_chunked_empty":
+        _chunked(200, _EVENT_STREAM, body=b""),
+    "200_events_that_the_caller_has":
+        _chunked(200, _EVENT_STREAM, body=_events_until(_EVENTS_BEFORE_CUT)),
     "200_not_run":
         _chunked(200,
                  "X-Not-Executed: 1",
--- a/persimmonspan/request/classification.py
+++ b/persimmonspan/request/classification.py
@@ -143,11 +143,13 @@
         return _interrupted("the stream ends within an event")
     if received.event_count:
         return Verdict(events.Outcome.COMPLETED)
+    if received.caller_event_count:
+        # It does not show that the events before were all.
+        return _interrupted("the stream does not go on")
     if not received.is_framed:
         # A target that crashes closes the connection alike.
         return _interrupted("the stream ends without an event")
-    return Verdict(events.Outcome.COMPLETED,
-                   Use.NOTHING if received.caller_event_count else Use.RESPONSE)
+    return Verdict(events.Outcome.COMPLETED, Use.RESPONSE)
 
 
 def _interrupted(problem: str) -> Verdict:
