Reject events of a stream that contain the head of another answer

Callers found a whole head in the middle of their stream, which went on as if nothing had happened: a target answered once more where its next event was due, in a stream that has neither a length nor chunks.

Evidence: a continuation whose head comes twice, with a copy and without attempts left, and a first stream that does so; all 3 cases failed before.

Ruled out: heads with bare line feeds and error texts without an id; they were rejected before.

Change: an event that contains a carriage return is malformed. Lines of events on the platform end with a line feed alone; streams with CR LF were not split into events before either.

--- a/persimmonspan/platform/tests/test_faulty_answers.py
+++ b/persimmonspan/platform/tests/test_faulty_answers.py
@@ -142,6 +142,12 @@
            replica.STREAM_END)
 
 
+def _head_before_event(request):
+    yield replica.response_head(request, 200, _EVENT_STREAM)
+    # The target answers once more where the next event is due.
+    yield replica.response_head(request, 200, _EVENT_STREAM) + _event(4)
+
+
 def _other_request(request):
     return _stream(
         request._replace(headers=request.headers | {"x-attempt-id": "r0"}))
@@ -213,6 +219,8 @@
         _whole(201),
     "206":
         _whole(206, "Content-Range: bytes 0-7/8"),
+    "head_before_event":
+        _head_before_event,
     "unsigned":
         _unsigned_stream,
     "other_request":
@@ -271,7 +279,7 @@
 @pytest.mark.parametrize("name", [
     name for name in _NO_CONTINUATION
     if name[0] != "2" or name in ("201", "204", "206")
-    if name not in ("unsigned", "other_request")
+    if name not in ("head_before_event", "unsigned", "other_request")
 ])
 def test_begun_resumable_stream_goes_on_after_an_unusable_answer(name):
     answer = _NO_CONTINUATION[name]
@@ -295,3 +303,17 @@
     with world.running():
         data, is_reset = _exchange(world, "/draft/1", version="1.0")
     assert is_reset and data.count(b"HTTP/1.") == 1
+
+
+def test_second_answer_within_an_unframed_stream_is_no_event(world):
+
+    def script(request):
+        yield replica.response_head(request, 200, _EVENT_STREAM) + _event(1)
+        time.sleep(_PAUSE_S)
+        yield replica.response_head(request, 200, _EVENT_STREAM) + _event(2)
+
+    _add_engines(world, script)
+    with world.running():
+        data, is_reset = _exchange(world, "/draft/1")
+    assert not _is_complete(data, is_reset)
+    assert _chunks(data.partition(b"\r\n\r\n")[2]) == (_event(1), b"")
--- a/persimmonspan/request/event_stream.py
+++ b/persimmonspan/request/event_stream.py
@@ -12,6 +12,8 @@
 
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
+# The lines of events end with a line feed alone; those of heads do not.
+_CARRIAGE_RETURN = b"\r"
 # More bytes without an end are garbage. All streams of a small VM may hold as
 # much at the same time.
 _MAX_EVENT_BYTES = 256 * 1024
@@ -44,7 +46,8 @@
     b'id: 2\\ndata: b\\n\\n'
 
     Raises:
-        MalformedStreamError: An event is missing, has no id or is too large.
+        MalformedStreamError: An event is missing, has no id, is too large or
+            contains a line that is none of an event.
     """
     *complete_events, partial_event = (state.partial_event +
                                        data).split(_EVENT_END)
@@ -53,6 +56,8 @@
     output: list[bytes] = []
     last_id = state.last_id
     for event in complete_events:
+        if _CARRIAGE_RETURN in event:
+            raise MalformedStreamError("an event contains a carriage return")
         event_id = _parse_event_id(event)
         if event_id is None:
             raise MalformedStreamError("an event has no numeric id")
