--- a/persimmonspan/platform/tests/test_store_returns.py
+++ b/persimmonspan/platform/tests/test_store_returns.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from persimmonspan import errors
 from testbed import edge_world
 from testbed import replica
 
@@ -146,3 +147,60 @@
     world.rows.write("servers", "i-1", entry | {"born": 900})
     time.sleep(_READ_WAIT_S)
     assert _statuses(world, 0.5) == {200}
+
+
+class _AbsentRows(edge_world.InMemoryRowStore):
+    """Rows of a store that may be away."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_away = False
+
+    def changes(self, table, since, wait_s):
+        """Waits for changes, unless the store is away."""
+        if self.is_away:
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE, "away")
+        return super().changes(table, since, wait_s)
+
+
+def test_reader_that_started_in_an_outage_takes_away_no_lapsed_target():
+    rows = _AbsentRows()
+    second = edge_world.EdgeEnvironment("edge-2", rows)
+    rows.write("op", "config", edge_world.configuration())
+    added = second.add_replica(
+        "i-1", "desk",
+        lambda request: [replica.complete_response(request, b"")])
+    with second.running():
+        edge_world.wait_until(
+            lambda: second.send_request("/idempotent/1")[0] == 200)
+        rows.is_away = True
+        rows.write("servers", "i-1", None)
+        assert _statuses(second, 1.5) == {200}
+        # It is the first by name, which reads for all.
+        first = edge_world.EdgeEnvironment("edge-1", rows)
+        with first.edge.running():
+            assert _statuses(second, 0.5) == {200}
+            rows.is_away = False
+            assert _statuses(second, 1.5) == {200}
+            second.register_replica("i-1", "desk", added.address)
+            assert _statuses(second, 1.5) == {200}
+
+
+def test_configuration_that_no_daemon_has_is_in_force_once_written_again():
+    # All daemons start after the return, on a copy with the older one.
+    first = edge_world.EdgeEnvironment("edge-1")
+    rows = first.rows
+    rows.write("op", "config", edge_world.configuration())
+    copy = rows.copy()
+    newer = edge_world.configuration(2, pathPrefix="/new/")
+    rows.write("op", "config", newer)
+    rows.restore(copy)
+    second = edge_world.EdgeEnvironment("edge-2", rows)
+    with first.running(), second.running():
+        for world in (first, second):
+            edge_world.wait_until(
+                lambda world=world: world.send_request("/new/1")[0] == 404)
+        rows.write("op", "config", newer)
+        for world in (first, second):
+            edge_world.wait_until(
+                lambda world=world: world.send_request("/new/1")[0] == 503)
