Do not write to a closed descriptor when a daemon stops

Operators saw "following the store failed" with EBADF in the log of a daemon that was stopping: its thread that reads configurations woke the exchange of digests, which had ended 1 s before.

Cause: the eventfd of the exchange is closed with its thread, but other threads still write to it. If the number was given out again, the eight bytes go to another file or connection, such as the one to the store.

The test failed before: the bytes arrived at a reused descriptor.

Change: `Links.wake` does nothing once the exchange has ended.

--- a/persimmonspan/connection/digest_links.py
+++ b/persimmonspan/connection/digest_links.py
@@ -64,6 +64,9 @@
         self._peer_addresses: frozenset[str] = frozenset()
         self._stop_event = threading.Event()
         self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
+        # Guards the descriptor, whose number may be given out again.
+        self._wake_lock = threading.Lock()
+        self._is_closed = False
         self._poller = zmq.Poller()
         self._poller.register(self._pull_socket, zmq.POLLIN)
         self._poller.register(self._wake_fd, zmq.POLLIN)
@@ -88,9 +91,11 @@
     def wake(self) -> None:
         """Makes the thread compose and send digests at once.
 
-        May be called from any thread.
+        May be called from any thread, also after the exchange has ended.
         """
-        os.eventfd_write(self._wake_fd, 1)
+        with self._wake_lock:
+            if not self._is_closed:
+                os.eventfd_write(self._wake_fd, 1)
 
     def _configure_push_socket(self, sock: zmq.Socket) -> None:
         sock.linger = 0
@@ -125,7 +130,9 @@
         for sock in (self._pull_socket, *self._push_sockets.values()):
             sock.close()
         self._context.term()
-        os.close(self._wake_fd)
+        with self._wake_lock:
+            self._is_closed = True
+            os.close(self._wake_fd)
 
     def _update_push_sockets(self) -> None:
         wanted = self._peer_addresses
--- a/persimmonspan/connection/tests/test_digest_links.py
+++ b/persimmonspan/connection/tests/test_digest_links.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import logging
+import os
+import select
 import socket
 import subprocess
 import sys
@@ -37,9 +39,24 @@
     assert len(caplog.records) == 1
 
 
-# A daemon whose thread is blocked while a peer sends more digests than its queue
-# held (8) when this failed, and then resets the connection. The queue now holds
-# 1,000, and the daemon sends no heartbeats on these connections.
+def test_wake_after_the_end_writes_to_no_reused_descriptor():
+    links = digest_links.Links("127.0.0.1:*", lambda data: None, dict,
+                               lambda: _INTERVAL_S)
+    before = set(os.listdir("/proc/self/fd"))
+    with links.running():
+        pass
+    reused = [os.eventfd(0, os.EFD_NONBLOCK) for _ in before]
+    try:
+        links.wake()
+        assert not select.select(reused, (), (), 0.0)[0]
+    finally:
+        for fd in reused:
+            os.close(fd)
+
+
+# A daemon whose thread is blocked while a peer sends more digests than its
+# queue held (8) when this failed, and then resets the connection. The queue now
+# holds 1,000, and the daemon sends no heartbeats on these connections.
 _BLOCKED_DAEMON = """
 import threading, time, zmq
 from persimmonspan.connection import digest_links
