Pass on what arrived while the daemon was paused beyond a deadline

Callers of a daemon that stood still for 1 to 2.5 s got 504 for requests whose target had run them in time: the response was waiting in the socket. A request that may run only once was lost with it.

Cause: the worker of a request waits for the deadline, the relay for the sockets. After a pause both wake up, and the worker did not look whether a response had arrived.

Change: at the deadline, while bytes of the target wait to be read, a request waits for the relay for 0.2 s at most. If nothing has arrived, the deadline holds as before (504 within 0.7 s for a deadline of 0.5 s).

--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -14,6 +14,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import logging
 import socket
 import time
@@ -345,9 +346,10 @@
             self._transfer, sock, self._consume,
             self._session.remaining_s() + 1, silence_timeout_s)
         silent_at_count = None
+        has_input = functools.partial(exchange.has_input, sock)
         try:
             while True:
-                message = self._session.next_message()
+                message = self._session.next_message(has_input)
                 if isinstance(message, relay.Notice):
                     if message.serial != serial:
                         continue
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -5,6 +5,7 @@
 the tokens, has `request.stream` check them and encodes them for the caller.
 """
 
+import functools
 import logging
 import socket
 import threading
@@ -14,6 +15,7 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
+from persimmonspan.connection import exchange
 from persimmonspan.connection import relay
 from persimmonspan.request import completion
 from persimmonspan.request import events
@@ -199,9 +201,10 @@
         serial = context.relay.attach_engine(self._transfer, sock,
                                              self._consume, first_s,
                                              between_timeout_s)
+        has_input = functools.partial(exchange.has_input, sock)
         try:
             while True:
-                message = self._session.next_message()
+                message = self._session.next_message(has_input)
                 if isinstance(message, events.CancelAttempt):
                     if message.target == self._target.name:
                         return self._handle_cancellation()
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -21,6 +21,10 @@
 from persimmonspan.request import gate
 from persimmonspan.version import model
 
+# How long after its deadline a request waits for a response that is being read.
+_MAX_LATE_S = 0.2
+_LATE_CHECK_INTERVAL_S = 0.02
+
 _logger = logging.getLogger(__name__)
 
 
@@ -120,21 +124,35 @@
         """Returns the time until the deadline, at least zero."""
         return max(0.0, self._end_s - time.monotonic())
 
-    def next_message(self) -> events.Command | relay.Notice:
+    def next_message(
+        self,
+        has_input: collections.abc.Callable[[], bool] | None = None
+    ) -> events.Command | relay.Notice:
         """Waits for the next command or notice.
 
+        Args:
+            has_input: Returns whether bytes of a target wait to be read.
+
         Raises:
             CallerLeftError: The caller left or is too slow.
             errors.PersimmonspanError: The deadline passed, or the scheduler
                 refused the request.
         """
-        try:
-            message = self.messages.get(timeout=self.remaining_s())
-        except queue.Empty:
+        message = self._wait(self.remaining_s())
+        late_until_s = time.monotonic() + _MAX_LATE_S
+        # If this process was paused until after the deadline, the response may
+        # have arrived in time, and is not read yet.
+        while (message is None and has_input is not None and
+               time.monotonic() < late_until_s):
+            is_arriving = has_input()
+            message = self._wait(_LATE_CHECK_INTERVAL_S)
+            if not is_arriving:
+                break
+        if message is None:
             raise errors.PersimmonspanError(
                 errors.Code.DEADLINE_EXCEEDED,
                 "the request did not finish before its deadline",
-                self.run_state()) from None
+                self.run_state())
         if isinstance(message, relay.Notice):
             if message.signal in (relay.Signal.CALLER_LEFT,
                                   relay.Signal.CALLER_SLOW):
@@ -149,6 +167,12 @@
                 run_state, message.retry_after_s)
         return message
 
+    def _wait(self, timeout_s: float) -> events.Command | relay.Notice | None:
+        try:
+            return self.messages.get(timeout=timeout_s)
+        except queue.Empty:
+            return None
+
     def run_state(self) -> errors.RunState:
         """Returns the run state of a request without a complete response."""
         if self.has_run:
