Do not take a caller for slow that read while the daemon was paused

Callers of a stream could find it cut after a pause of the daemon of 5 s, even if they had read all that was sent to them.

Cause: the relay compares the clock with the last progress of a blocked caller and does not look whether its socket accepts bytes again. It matters where the pause falls between the poll and the check of the timeouts. Same class as the silence of targets: a limit ends something without a look at what is possible.

Evidence: the test, whose poll is paused for two timeouts while the caller reads, failed before (the stream ended with CALLER_SLOW).

Ruled out: a pause inside the poll; its events are handled before timeouts.

Change: a caller whose socket accepts bytes is not slow; the next poll writes.

--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -381,8 +381,12 @@
             return
         if transfer.blocked_at_s is not None:
             if transfer.blocked_at_s + transfer.caller_write_timeout_s <= now_s:
-                self._end_relaying(transfer, Signal.CALLER_SLOW)
-                return
+                # The caller may have read while this process was paused; the
+                # next poll then writes.
+                if not _is_ready(transfer.caller_fd, select.POLLOUT):
+                    self._end_relaying(transfer, Signal.CALLER_SLOW)
+                    return
+                transfer.blocked_at_s = now_s
         elif transfer.next_token_due_s <= now_s:
             # If this process was paused, what has arrived is not read yet.
             if transfer.is_overdue or not _is_ready(transfer.engine_fd,
--- a/persimmonspan/connection/tests/test_relay.py
+++ b/persimmonspan/connection/tests/test_relay.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from persimmonspan.connection import relay
 
@@ -84,3 +85,47 @@
 
 def test_silence_through_a_pause_of_the_daemon_is_noticed():
     assert _first_notice(lambda engine: None, True) is relay.Signal.SILENT
+
+
+def test_caller_that_read_while_the_daemon_was_paused_is_not_slow():
+    notices = queue.SimpleQueue()
+    stream_relay = relay.Relay(lambda gap_s, count: None)
+    caller, far_caller = socket.socketpair()
+    engine, far_engine = socket.socketpair()
+    for sock in (far_caller, far_engine):
+        sock.settimeout(3.0)
+    is_paused = threading.Event()
+    events = b"x" * 400_000  # More than the buffers of the sockets.
+    received = bytearray()
+
+    def read_all():
+        while len(received) < len(events):
+            received.extend(far_caller.recv(65536))
+
+    reading = threading.Thread(target=read_all)
+
+    def consume(data, now_s):
+        del now_s
+        return data, 1, False
+
+    with caller, far_caller, engine, far_engine, stream_relay.watch_caller(
+            caller, notices.put, _GAP_TIMEOUT_S) as transfer:
+        epoll = stream_relay._epoll  # pylint: disable=protected-access
+
+        def pause_once_blocked(*arguments):
+            if transfer.blocked_at_s is None or is_paused.is_set():
+                return epoll.poll(*arguments)
+            reading.start()
+            is_paused.set()
+            time.sleep(2 * _GAP_TIMEOUT_S)
+            return []
+
+        paused_epoll = mock.Mock(wraps=epoll, poll=pause_once_blocked)
+        stream_relay._epoll = paused_epoll  # pylint: disable=protected-access
+        stream_relay.attach_engine(transfer, engine, consume, 5.0, 5.0)
+        stream_relay.start()
+        far_engine.sendall(events)
+        assert is_paused.wait(_NOTICE_TIMEOUT_S)
+        reading.join()
+    stream_relay.stop()
+    assert bytes(received) == events and notices.empty()
