Let targets of the soak leave by their answers, and check that they get no requests

Change: a target of the soak leaves by its row, by its answers or by both, beside stores that fail or come back older, restarts and pauses, and starts again under its name with another `born`. A request that a caller sent to a daemon over 1 s after this daemon had passed on such an answer must not reach that incarnation; a restart or a pause of the daemon since then excuses it. Rows of the soak name `born` now, so a target that was draining no longer turns ready again without a restart.

--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -75,7 +75,8 @@
 
 
 STREAM_END = b"0\r\n\r\n"
-_LEAVING_LINE = b"\r\nServer-Leaving: 1\r\n"
+LEAVING = "Server-Leaving"
+_LEAVING_LINE = f"\r\n{LEAVING}: 1\r\n".encode()
 
 
 class Replica:
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -2,12 +2,14 @@
 
 Real daemons run as processes in front of stand-ins of the store and of
 replicas. While callers send requests, daemons are paused, killed, stopped and
-restarted, the store fails, and replicas interrupt responses, reset connections
-and leave. Halfway, the store comes back from a copy some seconds old; what its
-writers wrote since is written again. One part of a prompt crashes each engine
-that begins to answer it. Faults end before the callers do: a replica then names
-a rate, and the daemons must keep to it, refuse the part and serve the newest
-configuration. Afterwards the responses and the runs at replicas are checked.
+restarted, the store fails, and replicas interrupt responses and reset
+connections. Replicas leave, which they report to the store or say in their
+answers, and start again under their name. Halfway, the store comes back from a
+copy some seconds old; what its writers wrote since is written again. One part
+of a prompt crashes each engine that begins to answer it. Faults end before the
+callers do: a replica then names a rate, and the daemons must keep to it, refuse
+the part and serve the newest configuration. Afterwards the responses and the
+runs at replicas are checked.
 
     python -m testbed.soak --seeds 50 --seconds 8
 """
@@ -31,6 +33,8 @@
 import typing
 
 from testbed import edge_store
+from testbed import replica
+from testbed import soak_leaving
 from testbed import soak_replicas
 
 _HOST = "a.example"
@@ -222,7 +226,10 @@
     }
 
 
-def _send_request(address: str, request_id: str, kind: str) -> Result:
+def _send_request(address: str,
+                  request_id: str,
+                  kind: str,
+                  departures: soak_leaving.Departures | None = None) -> Result:
     part = soak_replicas.CRASHING_PART if kind == "crashing" else "b0"
     route = "draft" if kind == "crashing" else kind
     host, port = address.rsplit(":", 1)
@@ -239,7 +246,10 @@
                 "X-Prefix-Hash": f"a0:20,{part}:20,{request_id}:20"
             })
         response = connection.getresponse()
-        return Result(request_id, kind, response.status, response.read())
+        body = response.read()
+        if departures is not None and response.getheader(replica.LEAVING):
+            departures.record_passed_on(request_id)
+        return Result(request_id, kind, response.status, body)
     except (OSError, http.client.HTTPException):
         return Result(request_id, kind, 0, b"")
     finally:
@@ -259,11 +269,18 @@
         self._callers_stopped = threading.Event()
         self._version = 1  # Of the configuration.
         self._outdated: list[str] = []
+        self._departures = soak_leaving.Departures()
         self._settled_s = 0.0  # When the check of the bounds began.
 
+    @property
+    def leaving_passed_on(self) -> int:
+        """Number of answers that said to callers that a replica leaves."""
+        return self._departures.passed_on
+
     def run(self) -> dict[str, list[str]]:
         """Runs callers and injects faults; returns the broken promises."""
         replicas = soak_replicas.Replicas(random.Random(self._seed + 1))
+        self._departures = replicas.departures
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(edge_store.Store().running())
             entries = soak_replicas.start_replicas(stack, replicas, store)
@@ -284,7 +301,9 @@
                 sum(at_s >= checked_s for at_s in replicas.crashed_s),
                 sum(at_s >= checked_s for at_s in replicas.limited_s)) | ({
                     "configuration_outdated": self._outdated
-                } if self._outdated else {})
+                } if self._outdated else {}) | ({
+                    "request_after_leaving": self._departures.late
+                } if self._departures.late else {})
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
@@ -307,8 +326,8 @@
                 self._come_back(store, copies, entries)
         store.mode, replicas.fault_share = "ok", 0.0
         replicas.limited = entries["i-0"].server
-        for name, entry in entries.items():
-            store.write("servers", name, entry.document)
+        for name, entry in list(entries.items()):
+            replicas.write_ready(store, name, entry)
         time.sleep(_SETTLE_S)
         self._outdated = [
             daemon.address
@@ -345,39 +364,43 @@
             kind = rng.choice(["idempotent", "non_idempotent", "draft"])
             if kind == "draft" and rng.random() < _CRASHING_SHARE:
                 kind = "crashing"
+            name, address = f"r{number}x{index}", rng.choice(daemons).address
+            self._departures.record_sent(name, address)
             self.results.append(
-                _send_request(
-                    rng.choice(daemons).address, f"r{number}x{index}", kind))
+                _send_request(address, name, kind, self._departures))
             time.sleep(_CALLER_PAUSE_S)
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
                       entries: dict[str, soak_replicas.Entry]) -> None:
         kind = self._rng.choice([
-            "kill", "stop", "pause", "store", "replicas", "leave", "change",
-            "reload"
+            "kill", "stop", "pause", "store", "replicas", "leave", "leave",
+            "leave", "change", "reload"
         ])
         daemon = self._rng.choice(daemons)
         self.faults.append(kind)
         if kind == "kill":
             daemon.stop(signal.SIGKILL)
+            self._departures.excuse(daemon.address)
             daemon.start()
         elif kind == "stop":
             daemon.stop(signal.SIGTERM)
+            self._departures.excuse(daemon.address)
             daemon.start()
         elif kind == "pause":
             daemon.process.send_signal(signal.SIGSTOP)
             time.sleep(self._rng.uniform(0.1, 1.0))
             daemon.process.send_signal(signal.SIGCONT)
+            self._departures.excuse(daemon.address)
         elif kind == "store":
             store.mode = self._rng.choice(["ok", "busy", "silent", "lost"])
         elif kind == "replicas":
             replicas.fault_share = self._rng.choice([0.0, 0.1, 0.3])
         elif kind == "leave":
             name = self._rng.choice(sorted(entries))
-            state = self._rng.choice(["ready", "draining"])
-            store.write("servers", name,
-                        entries[name].document | {"state": state})
+            sources = self._rng.choice(["store", "answer", "both"])
+            self.faults.append(f"{name}: {sources}")
+            replicas.leave_or_return(store, name, entries[name], sources)
         elif kind == "change":
             self._version += 1
             store.write("op", "config", _configuration(self._version))
@@ -403,7 +426,8 @@
                 "seed": seed,
                 "broken": broken,
                 "statuses": dict(statuses.most_common()),
-                "faults": soak.faults
+                "faults": soak.faults,
+                "leaving_passed_on": soak.leaving_passed_on
             }),
                   flush=True)
             if broken:
--- a/testbed/soak_replicas.py
+++ b/testbed/soak_replicas.py
@@ -11,6 +11,7 @@
 
 from testbed import edge_store
 from testbed import replica
+from testbed import soak_leaving
 
 EVENTS_PER_STREAM = 12
 CRASHING_PART = "bad0"
@@ -31,6 +32,7 @@
         self.limited: replica.Replica | None = None
         self.on_crash: collections.abc.Callable[[replica.Replica], None]
         self.fault_share = 0.0
+        self.departures = soak_leaving.Departures()
         self._refused = replica.Request("", "", {}, b"")  # The last one.
         self._rng = rng
         self._lock = threading.Lock()
@@ -47,10 +49,38 @@
             lambda request: self._run_engine(engine, request))
         return engine
 
+    def leave_or_return(self, store: edge_store.Store, name: str,
+                        entry: "Entry", sources: str) -> None:
+        """Lets a replica leave, or start again if it leaves already.
+
+        Args:
+            store: The store.
+            name: Name of the replica.
+            entry: The replica.
+            sources: What shows that it leaves: "store", "answer" or "both".
+        """
+        if entry.is_leaving:
+            self.write_ready(store, name, entry)
+            return
+        if sources != "answer":
+            entry.document["state"] = "draining"
+            store.write("servers", name, entry.document)
+        entry.server.is_leaving = sources != "store"
+
+    def write_ready(self, store: edge_store.Store, name: str,
+                    entry: "Entry") -> None:
+        """Writes a replica as ready, as another incarnation if it left."""
+        if entry.is_leaving:
+            entry.document["born"] += 1
+            entry.document["state"] = "ready"
+            self.departures.restart(entry.server)
+        store.write("servers", name, entry.document)
+
     def _respond_plain(
         self, desk: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Responds with the request's id, or with a fault."""
+        self.departures.record_arrival(desk, request.id)
         if desk is self.limited:
             self.limited_s.append(time.monotonic())
             yield from self._respond_limited(request)
@@ -90,6 +120,7 @@
         self, engine: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Streams a draft until the engine crashes."""
+        self.departures.record_arrival(engine, request.id)
         if f"{CRASHING_PART}:" in request.headers.get("x-prefix-hash", ""):
             with self._lock:
                 self.runs[request.id] += 1
@@ -150,6 +181,11 @@
     server: replica.Replica
     document: dict[str, typing.Any]
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the replica leaves, by its answers or its row."""
+        return self.server.is_leaving or self.document["state"] != "ready"
+
 
 def start_replicas(stack: contextlib.ExitStack, replicas: Replicas,
                    store: edge_store.Store) -> dict[str, Entry]:
@@ -168,7 +204,8 @@
                     "address": server.address,
                     "zone": "a",
                     "slots": 6,
-                    "state": "ready"
+                    "state": "ready",
+                    "born": 1
                 })
         store.write("servers", name, entries[name].document)
 
