--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -51,12 +51,14 @@
         self.entries = None
         self.applied = 0
         self.configurations = []
+        self.known_since_s = None
         self.peering = peering.Peering(self.name, edge_world.free_address(),
                                        self.scheduler, self._apply,
                                        lambda rates: None, limits)
 
-    def _apply(self, entries, version, configuration, era):
+    def _apply(self, entries, version, configuration, era, known_since_s):
         del era
+        self.known_since_s = known_since_s
         if configuration:
             self.configurations.append((version, configuration))
             self.peering.record_configuration(version, configuration)
@@ -139,6 +141,29 @@
         assert f"target-{name}" not in loads
 
 
+def test_sums_of_the_next_hub_reach_the_former_one_unchanged(caplog):
+    # The former hub subtracted loads that it had not sent, or lost the digest.
+    entries = [_entry(number) for number in range(_TARGETS)]
+    with _running() as daemons:
+        former, following = daemons[:2]
+        _read_until(
+            daemons, entries, lambda: all(
+                len(daemon.others() or ()) == _DAEMONS
+                for daemon in daemons[1:]))
+
+        def has_sums_of_the_next_hub():
+            former.peering.record_read_failure()
+            following.read(entries)
+            return former.count_sums()
+
+        edge_world.wait_until(has_sums_of_the_next_hub)
+        first_sums = next(
+            event for event in former.scheduler.told if event.is_sum)
+    assert "receiving or sending a digest failed" not in caplog.text
+    loads = {load.target: load.outstanding for load in first_sums.loads}
+    assert loads.pop("common") == sum(loads.values())
+
+
 def test_unchanged_targets_are_sent_once_and_changes_reach_all():
     entries = [_entry(number) for number in range(_TARGETS)]
     leaving = [_entry(0, True), *entries[1:]]
@@ -268,3 +293,17 @@
         daemons[1].peering.record_configuration(9, b"new")
         _read_until(daemons, [_entry(0)], lambda: daemons[0].configurations)
     assert daemons[0].configurations[0] == (9, b"new")
+
+
+def test_snapshot_tells_since_when_its_reader_has_known_targets():
+    daemons = [_Daemon(0), _Daemon(1)]
+    rows = _Rows(daemons)
+    with daemons[0].peering.running(), daemons[1].peering.running():
+        for daemon in daemons:
+            daemon.peering.exchange_addresses(rows, False)
+        before_s = clock.now_s()
+        _read_until(daemons, [_entry(0)], lambda: daemons[1].entries)
+        after_s = clock.now_s()
+        _read_until(daemons, [_entry(1)], lambda: daemons[1].applied > 1)
+    # The digest takes some time.
+    assert before_s <= daemons[1].known_since_s <= after_s + _INTERVAL_S
