--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -28,7 +28,7 @@
 _REREGISTRATION_TIMEOUT_S = 2.0
 # Entries that nobody renews are removed within this time. Source: contract of
 # the platform, three heartbeats.
-_REMOVAL_TIMEOUT_S = 6.0
+REMOVAL_TIMEOUT_S = 6.0
 # Entries that are gone are remembered for longer than a copy is old. The load:
 # a failure domain of 2,300 targets that restarts.
 _GONE_EXPIRY_S = 60.0
@@ -49,7 +49,10 @@
 
 
 class Gone(typing.NamedTuple):
-    """An entry that is gone, and when and in which era it was missed."""
+    """An entry that is gone, and when and in which era it was missed.
+
+    The era is 0 if a peer told it.
+    """
 
     entry: Registration
     era: int
@@ -171,8 +174,13 @@
     """
     if confirmed_s > state.lost_since_s:
         state = _regain(state, now_s)
-    return _apply(state, last_rows(state),
-                  max(state.regained_s, state.returned_s), now_s)
+    return apply_last_rows(state, last_rows(state), now_s)
+
+
+def apply_last_rows(state: State, rows: typing.Iterable[Registration],
+                    now_s: float) -> tuple[State, Change]:
+    """Applies the rows of the last read to a state that has changed since."""
+    return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
 
 
 def last_rows(state: State) -> tuple[Registration, ...]:
@@ -265,7 +273,7 @@
     if last.is_leaving:
         return row._replace(is_leaving=True)
     is_removal_lost = (known is None and past.era != state.era and
-                       now_s < state.returned_s + _REMOVAL_TIMEOUT_S)
+                       now_s < state.returned_s + REMOVAL_TIMEOUT_S)
     return None if is_removal_lost else row
 
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -433,7 +433,7 @@
                 self._named_rates.record_peer_answers,
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
-                self._departures)
+                self._departures, follower.apply_stale_entries)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -41,6 +41,7 @@
 from persimmonspan.process import load_totals
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 
@@ -106,6 +107,8 @@
     configuration: bytes = b""  # Of `version`, if the receiver wanted it.
     # Targets that leave according to their answers.
     leaving: tuple[departures.Departure, ...] = ()
+    # What a reader that has just started does not know.
+    stale: stale_entries.StaleEntries | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -21,6 +21,7 @@
 from persimmonspan.process import directory
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
+from persimmonspan.process import stale_entries
 from persimmonspan.process import store_eras
 from persimmonspan.process import threads
 from persimmonspan.version import routes
@@ -35,10 +36,10 @@
 # Time between two reads of the other daemons' addresses. Digests announce new
 # daemons sooner; the rows are for daemons that no digest reaches.
 _ADDRESSES_READ_INTERVAL_S = 45.0
-# Within this time after the store came back from a copy, each daemon reads the
-# addresses again, and writes its own if it is lost. The load: 330 daemons, 83
-# calls a second of the 400 that the store takes.
-_ADDRESSES_RETURN_SPREAD_S = 4.0
+# After the store came back from a copy, each daemon reads the addresses again,
+# and writes its own if it is lost, within this time for each known daemon. The
+# load: 330 daemons, 83 calls a second of the 400 that the store takes.
+_ADDRESSES_RETURN_SPREAD_S = 0.012
 # Longest time of a call to the store that is not answered.
 _CALL_TIMEOUT_S = 2.0
 _DIGEST = "digest of a peer"  # Stands for a table as the source of an era.
@@ -98,6 +99,7 @@
         self._adoption_lock = threading.Lock()
         self._era = store_eras.State()
         self._addresses_due_s = -math.inf
+        self._generator = random.Random()
         self._era_lock = threading.Lock()
         self._version = 0  # Of the last adopted configuration.
         self._peer_version = 0  # Newest version that a peer reported.
@@ -166,6 +168,17 @@
             self._directory, change = directory.apply_snapshot(
                 state, rows, clock.now_s(), era, known_since_s)
             self._receiver.apply_directory(self._directory, change)
+            if registrations is not None:
+                self.peers.record_stale_entries(
+                    stale_entries.select(self._directory, self._generator))
+
+    def apply_stale_entries(self, stale: stale_entries.StaleEntries) -> None:
+        """Applies what a peer knows of targets that left before the start."""
+        with self._directory_lock:
+            self._directory, change = stale_entries.apply(
+                self._directory, stale, clock.now_s())
+            if any(change):
+                self._receiver.apply_directory(self._directory, change)
 
     def last_checked_s(self) -> float:
         """Returns when what is in force was last confirmed or uncheckable.
@@ -241,7 +254,8 @@
                                                     began_s, now_s)
             if verdict is store_eras.Verdict.CHANGED:
                 self._addresses_due_s = now_s + random.uniform(
-                    0.0, _ADDRESSES_RETURN_SPREAD_S)
+                    0.0,
+                    _ADDRESSES_RETURN_SPREAD_S * len(self.peers.list_daemons()))
         if verdict is store_eras.Verdict.LATE:
             self._receiver.count("store_answer_late")
             _logger.warning("answer of an earlier era of the store left out",
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -30,6 +30,7 @@
 from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import rate_limits
@@ -84,22 +85,29 @@
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
         tracker: Keeps the targets that leave according to their answers.
+        apply_stale_entries: Called with what a peer knows of targets that left
+            before this daemon started.
     """
 
-    def __init__(self,
-                 name: str,
-                 address: str,
-                 scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-                 apply_store_snapshot: _ApplySnapshot,
-                 record_rates: collections.abc.Callable[
-                     [tuple[rate_limits.Answer, ...]], None],
-                 limits: read_schedule.Limits = read_schedule.Limits(),
-                 tracker: Tracker | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+        apply_store_snapshot: _ApplySnapshot,
+        record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
+                                               None],
+        limits: read_schedule.Limits = read_schedule.Limits(),
+        tracker: Tracker | None = None,
+        apply_stale_entries: collections.abc.Callable[
+            [stale_entries.StaleEntries], None] = lambda stale: None
+    ) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
         self._record_rates = record_rates
+        self._apply_stale_entries = apply_stale_entries
         self._limits = limits
         self._tracker = tracker
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
@@ -115,6 +123,7 @@
         # Id of the registered targets in force.
         self._entries_id = 0
         self._known_since_s = math.inf
+        self._stale_entries: stale_entries.Selection | None = None
         # Starts at random: after a restart, a hub may still count a digest of
         # the process before.
         self._number = random.getrandbits(_NUMBER_BITS)
@@ -213,6 +222,11 @@
         self._known_since_s = min(self._known_since_s, clock.now_s())
         self._entries_id = edge_peers.identify_entries(entries)
 
+    def record_stale_entries(self,
+                             selection: stale_entries.Selection | None) -> None:
+        """Records what the reader does not know, for the next digests to it."""
+        self._stale_entries = selection
+
     def record_era(self, era: int) -> None:
         """Records the present era of the store."""
         with self._lock:
@@ -313,6 +327,8 @@
             self._apply_store_snapshot(None, digest.version,
                                        _decompress(digest.configuration), 0,
                                        -math.inf)
+        if digest.stale is not None:
+            self._apply_stale_entries(digest.stale)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
@@ -343,12 +359,14 @@
         requests = self._take_requests(receivers, now_s)
         departing = (self._tracker.select(self._number)
                      if self._tracker is not None else ())
+        stale = stale_entries.encode(self._stale_entries, now_s)
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates
-                ], requests, [item[:2] for item in departing]), is_hub, now_s):
+             ], [answer[:2] for answer in rates], requests,
+             [item[:2] for item in departing], stale and stale.entries), is_hub,
+                now_s):
             return {}
         totals = b""
         if is_hub:
@@ -369,8 +387,10 @@
                                    entries_id=self._entries_id,
                                    reports=reports,
                                    rates=rates,
-                                   leaving=departing)
-        if not is_hub and snapshot is None and not any(requests):
+                                   leaving=departing,
+                                   stale=stale)
+        if (not is_hub and snapshot is None and stale is None and
+                not any(requests)):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
@@ -381,6 +401,7 @@
                           now_s: float) -> dict[str, bytes]:
         """Returns the digest with what each peer needs, by its address."""
         snapshot = digest.news
+        reader = edge_peers.select_reader(state, self._name, now_s)
         outdated = self._select_outdated_peers(snapshot, receivers, now_s)
         entries_id = snapshot.entries_id if snapshot is not None else 0
         without_entries = edge_peers.peers_without_entries(state, entries_id)
@@ -392,8 +413,9 @@
                             digest,
                             wants_configuration=name == requests.source,
                             configuration=self._own_read.configuration
-                            if name in requests.wanted_by else b""), name
-                        in outdated, name in without_entries,
+                            if name in requests.wanted_by else b"",
+                            stale=digest.stale if name == reader else None),
+                        name in outdated, name in without_entries,
                         edge_peers.counted_number(state, name, now_s)))
             for name, address in receivers.items()
         }
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -13,6 +13,7 @@
 from persimmonspan.process import peering
 from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
+from persimmonspan.process import stale_entries
 from persimmonspan.request import events
 from testbed import edge_world
 
@@ -307,3 +308,22 @@
         _read_until(daemons, [_entry(1)], lambda: daemons[1].applied > 1)
     # The digest takes some time.
     assert before_s <= daemons[1].known_since_s <= after_s + _INTERVAL_S
+
+
+def test_reader_that_has_just_started_is_told_which_entries_are_stale():
+    told = []
+    daemons = [_Daemon(0), _Daemon(1), _Daemon(2)]
+    for daemon in daemons:
+        daemon.peering._apply_stale_entries = (  # pylint: disable=protected-access
+            lambda stale, name=daemon.name: told.append((name, stale)))
+    rows = _Rows(daemons)
+    with contextlib.ExitStack() as stack:
+        for daemon in daemons:
+            stack.enter_context(daemon.peering.running())
+            daemon.peering.exchange_addresses(rows, False)
+        daemons[1].peering.record_stale_entries(
+            stale_entries.Selection(2, clock.now_s(),
+                                    clock.now_s() + 6.0, (_entry(3, True),)))
+        _read_until(daemons, [_entry(0)], lambda: told)
+    assert {name for name, _ in told} == {"d00"}
+    assert told[0][1].entries == (_entry(3, True),)
