--- a/persimmonspan/connection/tests/test_exchange.py
+++ b/persimmonspan/connection/tests/test_exchange.py
@@ -15,7 +15,8 @@
 _REQUEST = exchange.Request("GET", "/report", ((b"Host", b"h"),))
 _ANSWERS = [
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\n{}\r\n0\r\n\r\n",
     b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 2\n\n{}",
 ]
 _UNENDED_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -41,6 +41,7 @@
     failure_domain: str
     kv_capacity_tokens: int = 0  # Zero for plain services.
     max_running: int = 64
+    incarnation: int = 0  # Zero if it is not known.
 
 
 class KindPolicy(typing.NamedTuple):
@@ -181,6 +182,8 @@
     workspaces: tuple[WorkspaceShare, ...]
     daemon: str = ""  # This daemon; selects its subset of targets.
     digest_interval_s: float = 1.0  # Between two digests of a peer.
+    # Targets that leave; they are not listed, but may still run requests.
+    leaving: frozenset[str] = frozenset()
 
 
 class TargetLeaving(typing.NamedTuple):
