Send a daemon the targets that were missing at its own read

Callers of some daemons got 503 (no_target) for all requests of a service from about 2 s after an outage of the store on, until a target changed: 68 refusals in 6 s, 26 requests were never served.

Cause: services register again within 2 s after the store is back. A daemon that read the targets before that keeps the missing ones as lapsed for 2 s, and gets what came since from the daemon that reads for all. It told that daemon the id of all its targets, with the lapsed ones; this is the id of the full list, so it was taken to have it and was never sent it. Then the lapsed ones ended.

The test failed before: nothing was sent.

Ruled out: targets that left (the other four daemons served them), the store (it was regained at 26.4 s), a reader that started in the outage.

Change: the id that a daemon tells after its own read is that of the targets that were there. What it tells others as the reader still has the lapsed ones.

--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -204,7 +204,9 @@
             self._own_read = self._own_read._replace(entries=entries,
                                                      entries_s=began_s,
                                                      era=state.era)
-        self.record_entries(entries)
+        # Entries that have lapsed end here after some time, unless the reader
+        # has them. If they were part of the id, it would not send them.
+        self.record_entries(state.present.values())
 
     def record_entries(
             self,
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -164,6 +164,22 @@
     assert loads.pop("common") == sum(loads.values())
 
 
+def test_daemon_that_missed_targets_at_its_read_gets_them_from_the_reader():
+    # They lapsed 2 s later and were never sent: it had no target from then on.
+    entries = [_entry(1), _entry(2)]
+    with _running() as daemons:
+        member = daemons[5]
+        _read_until(daemons, entries, lambda: member.entries is not None)
+        state, _ = directory.apply_rows(directory.State(), entries, 0.0)
+        now_s = clock.now_s()
+        state, _ = directory.apply_rows(directory.failed(state, 0.0),
+                                        entries[:1], now_s)
+        assert directory.all_targets(state) == tuple(entries)
+        before = member.applied
+        member.peering.record_targets_read(state, now_s)
+        _read_until(daemons, entries, lambda: member.applied > before)
+
+
 def test_unchanged_targets_are_sent_once_and_changes_reach_all():
     entries = [_entry(number) for number in range(_TARGETS)]
     leaving = [_entry(0, True), *entries[1:]]
