--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -65,6 +65,10 @@
         """Returns what the digest of a number tells."""
 
 
+_ApplySnapshot = collections.abc.Callable[
+    [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
+
+
 class Peering:
     """Sends digests to the other daemons and merges theirs.
 
@@ -82,19 +86,15 @@
         tracker: Keeps the targets that leave according to their answers.
     """
 
-    def __init__(
-            self,
-            name: str,
-            address: str,
-            scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-            apply_store_snapshot: collections.abc.
-        Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes, int, float],
-            None],
-            record_rates: collections.abc.Callable[
-                [tuple[rate_limits.Answer, ...]], None],
-            limits: read_schedule.Limits = read_schedule.Limits(),
-            tracker: Tracker | None = None) -> None:
+    def __init__(self,
+                 name: str,
+                 address: str,
+                 scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+                 apply_store_snapshot: _ApplySnapshot,
+                 record_rates: collections.abc.Callable[
+                     [tuple[rate_limits.Answer, ...]], None],
+                 limits: read_schedule.Limits = read_schedule.Limits(),
+                 tracker: Tracker | None = None) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
