Let a lowered idle limit end no head that keeps its own limit

Callers on the platform's interface got 408 for a head with a pause that the header limit allows, once a configuration had lowered the idle limit to less than the header limit, less 5 s.

Cause: the reads of a head were bounded by the idle limit of the moment at which the connection was accepted, and its slack. Connections also kept that bound when the limits were raised.

Evidence: the test failed before in both cases (408 instead of 200), on a new and on a kept connection.

Ruled out: bodies, whose reads have had a limit of their own since.

Change: a read may take as long as the larger of both limits, and the bound of a connection rises with them at its next request. It is never lowered, as it bounds the writes of responses, too.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -198,12 +198,14 @@
 
 
 def set_idle_timeout(http_server: idle_connections.Server,
-                     idle_timeout_s: float) -> None:
+                     idle_timeout_s: float,
+                     header_timeout_s: float = 0.0) -> None:
     """Sets how long a connection may be idle between requests.
 
-    A connection that is idle keeps the former limit, if that was larger.
+    A connection that is idle keeps the former limit, if that was larger. A head
+    may pause for `header_timeout_s`, also if that is longer.
     """
-    http_server.limit_idle_time(idle_timeout_s, _IDLE_SLACK_S)
+    http_server.limit_idle_time(idle_timeout_s, _IDLE_SLACK_S, header_timeout_s)
 
 
 def make_readiness_server(address: tuple[str, int],
--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -67,17 +67,27 @@
         self._connections = _IdleConnections(self)
         unused.close()
 
-    def limit_idle_time(self, idle_s: float, slack_s: float = 0.0) -> None:
+    def process_conn(self, conn: server.HTTPConnection) -> None:
+        """Lets a worker thread process a connection."""
+        conn.socket.settimeout(
+            max(conn.socket.gettimeout(), self.read_timeout_s))
+        super().process_conn(conn)
+
+    def limit_idle_time(self,
+                        idle_s: float,
+                        slack_s: float = 0.0,
+                        head_s: float = 0.0) -> None:
         """Changes how long connections may be idle from now on.
 
         Args:
             idle_s: The time that callers know.
             slack_s: How much longer connections are kept.
+            head_s: How long callers may take to send a head.
         """
         # cheroot tells callers of HTTP/1.0 this time; it must be whole. It also
         # limits TLS handshakes.
         self.timeout = max(_MIN_TOLD_S, int(idle_s))
-        self.read_timeout_s = idle_s + slack_s
+        self.read_timeout_s = max(idle_s + slack_s, head_s)
         self.limits = idle_limits.replace(self.limits, idle_s + slack_s,
                                           time.monotonic())
 
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -188,6 +188,19 @@
         assert _read_status(sock) == 200
 
 
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_lowered_idle_limit_ends_no_head_within_its_own_limit(server, is_kept):
+    with _kept_connections(server, int(is_kept)) as sockets:
+        forwarding_listener.set_idle_timeout(server, _LOW_LIMIT_S, 3.0)
+        with contextlib.ExitStack() as stack:
+            sock = sockets[0] if is_kept else stack.enter_context(
+                socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
+            sock.sendall(_REQUEST[:20])
+            time.sleep(_EXPIRED_AFTER_S)
+            sock.sendall(_REQUEST[20:])
+            assert _read_status(sock) == 200
+
+
 def test_request_that_waits_at_an_expired_connection_is_served(
         server, monkeypatch):
     # Starting threads for other connections occupies the thread that waits for
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -276,7 +276,8 @@
                 return
             self._configuration = configuration
         forwarding_listener.set_idle_timeout(
-            self._server, configuration.limits.idle_timeout_s)
+            self._server, configuration.limits.idle_timeout_s,
+            configuration.limits.header_timeout_s)
         _logger.info("configuration in force",
                      extra={
                          "version": configuration.version,
