Do not take a pause of the daemon for a caller that reads nothing

Callers saw a stream cut if the daemon was paused for 5 s just after their socket had been full, although they had read everything meanwhile.

Cause: the relay compared the clock with the last progress, without a look whether the caller's socket takes bytes again.

Evidence: the test failed before (caller_slow for a caller that had read); its second case, a caller that reads nothing, passed before and passes now.

--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -381,8 +381,12 @@
             return
         if transfer.blocked_at_s is not None:
             if transfer.blocked_at_s + transfer.caller_write_timeout_s <= now_s:
-                self._end_relaying(transfer, Signal.CALLER_SLOW)
-                return
+                # If this process was paused, the caller may have read since.
+                if not _is_ready(transfer.caller_fd, select.POLLOUT):
+                    self._end_relaying(transfer, Signal.CALLER_SLOW)
+                    return
+                transfer.blocked_at_s = (now_s + _POLL_TIMEOUT_S -
+                                         transfer.caller_write_timeout_s)
         elif transfer.next_token_due_s <= now_s:
             # If this process was paused, what has arrived is not read yet.
             if transfer.is_overdue or not _is_ready(transfer.engine_fd,
--- a/persimmonspan/connection/tests/test_relay.py
+++ b/persimmonspan/connection/tests/test_relay.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+import pytest
+
 from persimmonspan.connection import relay
 
 _GAP_TIMEOUT_S = 0.3
@@ -84,3 +86,54 @@
 
 def test_silence_through_a_pause_of_the_daemon_is_noticed():
     assert _first_notice(lambda engine: None, True) is relay.Signal.SILENT
+
+
+_CALLER_TIMEOUT_S = 0.3
+
+
+@pytest.mark.parametrize("has_read", [True, False])
+def test_caller_that_read_while_the_daemon_was_paused_is_not_slow(has_read):
+    notices = queue.SimpleQueue()
+    stream_relay = relay.Relay(lambda gap_s, count: None)
+    caller, far_caller = socket.socketpair()
+    engine, far_engine = socket.socketpair()
+    far_caller.settimeout(_NOTICE_TIMEOUT_S)
+    poll = stream_relay._epoll.poll  # pylint: disable=protected-access
+    is_blocked, is_resumed = threading.Event(), threading.Event()
+
+    class _Epoll(_PausedEpoll):
+
+        def poll(self, *arguments):
+            """Pauses once the caller's socket is full."""
+            if transfer.pending and not is_blocked.is_set():
+                is_blocked.set()
+                assert is_resumed.wait(_NOTICE_TIMEOUT_S)
+                return []
+            return poll(*arguments)
+
+    stream_relay._epoll = _Epoll(  # pylint: disable=protected-access
+        stream_relay._epoll, None)  # pylint: disable=protected-access
+
+    def consume(data, now_s):
+        del data, now_s
+        return b"x" * 1_000_000, 1, False
+
+    try:
+        with caller, far_caller, engine, far_engine, stream_relay.watch_caller(
+                caller, notices.put, _CALLER_TIMEOUT_S) as transfer:
+            stream_relay.attach_engine(transfer, engine, consume, 5.0, 5.0)
+            stream_relay.start()
+            far_engine.sendall(b"event")
+            assert is_blocked.wait(_NOTICE_TIMEOUT_S)
+            received = len(far_caller.recv(500_000)) if has_read else 0
+            time.sleep(2 * _CALLER_TIMEOUT_S)
+            is_resumed.set()
+            if has_read:
+                while received < 1_000_000:
+                    received += len(far_caller.recv(500_000))
+                assert notices.empty()
+            else:
+                assert notices.get(timeout=_NOTICE_TIMEOUT_S
+                                  ).signal is relay.Signal.CALLER_SLOW
+    finally:
+        stream_relay.stop()
