Take no cut or repeated response of an engine for that to an order

Operators would have seen an order as accepted or stale though the engine had not said so: its head was cut, or it wrote an earlier response once more on the connection that the state query and the order share.

Cause: send_order took the status from http.client, which takes the end of the connection for the end of a head, and read no body; it did not look whether bytes had come before the order. Control orders are not wired into the running daemon yet.

Ruled out: generations, reports of load and the store's answers, whose bodies must decode whole.

Change: orders use the exchange of plain services, whose reader knows the end of a head; an order is not sent if bytes wait, and a response with other bytes behind it is unknown.

--- a/persimmonspan/connection/engine_control.py
+++ b/persimmonspan/connection/engine_control.py
@@ -10,7 +10,8 @@
 """
 
 import http
-import http.client
+import socket
+import time
 import typing
 
 import immutables
@@ -18,8 +19,11 @@
 import urllib3
 
 from persimmonspan import errors
+from persimmonspan.connection import exchange
 from persimmonspan.process import orders
 
+_MAX_BODY_BYTES = 64 * 1024
+
 Outcome = typing.Literal["accepted", "stale", "failed", "unknown"]
 
 _OUTCOME_BY_STATUS: dict[int, Outcome] = {
@@ -68,28 +72,42 @@
                          fence=order.fence,
                          kind=order.kind,
                          argument=order.argument)
-    host, port = address.rsplit(":", 1)
-    connection = urllib3.connection.HTTPConnection(host,
-                                                   int(port),
-                                                   timeout=timeout_s)
     try:
-        connection.request("GET", "/v1/state")
-        state = _state_decoder.decode(connection.getresponse().data)
-        # A second connection could reach a restarted engine, so the order is
-        # not sent if the engine closed the first one.
-        if state["incarnation"] != order.incarnation or connection.sock is None:
-            return "unknown"
-        connection.auto_open = 0
-        connection.request("POST", "/v1/orders", body=msgspec.json.encode(body))
-        status = connection.getresponse().status
-    except (urllib3.exceptions.HTTPError, OSError, http.client.HTTPException,
-            msgspec.DecodeError):
+        with exchange.open_socket(address, timeout_s) as sock:
+            _, data = _ask(sock, "GET", "/v1/state", b"", timeout_s)
+            state = _state_decoder.decode(data)
+            # A second connection could reach a restarted engine, so the order
+            # is not sent if the engine closed the first one. Bytes that came
+            # uncalled could be taken for the response to the order.
+            if (state["incarnation"] != order.incarnation or
+                    exchange.has_input(sock)):
+                return "unknown"
+            status, _ = _ask(sock, "POST", "/v1/orders",
+                             msgspec.json.encode(body), timeout_s)
+    except (errors.TargetError, msgspec.DecodeError):
         return "unknown"
-    finally:
-        connection.close()
     return _OUTCOME_BY_STATUS.get(status, "unknown")
 
 
+def _ask(sock: socket.socket, method: str, path: str, body: bytes,
+         timeout_s: float) -> tuple[int, bytes]:
+    """Returns status and body of the response to a request.
+
+    Raises:
+        errors.TargetError: No whole response arrived in time, or other bytes
+            followed it.
+    """
+    request = exchange.Request(method, path, ((b"Host", b"engine"),), body)
+    exchange.send(sock, exchange.encode(request), timeout_s)
+    reader, data = exchange.receive(sock, method,
+                                    time.monotonic() + timeout_s,
+                                    _MAX_BODY_BYTES)
+    if reader.has_trailing_bytes:
+        raise exchange.BrokenResponseError(errors.Code.TARGET_FAILED,
+                                           "other bytes follow the response")
+    return reader.head.status, data
+
+
 def read_state(address: str, timeout_s: float) -> orders.ReportedState:
     """Reads the state of the engine at an address and port.
 
