Place no request, copy or move at a closed target

What callers saw: with all targets turning requests away, a request was sent to each of them and refused with the time of its lane, not that of the first opening.

Cause: the scheduler knew refusals only as a lower weight of the target.

Change: events TargetClosed and TargetOpened. Choice, probes of recovery, backups and evacuations skip closed targets; a stream at a closed target that leaves is copied once it opens. If all targets are closed, a request that can be served after the first opening waits, any other is refused at once as not run with the time until then; waiting ones are refused as soon as their targets all open too late. An attempt whose target closed before it was sent (Outcome.TARGET_CLOSED) is placed again and not counted. refuse_quarantined moves to request/eviction.py.

--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -28,6 +28,7 @@
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import target_backoff
 
 MAX_SUBSET_TARGETS = 24
 # Targets with less weight get no long requests, which would be slow for a long
@@ -46,6 +47,9 @@
 _DISPATCH_PROBABILITY_FACTOR = 0.5
 # Moves within a failure domain take half as long as moves between two.
 _SAME_DOMAIN_WEIGHT = 2.0
+# Time that a response takes at least. A request that waits for a target to open
+# needs it before its deadline.
+_MIN_RESPONSE_S = 0.1
 
 
 def select_subset(daemon: str,
@@ -104,6 +108,7 @@
     health_state: health.State = health.State()
     budget: retry.State = retry.State()
     rates: rate_limits.State = rate_limits.State()
+    backoff: target_backoff.State = target_backoff.State()
 
 
 def choose_target(view: load_view.View, query: TargetQuery,
@@ -155,6 +160,8 @@
         if now_s < item.avoid_until_s or not rate_limits.may_send(
                 rules.rates, name, now_s):
             continue
+        if not target_backoff.may_send(rules.backoff, name, now_s):
+            continue
         target_health = rules.health_state.targets.get(name)
         weight = target_health.weight if target_health else 1.0
         if weight < _MIN_HEALTHY_WEIGHT:
@@ -210,7 +217,8 @@
     best: tuple[float, str] | None = None
     for name in view.groups.get(query.service, ()):
         if (name in rules.leaving or name == target or name in query.excluded or
-                rate_limits.is_limited(rules.rates, name)):
+                rate_limits.is_limited(rules.rates, name) or
+                target_backoff.is_closed(rules.backoff, name, now_s)):
             continue
         item = view.targets[name]
         if now_s < item.avoid_until_s or not admission.fits_copy(
@@ -241,7 +249,8 @@
     for name in view.groups.get(query.service, ()):
         item = view.targets[name]
         if (name in rules.leaving or name in query.excluded or
-                now_s < item.avoid_until_s):
+                now_s < item.avoid_until_s or
+                target_backoff.is_closed(rules.backoff, name, now_s)):
             continue
         uses.append((admission.estimate_use(item, True, peers, now_s), name))
         free_share = admission.free_memory_share(item, query.profile, peers,
@@ -262,3 +271,20 @@
     """Returns whether a target is neither leaving nor excluded."""
     return any(name not in leaving and name not in excluded
                for name in view.groups.get(service, ()))
+
+
+def earliest_start_s(view: load_view.View, service: str,
+                     rules: TargetConstraints, excluded: tuple[str, ...],
+                     now_s: float) -> float:
+    """Returns now, or the time from which a closed target can respond.
+
+    It is later than now if all targets that are neither leaving nor excluded
+    are closed.
+    """
+    if not rules.backoff.pauses:
+        return now_s
+    opens_s = target_backoff.find_opening_s(
+        rules.backoff, (name for name in view.groups.get(service, ())
+                        if name not in rules.leaving and name not in excluded),
+        now_s)
+    return now_s if opens_s is None else opens_s + _MIN_RESPONSE_S
--- a/persimmonspan/request/evacuation.py
+++ b/persimmonspan/request/evacuation.py
@@ -17,6 +17,7 @@
 from persimmonspan.request import choice
 from persimmonspan.request import events
 from persimmonspan.request import placement
+from persimmonspan.request import target_backoff
 
 # The source updates a backup several times a second. With the time of the
 # notice, a backup of this age is complete when the target ends.
@@ -30,11 +31,14 @@
     """Plans the move of a request whose target leaves.
 
     A request needs no move if it may run again elsewhere, has no token yet or
-    has a usable backup.
+    has a usable backup. A closed target cannot be asked for a copy; see
+    `renew_copy`.
     """
     arrived = running.item.arrived
     if not arrived.wants_backup or not running.tokens:
         return state, []
+    if target_backoff.is_closed(state.backoff, running.target, now_s):
+        return state, []
     if running.backup is not None and _has_usable_backup(state, running, now_s):
         return state, []
     return _plan_evacuation(state, running, now_s, rng)
@@ -50,12 +54,17 @@
 
 
 def renew_copy(state: placement.State, running: placement.RunningRequest,
-               now_s: float) -> placement.Result:
+               now_s: float, rng: random.Random) -> placement.Result:
     """Orders a new copy of a request that still runs at its leaving target.
 
     Targets discard unused copies, and some targets run for long after the
-    notice.
+    notice. A request that had to wait for a closed target is planned now.
     """
+    if target_backoff.is_closed(state.backoff, running.target, now_s):
+        return state, []
+    if state.backoff.pauses and (running.backup is None or
+                                 math.isinf(running.copy_ordered_s)):
+        return evacuate(state, running, now_s, rng)
     if (running.backup is None or
             now_s - running.copy_ordered_s < _COPY_RENEWAL_INTERVAL_S):
         return state, []
@@ -77,9 +86,11 @@
     wanted = choice.TargetQuery(
         arrived.service, running.profile, running.is_long, False,
         (running.target, *running.rejected_evacuation_targets))
-    evacuation_target = choice.choose_evacuation_target(
-        view, wanted, placement.target_constraints(state), running.target,
-        now_s, rng)
+    evacuation_target = None
+    if not target_backoff.is_closed(state.backoff, running.target, now_s):
+        evacuation_target = choice.choose_evacuation_target(
+            view, wanted, placement.target_constraints(state), running.target,
+            now_s, rng)
     commands: list[events.Command] = []
     if evacuation_target is not None:
         view = load_view.add_copy(view, evacuation_target, running.profile)
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -30,6 +30,7 @@
     ANSWERED_ERROR = "answered_error"  # The target sent an error response.
     # The response is incomplete or missing; the request need not be the cause.
     INTERRUPTED = "interrupted"
+    TARGET_CLOSED = "target_closed"  # Before the request was sent.
 
 
 class Target(typing.NamedTuple):
@@ -209,6 +210,19 @@
     age_s: float = 0.0
 
 
+class TargetClosed(typing.NamedTuple):
+    """A target turned a request away and wants none for a time."""
+
+    target: str
+    pause_s: float
+
+
+class TargetOpened(typing.NamedTuple):
+    """The pause of a target ended, or the target started again."""
+
+    target: str
+
+
 class DaemonsChanged(typing.NamedTuple):
     """Other daemons joined or left; `daemons` includes this one."""
 
@@ -328,7 +342,8 @@
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | RequestMoved |
          MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
          TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
-         TargetAlive | RateNamed | DaemonsChanged | CacheEvent |
-         QuarantineShared | QuarantineLifted | RetryLimitsChanged | Tick)
+         TargetAlive | RateNamed | TargetClosed | TargetOpened |
+         DaemonsChanged | CacheEvent | QuarantineShared | QuarantineLifted |
+         RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | Count)
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -26,6 +26,7 @@
 from persimmonspan.request import queueing
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import target_backoff
 
 # A request of a short kind that generated more tokens joins the long class.
 _MAX_SHORT_TOKENS = 512
@@ -90,6 +91,7 @@
     budget: retry.State = retry.State()
     suspects: quarantine.State = quarantine.State()
     rates: rate_limits.State = rate_limits.State()
+    backoff: target_backoff.State = target_backoff.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -199,7 +201,8 @@
         suspects=quarantine.record_dispatch(state.suspects, arrived.request_id,
                                             fingerprints(arrived), target,
                                             now_s),
-        rates=rate_limits.record_dispatch(state.rates, target, now_s))
+        rates=rate_limits.record_dispatch(state.rates, target, now_s),
+        backoff=target_backoff.record_dispatch(state.backoff, target, now_s))
     return state, [dispatch]
 
 
@@ -209,36 +212,6 @@
                                    arrived.part_fingerprints)
 
 
-def refuse_quarantined(state: State, now_s: float,
-                       rng: random.Random) -> Result:
-    """Ends the requests that the quarantine refuses since its last change.
-
-    Those that wait are refused. Those that run and have no token yet are
-    cancelled, so that they do not crash their targets too.
-    """
-    commands: list[events.Command] = []
-    for item in state.queue.requests.values():
-        if quarantine.find_refused(state.suspects, fingerprints(item.arrived),
-                                   now_s):
-            state, more = refuse(state, item, errors.Code.QUARANTINED, now_s,
-                                 rng)
-            state = state._replace(
-                queue=queueing.remove_and_rescore(state.queue, item, now_s))
-            commands += more
-    for request_id, running in state.running.items():
-        fingerprint = quarantine.find_refused(
-            state.suspects, fingerprints(running.item.arrived), now_s)
-        if fingerprint is None or running.tokens:
-            continue
-        state, cancel = cancel_attempt(state, request_id, running, now_s)
-        commands += [
-            cancel,
-            events.Refuse(request_id, errors.Code.QUARANTINED, None,
-                          errors.RunState.UNKNOWN, fingerprint)
-        ]
-    return state, commands
-
-
 def enqueue(state: State, item: queueing.QueuedRequest, now_s: float,
             is_first: bool) -> State:
     """Adds a request to the queue."""
@@ -359,7 +332,7 @@
 def target_constraints(state: State) -> choice.TargetConstraints:
     """Returns the constraints on targets other than load."""
     return choice.TargetConstraints(state.leaving, state.health_state,
-                                    state.budget, state.rates)
+                                    state.budget, state.rates, state.backoff)
 
 
 def retry_or_refuse(state: State, running: RunningRequest,
@@ -390,11 +363,34 @@
     state, commands = place(state, item, (), now_s, rng)
     if commands:
         return state, count_commands + commands
-    if item.latest_start_s <= now_s:
-        state, commands = refuse(state, item, errors.Code.OVERLOADED, now_s,
-                                 rng)
-        return state, count_commands + commands
-    return enqueue(state, item, now_s, True), count_commands
+    state, commands = wait_or_refuse(state, item, now_s, rng)
+    return state, count_commands + commands
+
+
+def wait_or_refuse(state: State, item: queueing.QueuedRequest, now_s: float,
+                   rng: random.Random) -> Result:
+    """Puts a request first in its lane, or refuses it if it starts too late."""
+    if item.latest_start_s <= choice.earliest_start_s(state.view,
+                                                      item.arrived.service,
+                                                      target_constraints(state),
+                                                      item.tried_targets,
+                                                      now_s):
+        return refuse(state, item, errors.Code.OVERLOADED, now_s, rng)
+    return enqueue(state, item, now_s, True), []
+
+
+def place_again(state: State, running: RunningRequest, now_s: float,
+                rng: random.Random) -> Result:
+    """Places a request whose target closed before the request was sent.
+
+    The attempt does not count against the attempts of the request.
+    """
+    item = running.item
+    item = item._replace(tried_targets=item.tried_targets[:-1])
+    state, commands = place(state, item, (), now_s, rng)
+    if commands:
+        return state, commands
+    return wait_or_refuse(state, item, now_s, rng)
 
 
 def record_request_end(state: State, arrived: events.Arrived, is_success: bool,
@@ -425,8 +421,14 @@
     """Ends a request with an error that reports whether it may have run."""
     run_state = (errors.RunState.NOT_RUN
                  if item.is_not_run else errors.RunState.UNKNOWN)
-    retry_after_s = (queueing.retry_after_s(state.queue, item, now_s, rng)
-                     if item.is_not_run else None)
+    closed_s = choice.earliest_start_s(state.view, item.arrived.service,
+                                       target_constraints(state),
+                                       (), now_s) - now_s
+    retry_after_s = None
+    if item.is_not_run:
+        retry_after_s = (target_backoff.draw_pause_s(closed_s, rng)
+                         if closed_s else queueing.retry_after_s(
+                             state.queue, item, now_s, rng))
     fingerprint = ""
     if reason is errors.Code.QUARANTINED:
         fingerprint = quarantine.find_refused(
@@ -441,4 +443,4 @@
         events.Refuse(item.arrived.request_id, reason, retry_after_s, run_state,
                       fingerprint),
         events.Count(reason)
-    ]
+    ] + ([events.Count("all_targets_closed")] if closed_s else [])
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -26,11 +26,13 @@
 from persimmonspan.request import choice
 from persimmonspan.request import evacuation
 from persimmonspan.request import events
+from persimmonspan.request import eviction
 from persimmonspan.request import placement
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import target_backoff
 
 RunningRequest = placement.RunningRequest
 State = placement.State
@@ -124,8 +126,11 @@
         state, commands = placement.place(state, item, (), now_s, rng)
         if commands:
             return state, commands
-    if item.latest_start_s <= now_s or queueing.is_lane_too_long(
-            state.queue, item, now_s):
+    start_s = choice.earliest_start_s(state.view, event.service,
+                                      placement.target_constraints(state), (),
+                                      now_s)
+    if item.latest_start_s <= start_s or queueing.is_lane_too_long(
+            state.queue, item, start_s):
         return placement.refuse(state, item, errors.Code.OVERLOADED, now_s, rng)
     return placement.enqueue(state, item, now_s, False), []
 
@@ -154,7 +159,6 @@
 @_handle_event.register
 def _(event: events.Progressed, state: State, now_s: float,
       rng: random.Random) -> Result:
-    del rng
     running = state.running.get(event.request_id)
     if (running is None or running.target != event.target or
             event.tokens <= running.tokens or
@@ -170,7 +174,7 @@
         state, running = placement.refresh_profile(state, running)
     state = state._replace(running=state.running.set(event.request_id, running))
     if running.target in state.leaving:
-        return evacuation.renew_copy(state, running, now_s)
+        return evacuation.renew_copy(state, running, now_s, rng)
     return state, []
 
 
@@ -194,6 +198,8 @@
             state = placement.avoid_target(state, event.target, now_s)
         state, commands = placement.retry_or_refuse(state, running, outcome,
                                                     now_s, rng)
+    elif outcome is events.Outcome.TARGET_CLOSED:
+        state, commands = placement.place_again(state, running, now_s, rng)
     else:
         state = placement.record_request_end(state, running.item.arrived, False,
                                              now_s)
@@ -298,6 +304,26 @@
         state.rates, event.target, event.per_s, event.age_s, now_s)), []
 
 
+@_handle_event.register
+def _(event: events.TargetClosed, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    state = state._replace(backoff=target_backoff.close(
+        state.backoff, event.target, event.pause_s, now_s))
+    return eviction.refuse_late(state, now_s, rng)
+
+
+@_handle_event.register
+def _(event: events.TargetOpened, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    state = state._replace(
+        backoff=target_backoff.reopen(state.backoff, event.target, now_s))
+    item = state.view.targets.get(event.target)
+    if item is None:
+        return state, []
+    return placement.dispatch_waiting(state, item.target.service,
+                                      (event.target,), now_s, rng)
+
+
 @_handle_event.register
 def _(event: events.DaemonsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -344,7 +370,7 @@
     item = state.view.targets.get(event.target)
     if item is not None and now_s >= item.avoid_until_s:
         state = placement.avoid_target(state, event.target, now_s)
-    return placement.refuse_quarantined(state, now_s, rng)
+    return eviction.refuse_quarantined(state, now_s, rng)
 
 
 @_handle_event.register
@@ -352,7 +378,7 @@
       rng: random.Random) -> Result:
     if not event.is_refused:
         return state, []
-    return placement.refuse_quarantined(state, now_s, rng)
+    return eviction.refuse_quarantined(state, now_s, rng)
 
 
 @_handle_event.register
@@ -372,12 +398,16 @@
     if now_s - state.last_sweep_s >= _SWEEP_INTERVAL_S:
         state = state._replace(budget=retry.tick(state.budget, now_s),
                                rates=rate_limits.expire(state.rates, now_s),
+                               backoff=target_backoff.expire(
+                                   state.backoff, now_s),
                                last_sweep_s=now_s)
     commands: list[events.Command] = []
     for item in expired:
         state, refusal = placement.refuse(state, item, errors.Code.OVERLOADED,
                                           now_s, rng)
         commands += refusal
+    state, refusals = eviction.refuse_late(state, now_s, rng)
+    commands += refusals
     for service in {key[0] for key in state.queue.ranked_lanes}:
         state, more = placement.dispatch_waiting(state, service, (), now_s, rng)
         commands += more
--- a/persimmonspan/request/tests/test_scheduler_machine.py
+++ b/persimmonspan/request/tests/test_scheduler_machine.py
@@ -34,6 +34,7 @@
         self.listed, self.leaving = set(), set()
         self.waiting, self.live = {}, {}
         self.maybe_ran, self.tried = set(), {}
+        self.opens_s = {}
         self.tokens = {}
         self.count = 0
         self.apply_targets(_TARGETS)
@@ -53,6 +54,9 @@
             if isinstance(command, events.Dispatch):
                 arrived = self.waiting.pop(command.request_id)
                 assert command.target in self.listed - self.leaving
+                assert self.now_s >= self.opens_s.get(command.target, 0.0)
+                assert (command.backup is None or
+                        self.now_s >= self.opens_s.get(command.backup, 0.0))
                 assert command.target not in self.tried[command.request_id]
                 self.tried[command.request_id].add(command.target)
                 assert command.attempt == len(self.tried[command.request_id])
@@ -104,9 +108,13 @@
         if outcome in (events.Outcome.REFUSED, events.Outcome.CONNECT_FAILED,
                        events.Outcome.FAILED_BEFORE_FIRST_TOKEN,
                        events.Outcome.ANSWERED_ERROR,
-                       events.Outcome.INTERRUPTED):
+                       events.Outcome.INTERRUPTED,
+                       events.Outcome.TARGET_CLOSED):
             self.waiting[request_id] = arrived
-            if outcome not in placement.NOT_RUN:
+            if outcome is events.Outcome.TARGET_CLOSED:
+                # The request was not sent, so the target may get it later.
+                self.tried[request_id].discard(target)
+            elif outcome not in placement.NOT_RUN:
                 self.maybe_ran.add(request_id)
         commands = self.send(
             events.AttemptEnded(request_id, target, outcome,
@@ -182,6 +190,20 @@
         self.leaving.discard(replica.name)
         self.send(events.TargetReturned(replica.name))
 
+    @stateful.rule(replica=strategies.sampled_from(_TARGETS),
+                   pause_s=strategies.sampled_from((0.0, 0.2, 2.0, 40.0)))
+    def close(self, replica, pause_s):
+        """A target turns a request away and wants none for a time."""
+        self.opens_s[replica.name] = max(self.opens_s.get(replica.name, 0.0),
+                                         self.now_s + pause_s)
+        self.send(events.TargetClosed(replica.name, pause_s))
+
+    @stateful.rule(replica=strategies.sampled_from(_TARGETS))
+    def open(self, replica):
+        """The pause of a target ends, or it started again."""
+        self.opens_s.pop(replica.name, None)
+        self.send(events.TargetOpened(replica.name))
+
     @stateful.rule(replica=strategies.sampled_from(_TARGETS))
     def die(self, replica):
         """A target died."""
