Read Retry-After of targets that turn requests, copies or reports away

Requests, copies, moves, drops of copies, notice polls and death probes keep to it. A head that is whole and names this request or none counts; a head that is cut or names another request does not. A stream whose memory is at a closed target only may continue there once in a pause.

--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from persimmonspan.connection import exchange
+from persimmonspan.connection import retry_after
 from persimmonspan.request import forwarded
 
 _MS_PER_S = 1000.0
@@ -95,7 +96,13 @@
         is_encoded=head.get(b"content-encoding") is not None,
         load=_parse_load(head.get(b"x-instance-load")),
         max_requests_per_s=_parse_rate(head.get(b"server-limit")),
-        media_type=_parse_media_type(head.get(b"content-type")))
+        media_type=_parse_media_type(head.get(b"content-type")),
+        retry_after_s=decode_retry_after(head))
+
+
+def decode_retry_after(head: exchange.RawResponseHead) -> float | None:
+    """Decodes for how long a replica that turns a call away wants none."""
+    return retry_after.read_pause_s(head)
 
 
 class _MoveResult(msgspec.Struct):
--- a/persimmonspan/process/death_probe.py
+++ b/persimmonspan/process/death_probe.py
@@ -27,13 +27,14 @@
 
     Args:
         report: Called with the result.
+        is_closed: Returns whether a target wants no calls now.
     """
 
-    def __init__(
-        self, report: collections.abc.Callable[
-            [events.TargetDied | events.TargetAlive], object]
-    ) -> None:
+    def __init__(self, report: collections.abc.Callable[
+        [events.TargetDied | events.TargetAlive], object],
+                 is_closed: collections.abc.Callable[[str], bool]) -> None:
         self._report = report
+        self._is_closed = is_closed
         self._targets: queue.SimpleQueue[events.Target |
                                          None] = queue.SimpleQueue()
         # Names of targets in the queue. Single operations are atomic.
@@ -54,6 +55,10 @@
     def _run(self) -> None:
         while (target := self._targets.get()) is not None:
             self._pending.discard(target.name)
+            if self._is_closed(target.name):
+                _logger.info("closed target not probed",
+                             extra={"target": target.name})
+                continue
             try:
                 has_died = exchange.is_refused(target.address, _TIMEOUT_S)
             except Exception:  # pylint: disable=broad-exception-caught
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -40,6 +40,7 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
+from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
@@ -102,7 +103,10 @@
             share=self._share_quarantine,
             limits=retry_limits(options.retry),
             notify_peers=self._notify_peers)
-        self._death_probe = death_probe.DeathProbe(self.scheduler.tell)
+        self._pauses = target_pauses.TargetPauses(self.scheduler.tell,
+                                                  self.metrics.count)
+        self._death_probe = death_probe.DeathProbe(self.scheduler.tell,
+                                                   self._pauses.is_closed)
         self._named_rates = named_rates.NamedRates(self.scheduler.tell)
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
@@ -167,9 +171,9 @@
         context = forwarding.Context(configuration, self._find_target,
                                      self._record_moved_target,
                                      self._death_probe.check,
-                                     self._named_rates.record, self.scheduler,
-                                     self.metrics, self._relay, self.wire,
-                                     self._response_budget)
+                                     self._named_rates.record, self._pauses,
+                                     self.scheduler, self.metrics, self._relay,
+                                     self.wire, self._response_budget)
         return forwarding.serve(routed_call, context, responder)
 
     def _await_confirmation(self) -> bool:
@@ -313,6 +317,7 @@
             self.scheduler.tell(events.TargetLeaving(entry.name))
         for entry in (*change.restarted, *change.joined):
             self._moved_targets.discard(entry.name)
+            self._pauses.reopen(entry.name)
         for entry in (*change.restarted, *change.joined):
             if not entry.is_leaving:
                 # The notice of its former process or entry holds no longer.
@@ -431,7 +436,9 @@
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
-                read_schedule.Limits(self._options.drain_s).max_targets_age_s)
+                read_schedule.Limits(self._options.drain_s).max_targets_age_s,
+                self._pauses)
+            stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
--- a/persimmonspan/process/notice_poller.py
+++ b/persimmonspan/process/notice_poller.py
@@ -19,6 +19,7 @@
 from persimmonspan.connection import exchange
 from persimmonspan.process import clock
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import target_pauses
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import scheduler
@@ -45,18 +46,21 @@
         wire: The formats of the platform.
         peers: Tells how old the targets are.
         max_age_s: Age of the targets from which engines are asked.
+        pauses: Says which engines are closed, and learns it from them.
     """
 
     def __init__(self,
                  scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
                  find_target: collections.abc.Callable[[str],
                                                        events.Target | None],
-                 wire: forwarded.Wire, peers: Peers, max_age_s: float) -> None:
+                 wire: forwarded.Wire, peers: Peers, max_age_s: float,
+                 pauses: target_pauses.TargetPauses) -> None:
         self._scheduler = scheduler_ref
         self._find_target = find_target
         self._wire = wire
         self._peers = peers
         self._max_age_s = max_age_s
+        self._pauses = pauses
 
     def poll(self) -> None:
         """Asks all engines with own streams once, if the targets are old."""
@@ -66,6 +70,10 @@
         for name in self._scheduler.ask(
                 scheduler_actor.Evaluate(_engines_with_streams)):
             target = self._find_target(name)
+            if self._pauses.is_closed(name):
+                _logger.info("closed engine not asked whether it leaves",
+                             extra={"target": name})
+                continue
             if target is not None and self._is_leaving(target):
                 _logger.info("engine leaves while the store is silent",
                              extra={
@@ -76,9 +84,12 @@
 
     def _is_leaving(self, target: events.Target) -> bool:
         try:
-            return self._wire.decode_leaving(
-                *exchange.call(target.address, self._wire.encode_report_query(),
-                               _RESPONSE_TIMEOUT_S))
+            head, body = exchange.call(target.address,
+                                       self._wire.encode_report_query(),
+                                       _RESPONSE_TIMEOUT_S)
+            self._pauses.record(target.name,
+                                self._wire.decode_retry_after(head), "report")
+            return self._wire.decode_leaving(head, body)
         except errors.TargetError as error:
             # Its streams tell themselves if the engine is gone.
             _logger.info("engine did not answer whether it leaves",
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -14,6 +14,7 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.process import target_pauses
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import session
@@ -39,6 +40,10 @@
     def wire(self) -> forwarded.Wire:
         """The formats of the platform."""
 
+    @property
+    def pauses(self) -> target_pauses.TargetPauses:
+        """The pauses of targets that turned requests away."""
+
 
 class Copies:
     """The copies of one stream at its current target."""
@@ -83,13 +88,16 @@
                         backup_target: events.Target | None) -> Handover | None:
         """Returns where an interrupted stream continues, or None.
 
+        One stream may continue at a closed target, since its memory is there.
+
         Args:
             backup_target: Target with a backup kept from the stream's start.
         """
-        if self._handover is not None:
+        if self._handover is not None and self._may_call(
+                self._handover.target, "move"):
             self._context.metrics.count("stream_moved_to_refuge")
             return self._handover
-        if backup_target is None:
+        if backup_target is None or not self._may_call(backup_target, "move"):
             return None
         self._context.metrics.count("stream_moved_to_backup")
         return Handover(
@@ -102,21 +110,30 @@
         handle, self._copy_handle = self._copy_handle, None
         if handle is None:
             return
+        if self._context.pauses.is_closed(source.name):
+            # The target discards unused copies itself.
+            _logger.info("copy of a stream not freed at a closed target",
+                         extra={"target": source.name})
+            return
         try:
-            exchange.call(source.address,
-                          self._context.wire.encode_drop(handle),
-                          _DROP_TIMEOUT_S)
+            head, _ = exchange.call(source.address,
+                                    self._context.wire.encode_drop(handle),
+                                    _DROP_TIMEOUT_S)
+            self._record_pause(source, head, "drop")
         except errors.TargetError as error:
             _logger.info("failed to free the copy of a stream",
                          extra={"reason": str(error)})
 
     def _request_copy(self, source: events.Target,
                       target: events.Target) -> forwarded.MoveResponse | None:
+        if not self._may_call(source, "copy"):
+            return None
         order = self._context.wire.encode_move(
             self._routed_call.call.request_id, target.address)
         try:
-            move = self._context.wire.decode_move(
-                *exchange.call(source.address, order, _COPY_TIMEOUT_S))
+            head, body = exchange.call(source.address, order, _COPY_TIMEOUT_S)
+            self._record_pause(source, head, "copy")
+            move = self._context.wire.decode_move(head, body)
         except errors.TargetError as error:
             _logger.warning("move failed",
                             extra={
@@ -132,3 +149,20 @@
                          "status": move.status
                      })
         return move
+
+    def _may_call(self, target: events.Target, purpose: str) -> bool:
+        if self._context.pauses.may_cross(target.name):
+            return True
+        self._context.metrics.count("stream_kept_from_closed_target")
+        _logger.warning("stream cannot use a closed target",
+                        extra={
+                            "target": target.name,
+                            "purpose": purpose
+                        })
+        return False
+
+    def _record_pause(self, target: events.Target,
+                      head: exchange.RawResponseHead, source: str) -> None:
+        self._context.pauses.record(target.name,
+                                    self._context.wire.decode_retry_after(head),
+                                    source)
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -75,6 +75,7 @@
     load: Load | None
     max_requests_per_s: float | None = None  # From all daemons together.
     media_type: str | None = None  # In lower case, without parameters.
+    retry_after_s: float | None = None  # The target wants nothing for so long.
 
 
 class MoveResponse(typing.NamedTuple):
@@ -128,6 +129,10 @@
                        body: bytes) -> bool:
         """Decodes from the response to this call whether a target leaves."""
 
+    def decode_retry_after(self,
+                           head: exchange.RawResponseHead) -> float | None:
+        """Decodes for how long a target that turns a call away wants none."""
+
     def copy_location(self, address: str, name: str) -> str:
         """Returns the location of a copy, named by request id or by handle."""
 
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -26,6 +26,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import target_pauses
 from persimmonspan.request import arrival
 from persimmonspan.request import classification
 from persimmonspan.request import copies
@@ -59,6 +60,7 @@
     report_wrong_target: collections.abc.Callable[[str], None]
     report_broken_target: collections.abc.Callable[[events.Target], None]
     report_rate: collections.abc.Callable[[events.RateNamed], None]
+    pauses: target_pauses.TargetPauses
     scheduler: pykka.ActorRef[scheduler_actor.SchedulerActor]
     metrics: metrics.Metrics
     relay: relay.Relay
@@ -216,6 +218,9 @@
         resume_from = None
         self._has_attempts_left = (dispatch.attempt
                                    < self._routed_call.route.max_attempts)
+        if self._context.pauses.is_closed(target.name):
+            self._report_end(events.Outcome.TARGET_CLOSED)
+            return False
         while True:
             self._target = target
             _logger.info("attempt",
@@ -290,8 +295,12 @@
             errors.Code.TARGET_FAILED, "the target sent no complete response")
 
     def _report_end(self, outcome: events.Outcome) -> None:
-        self._session.end_attempt(self._target.name, outcome,
-                                  self.event_count * _TOKENS_PER_EVENT)
+        end = (self._target.name, outcome, self.event_count * _TOKENS_PER_EVENT)
+        if self._head is not None and self._head.retry_after_s:
+            # After the report of the pause: a retry must not come too early.
+            self._context.relay.call_soon(self._session.end_attempt, *end)
+        else:
+            self._session.end_attempt(*end)
 
     def _try_target(self, target: events.Target, priority: int,
                     backup: str | None,
@@ -405,6 +414,7 @@
             if self._head is None and self._reader.head is not None:
                 self._head = self._context.wire.decode_response_head(
                     self._reader.head)
+                self._report_pause(self._head)
                 classification.check_head(self._head,
                                           self._routed_call.call.request_id,
                                           self._begun_head)
@@ -425,6 +435,14 @@
         return output, count, (self._target_error is not None or
                                self._reader.is_complete)
 
+    def _report_pause(self, head: forwarded.ResponseHead) -> None:
+        # An answer to another request may be an old one.
+        if head.retry_after_s and head.request_id in (
+                None, self._routed_call.call.request_id):
+            self._context.relay.call_soon(self._context.pauses.record,
+                                          self._target.name, head.retry_after_s,
+                                          "request")
+
     def _is_streaming(self) -> bool:
         return (self._is_stream and self._head is not None and
                 self._head.status == classification.OK)
--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -62,6 +62,12 @@
     return complete_response(request, b"", 503, ("X-Not-Executed: 1",))
 
 
+def turn_away(request: Request, retry_after: str) -> bytes:
+    """Returns the response of a replica that wants nothing for a time."""
+    return complete_response(
+        request, b"", 503, ("X-Not-Executed: 1", f"Retry-After: {retry_after}"))
+
+
 def event_chunk(number: int) -> bytes:
     """Returns an event as a chunk of a streamed body."""
     data = f"id: {number}\ndata: t{number}\n\n".encode()
