Keep to the pauses of engines and plain services on the own interface

What callers saw: an engine that answered 503 with Retry-After got the next requests and load polls as before (13 late ones in a pause of 2 s, two allowed).

Cause: the adapters read neither the header nor its time.

Change: engine.ResponseReader.retry_after_s, a callback of plain_service.dispatch, ReportRefusedError of load polls. The session asks for the pause before each attempt, for both interfaces. A stream resumes at a closed engine once in a pause, else after it if callers can wait; cancels wait for the opening; closed engines are not polled.

--- a/persimmonspan/connection/engine.py
+++ b/persimmonspan/connection/engine.py
@@ -29,6 +29,7 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.connection import retry_after
 
 REQUEST_ID_HEADER = "X-Request-Id"
 
@@ -108,6 +109,10 @@
     """The engine confirmed that it did not run the request."""
 
 
+class ReportRefusedError(errors.TargetError):
+    """The engine turned a call for its load away, and may have named a time."""
+
+
 class UnknownGenerationError(errors.TargetError):
     """The engine does not know the generation to resume."""
 
@@ -169,6 +174,7 @@
         self._expected_prefix = _EVENT_PREFIX + identity[:-1] + b',"i":'
         self._request_id = request_id.encode()
         self._names_other_request = False
+        self._pause_headers: list[tuple[bytes, bytes]] = []
         self._status: int | None = None
         self._is_chunked = False
         self._length: int | None = None
@@ -177,6 +183,14 @@
         self._raw = b""  # Received, head and chunk framing not removed.
         self._body = b""  # Body bytes of an incomplete event.
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """Time for which the engine wants no request; None: it named none."""
+        if self._status is None or self._names_other_request:
+            return None
+        return retry_after.read_pause_s(
+            exchange.RawResponseHead(self._status, tuple(self._pause_headers)))
+
     def match_expected_token(self, data: bytes, index: int) -> bytes | None:
         """Returns the encoded text if the data hold only the expected token.
 
@@ -316,6 +330,8 @@
                 self._names_other_request |= value.strip() != self._request_id
             elif name == b"transfer-encoding":
                 self._is_chunked = value.strip().lower() == b"chunked"
+            elif name in retry_after.NAMES:
+                self._pause_headers.append((name, value.strip()))
             elif name == b"content-length" and value.strip().isdigit():
                 self._length = int(value)
         self._status = int(parts[1])
--- a/persimmonspan/connection/load_reports.py
+++ b/persimmonspan/connection/load_reports.py
@@ -11,6 +11,8 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import engine
+from persimmonspan.connection import exchange
+from persimmonspan.connection import retry_after
 
 _load_decoder = msgspec.json.Decoder(engine.LoadDocument)
 
@@ -31,6 +33,7 @@
 
         Raises:
             NotSentError: The target does not accept connections.
+            engine.ReportRefusedError: The target wants nothing for a time.
             errors.TargetError: The target did not respond with a report.
         """
         if address not in self._pools:
@@ -43,6 +46,16 @@
             response = self._pools[address].request("GET",
                                                     "/v1/load",
                                                     timeout=timeout_s)
+            pause_s = retry_after.read_pause_s(
+                exchange.RawResponseHead(
+                    response.status,
+                    tuple((name.lower().encode("latin-1"),
+                           value.encode("latin-1"))
+                          for name, value in response.headers.items())))
+            if pause_s:
+                raise engine.ReportRefusedError(errors.Code.OVERLOADED,
+                                                f"{address} gives no report",
+                                                retry_after_s=pause_s)
             return _load_decoder.decode(response.data)
         except urllib3.exceptions.NewConnectionError as error:
             raise engine.NotSentError(errors.Code.TARGET_FAILED,
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -6,6 +6,7 @@
 can wrap it in an at-most-once ledger.
 """
 
+import collections.abc
 import math
 import time
 import typing
@@ -13,6 +14,7 @@
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import exchange
+from persimmonspan.connection import retry_after
 
 REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
 RUN_STATE_HEADER = "X-Run-State"
@@ -44,8 +46,14 @@
     """The response belongs to another request."""
 
 
-def dispatch(address: str, request: Request, connect_s: float,
-             response_timeout_s: float) -> Response:
+def dispatch(
+    address: str,
+    request: Request,
+    connect_s: float,
+    response_timeout_s: float,
+    report_pause: collections.abc.Callable[[float | None],
+                                           object] = (lambda pause_s: None)
+) -> Response:
     """Sends a request once, over a connection of its own.
 
     Args:
@@ -54,6 +62,8 @@
         connect_s: Timeout for connecting, in seconds.
         response_timeout_s: Limit from sending the request to the end of the
             response, in seconds.
+        report_pause: Called with the time for which the service wants no
+            request, or None, if its response belongs to the request.
 
     Raises:
         engine.NotSentError: No byte was sent.
@@ -82,16 +92,20 @@
     except exchange.NotSentError as error:
         raise engine.NotSentError(error.code, str(error),
                                   error.run_state) from error
-    return _check_response(address, request, reader, body)
+    return _check_response(address, request, reader, body, report_pause)
 
 
-def _check_response(address: str, request: Request,
-                    reader: exchange.ResponseReader, body: bytes) -> Response:
+def _check_response(
+        address: str, request: Request, reader: exchange.ResponseReader,
+        body: bytes,
+        report_pause: collections.abc.Callable[[float | None],
+                                               object]) -> Response:
     head = reader.head
     if head.get_all(_REQUEST_ID_NAME) != {request.request_id.encode()}:
         raise MismatchedResponseError(
             errors.Code.TARGET_FAILED,
             f"response of {address} belongs to another request")
+    report_pause(retry_after.read_pause_s(head))
     if head.get(b"content-encoding", _NO_ENCODING) != _NO_ENCODING:
         raise errors.TargetError(errors.Code.TARGET_FAILED,
                                  f"response of {address} is encoded")
--- a/persimmonspan/connection/retry_after.py
+++ b/persimmonspan/connection/retry_after.py
@@ -19,6 +19,7 @@
 
 NAME = b"retry-after"
 _DATE_NAME = b"date"
+NAMES = frozenset({NAME, _DATE_NAME})  # Headers that tell the time.
 _SECONDS = re.compile(rb"(\d+\.?\d*|\.\d+)")
 
 
--- a/persimmonspan/connection/tests/test_plain_service.py
+++ b/persimmonspan/connection/tests/test_plain_service.py
@@ -1,5 +1,7 @@
 """Tests which answers of a plain service are used."""
 
+import contextlib
+
 import pytest
 
 from persimmonspan import errors
@@ -102,3 +104,22 @@
 def test_answer_that_never_has_a_body_is_whole(status):
     answer = b"HTTP/1.1 %d Status\r\n%b\r\n" % (status, _OWN_ID)
     assert _dispatch(answer) == (status, "application/json", b"")
+
+
+@pytest.mark.parametrize("head, pause_s", [
+    (_BUSY + _OWN_ID + _NOT_RUN, 1.5),
+    (_BUSY + _OWN_ID, 1.5),
+    (_BUSY + b"X-Request-Id: r0\r\n" + _NOT_RUN, None),
+    (b"HTTP/1.1 429 Busy\r\n" + _OWN_ID + _NOT_RUN, None),
+])
+def test_pause_is_reported_if_the_service_turns_this_request_away(
+        head, pause_s):
+    service = replica.Replica(
+        lambda request: [head + b"Retry-After: 1.5\r\n" + _EMPTY])
+    pauses = []
+    with service.running(), contextlib.suppress(errors.TargetError):
+        plain_service.dispatch(service.address,
+                               plain_service.Request("r1", "POST", "/", b"x"),
+                               _TIMEOUT_S, _TIMEOUT_S, pauses.append)
+    assert [item for item in pauses if item is not None
+           ] == ([] if pause_s is None else [pause_s])
--- a/persimmonspan/process/daemon.py
+++ b/persimmonspan/process/daemon.py
@@ -33,6 +33,7 @@
 from persimmonspan.process import scheduler_view
 from persimmonspan.process import settings
 from persimmonspan.process import stored_parts
+from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
 from persimmonspan.request import at_most_once
 from persimmonspan.request import choice
@@ -81,9 +82,11 @@
         self._ledger: at_most_once.Context
         self._leaving = leaving_tracker.LeavingTracker(self.scheduler.tell)
         self._load_reader = load_reports.LoadReader()
+        self._pauses = target_pauses.TargetPauses(self.scheduler.tell,
+                                                  self.metrics.count)
         self._poller = report_poller.ReportPoller(
             self.scheduler.tell, self._load_reader.read,
-            self._leaving.record_incarnation)
+            self._leaving.record_incarnation, self._pauses)
         self._configuration: model.Configuration | None = None
         self._targets: list[dict[str, events.Target]] = []
         self._in_flight = 0
@@ -174,7 +177,7 @@
                                    self.scheduler, self.metrics, self._relay,
                                    self._gate, self._ledger,
                                    self._settings.write_timeout_s,
-                                   self._poller.check)
+                                   self._poller.check, self._pauses)
 
     def end_request(self, context: handler.Context) -> None:
         """Counts a request as no longer in flight."""
@@ -241,6 +244,7 @@
                 self.configurations = local_configuration.LocalConfigurations(
                     initial)
                 self.adopt_documents(initial)
+            stack.enter_context(self._pauses.running())
             stack.enter_context(
                 threads.running(self._poller.run, self._poller.stop))
             stack.enter_context(
--- a/persimmonspan/process/report_poller.py
+++ b/persimmonspan/process/report_poller.py
@@ -35,6 +35,17 @@
 RecordIncarnation = collections.abc.Callable[[str, str], None]
 
 
+class Pauses(typing.Protocol):
+    """The pauses of targets; see `persimmonspan.process.target_pauses`."""
+
+    def is_closed(self, target: str) -> bool:
+        """Returns whether a target wants no calls now."""
+
+    def record(self, target: str, retry_after_s: float | None,
+               source: str) -> None:
+        """Closes a target that turned a call away."""
+
+
 class _TargetRecord(typing.NamedTuple):
     incarnation: str | None  # None: not polled yet.
     is_up: bool
@@ -45,9 +56,10 @@
     """Polls single targets and turns their responses into events."""
 
     def __init__(self, read_load: ReadLoad,
-                 record_incarnation: RecordIncarnation) -> None:
+                 record_incarnation: RecordIncarnation, pauses: Pauses) -> None:
         self._read_load = read_load
         self._record_incarnation = record_incarnation
+        self._pauses = pauses
         self._records: dict[str, _TargetRecord] = {}
 
     def record_use(self, target: events.Target) -> None:
@@ -56,9 +68,14 @@
 
     def poll(self, target: events.Target) -> list[events.Event]:
         """Polls a target and returns the events for the scheduler."""
+        if self._pauses.is_closed(target.name):
+            return []
         before = self._records.get(target.name)
         try:
             report = self._read_load(target.address, _POLL_TIMEOUT_S)
+        except engine.ReportRefusedError as error:
+            self._pauses.record(target.name, error.retry_after_s, "report")
+            return []
         except errors.TargetError as error:
             if before is None or not before.is_up:
                 return []
@@ -106,9 +123,10 @@
     """Polls all targets in rotation, several at the same time."""
 
     def __init__(self, send: SendEvent, read_load: ReadLoad,
-                 record_incarnation: RecordIncarnation) -> None:
+                 record_incarnation: RecordIncarnation, pauses: Pauses) -> None:
         self._send = send
-        self._target_poller = TargetPoller(read_load, record_incarnation)
+        self._target_poller = TargetPoller(read_load, record_incarnation,
+                                           pauses)
         self._targets: tuple[events.Target, ...] = ()
         self._busy_targets: set[str] = set()
         self._stopped = threading.Event()
--- a/persimmonspan/process/target_pauses.py
+++ b/persimmonspan/process/target_pauses.py
@@ -93,6 +93,11 @@
         with self._lock:
             return target_backoff.is_closed(self._state, target, clock.now_s())
 
+    def left_s(self, target: str) -> float:
+        """Returns the time until a target opens, zero if it is open."""
+        with self._lock:
+            return target_backoff.left_s(self._state, target, clock.now_s())
+
     def may_cross(self, target: str) -> bool:
         """Returns whether a request that cannot wait may be sent now.
 
--- a/persimmonspan/process/tests/test_report_poller.py
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -35,13 +35,50 @@
             raise errors.TargetError(errors.Code.TARGET_FAILED, "no answer")
         return _report(answer)
 
-    target_poller = report_poller.TargetPoller(read_load,
-                                               lambda target, incarnation: None)
+    target_poller = _make_poller(read_load)
     return [[type(event).__name__
              for event in target_poller.poll(_TARGET)]
             for _ in answers]
 
 
+class _Pauses:
+    """The times that targets named with a refusal."""
+
+    def __init__(self):
+        self.named_s = {}
+
+    def is_closed(self, target):
+        """Returns whether a target named a time."""
+        return target in self.named_s
+
+    def record(self, target, retry_after_s, source):
+        """Records the time that a target named."""
+        assert source == "report"
+        self.named_s[target] = retry_after_s
+
+
+def _make_poller(read_load, pauses=None):
+    return report_poller.TargetPoller(read_load,
+                                      lambda target, incarnation: None,
+                                      pauses or _Pauses())
+
+
+def test_target_that_turns_a_poll_away_is_not_polled_and_not_dead():
+    calls, pauses = [], _Pauses()
+
+    def turn_away(address, timeout_s):
+        del timeout_s
+        calls.append(address)
+        raise engine.ReportRefusedError(errors.Code.OVERLOADED,
+                                        "busy",
+                                        retry_after_s=7.0)
+
+    target_poller = _make_poller(turn_away, pauses)
+    target_poller.record_use(_TARGET)
+    assert [target_poller.poll(_TARGET) for _ in range(4)] == [[]] * 4
+    assert len(calls) == 1 and pauses.named_s == {"t": 7.0}
+
+
 def test_unreachable_target_dies_once():
     assert _event_names(["a", None, None, "b"]) == [["LoadReported"],
                                                     ["TargetDied"], [],
@@ -69,8 +106,7 @@
     def refuse(address, timeout_s):
         raise engine.NotSentError(errors.Code.TARGET_FAILED, "refused")
 
-    target_poller = report_poller.TargetPoller(refuse,
-                                               lambda target, incarnation: None)
+    target_poller = _make_poller(refuse)
     target_poller.record_use(_TARGET)
     assert target_poller.poll(_TARGET) == [events.TargetDied("t")]
     assert not target_poller.poll(_TARGET)
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -14,7 +14,6 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
-from persimmonspan.process import target_pauses
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import session
@@ -40,10 +39,6 @@
     def wire(self) -> forwarded.Wire:
         """The formats of the platform."""
 
-    @property
-    def pauses(self) -> target_pauses.TargetPauses:
-        """The pauses of targets that turned requests away."""
-
 
 class Copies:
     """The copies of one stream at its current target."""
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -218,9 +218,6 @@
         resume_from = None
         self._has_attempts_left = (dispatch.attempt
                                    < self._routed_call.route.max_attempts)
-        if self._context.pauses.is_closed(target.name):
-            self._report_end(events.Outcome.TARGET_CLOSED)
-            return False
         while True:
             self._target = target
             _logger.info("attempt",
--- a/persimmonspan/request/generation.py
+++ b/persimmonspan/request/generation.py
@@ -108,15 +108,21 @@
                        events.Outcome.FAILED_AFTER_FIRST_TOKEN):
             # The process waits for the thread at exit. A hung engine must not
             # delay the response to the caller or a restart at another target.
-            threading.Thread(target=engine.cancel,
-                             args=(self._target.address,
-                                   self._session.call.request_id,
-                                   _CANCEL_TIMEOUT_S)).start()
+            # A closed engine is told when it opens, if the process still runs.
+            left_s = self._session.context.pauses.left_s(self._target.name)
+            timer = threading.Timer(
+                left_s, engine.cancel,
+                (self._target.address, self._session.call.request_id,
+                 _CANCEL_TIMEOUT_S))
+            timer.daemon = left_s > 0
+            timer.start()
 
     def _run_attempt(self, dispatch: events.Dispatch) -> events.Outcome:
         outcome = self._relay_connection("/v1/generate",
                                          self._generate_body(dispatch))
         while outcome is None and isinstance(self._decision, stream.Resume):
+            if not self._wait_to_resume():
+                return self._classify_loss()
             from_index = self._decision.from_index
             _logger.info("resuming a stream",
                          extra={
@@ -134,8 +140,35 @@
             return outcome
         if self._decision.ending is stream.Ending.FINISHED:
             return events.Outcome.COMPLETED
-        if (self._decision.ending is stream.Ending.LOST and
-                self._session.call.kind.is_idempotent):
+        if self._decision.ending is stream.Ending.LOST:
+            return self._classify_loss()
+        return events.Outcome.FAILED_AFTER_FIRST_TOKEN
+
+    def _wait_to_resume(self) -> bool:
+        """Waits until a closed engine opens; returns whether to resume there.
+
+        One stream may be resumed at once in each pause.
+        """
+        context = self._session.context
+        if context.pauses.may_cross(self._target.name):
+            return True
+        left_s = context.pauses.left_s(self._target.name)
+        may_wait = left_s < min(self._session.remaining_s(),
+                                context.configuration.timeouts.between_tokens_s)
+        if may_wait:
+            time.sleep(left_s)
+        else:
+            context.metrics.count("stream_kept_from_closed_target")
+            _logger.warning("stream cannot use a closed target",
+                            extra={
+                                "target": self._target.name,
+                                "purpose": "resume",
+                                "left_s": round(left_s, 3)
+                            })
+        return may_wait
+
+    def _classify_loss(self) -> events.Outcome:
+        if self._session.call.kind.is_idempotent and not self.tokens:
             return events.Outcome.FAILED_BEFORE_FIRST_TOKEN
         # The scheduler does not retry this outcome: tokens were delivered, or
         # the request must not run twice.
@@ -225,6 +258,9 @@
     def _classify_break(
         self, signal: relay.Signal
     ) -> stream.ConnectionBroken | stream.GenerationUnknown | None:
+        self._session.context.pauses.record(self._target.name,
+                                            self._reader.retry_after_s,
+                                            "request")
         if signal is relay.Signal.SILENT:
             return stream.ConnectionBroken(stream.BreakReason.SILENT)
         failure = self._reader.failure
--- a/persimmonspan/request/plain_call.py
+++ b/persimmonspan/request/plain_call.py
@@ -97,7 +97,9 @@
     try:
         return plain_service.dispatch(
             target.address, plain_request, timeouts.connect_s,
-            min(timeouts.first_token_s, request_session.remaining_s()))
+            min(timeouts.first_token_s, request_session.remaining_s()),
+            lambda pause_s: request_session.context.pauses.record(
+                target.name, pause_s, "request"))
     except (engine.NotSentError, engine.NotRunError):
         raise
     except errors.TargetError as error:
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -16,6 +16,7 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import target_pauses
 from persimmonspan.request import at_most_once
 from persimmonspan.request import events
 from persimmonspan.request import gate
@@ -36,6 +37,7 @@
     ledger: at_most_once.Context
     caller_write_timeout_s: float  # How long a caller may read no byte.
     report_broken_target: collections.abc.Callable[[events.Target], None]
+    pauses: target_pauses.TargetPauses
 
 
 class Call(typing.NamedTuple):
@@ -89,6 +91,10 @@
             self) -> collections.abc.Callable[[str], events.Target | None]:
         """Function that returns the target of a name, or None."""
 
+    @property
+    def pauses(self) -> target_pauses.TargetPauses:
+        """The pauses of targets that turned requests away."""
+
 
 class CallerLeftError(ConnectionError):
     """The caller closed its connection or stopped reading."""
@@ -230,6 +236,8 @@
             if target is None:
                 session.end_attempt(message.target,
                                     events.Outcome.CONNECT_FAILED)
+            elif session.context.pauses.is_closed(target.name):
+                session.end_attempt(target.name, events.Outcome.TARGET_CLOSED)
             elif attempt(message, target):
                 return
     except (CallerLeftError, errors.PersimmonspanError):
--- a/testbed/engine.py
+++ b/testbed/engine.py
@@ -10,6 +10,7 @@
 """
 
 import argparse
+import collections.abc
 import hashlib
 import os
 import random
@@ -23,6 +24,7 @@
 from cheroot import server
 
 from persimmonspan.connection import engine
+from persimmonspan.connection import retry_after
 
 _PROMPT_HASH_CHARS = 6
 _MS_PER_S = 1000.0
@@ -40,6 +42,8 @@
     kv_capacity_tokens: int = 65536
     max_running: int = 64
     is_random: bool = True  # Whether token counts vary around the mean.
+    # Time that a full engine names with its refusal, in which it refuses all.
+    pause_s: float = 0.0
 
 
 class Generation:
@@ -78,13 +82,23 @@
         self.runs: dict[str, int] = {}
         self.cancelled: list[str] = []
         self._random = random.Random(seed)
+        self._opens_s = 0.0  # Monotonic time until which it refuses all.
         self._lock = threading.Lock()
 
+    def pause_left_s(self) -> float:
+        """Returns for how long it still refuses all requests."""
+        with self._lock:
+            return max(0.0, self._opens_s - time.monotonic())
+
     def start_generation(self,
                          request: engine.GenerateDocument) -> Generation | None:
         """Starts a generation; returns None if the engine is full."""
         with self._lock:
+            now_s = time.monotonic()
+            if now_s < self._opens_s:
+                return None
             if self._count_running() >= self.options.max_running:
+                self._opens_s = now_s + self.options.pause_s
                 return None
             tokens = min(request["max_tokens"], self._draw_token_count())
             generation = Generation(request, tokens)
@@ -160,7 +174,8 @@
             generation = state.start_generation(document)
             if generation is None:
                 _send_response(request, b"503 Service Unavailable",
-                               {"run_state": "not_run"})
+                               {"run_state": "not_run"},
+                               _retry_after(state.pause_left_s()))
             else:
                 _stream_tokens(request, state, generation, 0,
                                _parse_fault_directive(document["prompt"]))
@@ -284,10 +299,18 @@
               }
 
 
-def _send_response(request: server.HTTPRequest, status: bytes,
-                   body: object) -> None:
+def _retry_after(pause_s: float) -> list[tuple[bytes, bytes]]:
+    return [(retry_after.NAME, f"{pause_s:.3f}".encode())] if pause_s else []
+
+
+def _send_response(
+    request: server.HTTPRequest,
+    status: bytes,
+    body: object,
+    headers: collections.abc.Iterable[tuple[bytes, bytes]] = ()
+) -> None:
     request.status = status
-    request.outheaders = [(b"Content-Type", b"application/json")]
+    request.outheaders = [(b"Content-Type", b"application/json"), *headers]
     request.ensure_headers_sent()
     request.write(msgspec.json.encode(body))
 
@@ -299,6 +322,10 @@
     parser.add_argument("--token-interval-ms", type=float, default=10.0)
     parser.add_argument("--mean-tokens", type=int, default=40)
     parser.add_argument("--max-running", type=int, default=64)
+    parser.add_argument("--pause-s",
+                        type=float,
+                        default=0.0,
+                        help="time that a full engine wants no requests")
     parser.add_argument("--fixed-length",
                         action="store_true",
                         help="all generations have the mean length")
@@ -307,7 +334,8 @@
     options = Options(parsed.token_interval_ms / _MS_PER_S,
                       parsed.mean_tokens,
                       max_running=parsed.max_running,
-                      is_random=not parsed.fixed_length)
+                      is_random=not parsed.fixed_length,
+                      pause_s=parsed.pause_s)
     make_server(("127.0.0.1", parsed.port), Engine(options,
                                                    parsed.seed)).safe_start()
 
