Close replicas in the soak and check the rule of two requests

Change: a fault "close" lets a replica turn requests away with a time, beside restarts, pauses and a store that is cut off or comes back. After the faults, a desk and an engine close in turn, and no daemon may send more than two requests in a pause, half a second after it was told. Ids of requests end with their daemon.

--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -44,11 +44,13 @@
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
 _CHECK_S = 4.0
+_DESKS = frozenset({"i-0", "i-1", "i-2"})
 # Callers conclude from these that a request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The bounds of the operators for the time of the check.
 _MAX_LATE_CRASHES = 3
 _MAX_LIMITED_REQUESTS = 1.5 * soak_replicas.RATE_PER_S * _CHECK_S + 5
+_MAX_LATE_REQUESTS = 2
 
 
 class Result(typing.NamedTuple):
@@ -100,21 +102,27 @@
 
 
 def find_exceeded_bounds(late_crashes: int,
-                         limited_requests: int) -> dict[str, list[str]]:
+                         limited_requests: int,
+                         late_requests: int = 0) -> dict[str, list[str]]:
     """Returns which bounds were exceeded after the faults had ended.
 
     Args:
         late_crashes: Engines that crashed.
         limited_requests: Requests to the replica that named a rate.
+        late_requests: Most requests of a daemon in a pause that it knew.
 
-    >>> find_exceeded_bounds(3, 11), find_exceeded_bounds(4, 0)
+    >>> find_exceeded_bounds(3, 11, 2), find_exceeded_bounds(4, 0)
     ({}, {'part_not_refused': ['4 crashes']})
+    >>> find_exceeded_bounds(0, 0, 3)
+    {'pause_not_kept': ['3 requests']}
     """
     broken = {}
     if late_crashes > _MAX_LATE_CRASHES:
         broken["part_not_refused"] = [f"{late_crashes} crashes"]
     if limited_requests > _MAX_LIMITED_REQUESTS:
         broken["rate_exceeded"] = [f"{limited_requests} requests"]
+    if late_requests > _MAX_LATE_REQUESTS:
+        broken["pause_not_kept"] = [f"{late_requests} requests"]
     return broken
 
 
@@ -282,7 +290,8 @@
         return find_broken_promises(
             self.results, replicas.runs) | find_exceeded_bounds(
                 sum(at_s >= checked_s for at_s in replicas.crashed_s),
-                sum(at_s >= checked_s for at_s in replicas.limited_s)) | ({
+                sum(at_s >= checked_s for at_s in replicas.limited_s),
+                replicas.count_late(checked_s)) | ({
                     "configuration_outdated": self._outdated
                 } if self._outdated else {})
 
@@ -306,6 +315,7 @@
                                    >= began_s + self._seconds / 2):
                 self._come_back(store, copies, entries)
         store.mode, replicas.fault_share = "ok", 0.0
+        replicas.closing = None
         replicas.limited = entries["i-0"].server
         for name, entry in entries.items():
             store.write("servers", name, entry.document)
@@ -317,7 +327,11 @@
                              _version_route(self._version)).status == 404
         ]
         self._settled_s = time.monotonic()
-        time.sleep(_CHECK_S)
+        for name in ("i-1", self._rng.choice(sorted(set(entries) - _DESKS))):
+            entry = entries.get(name)
+            replicas.closing = entry.server if entry is not None else None
+            time.sleep(_CHECK_S / 2)
+        replicas.closing = None
         self._callers_stopped.set()
         for caller in callers:
             caller.join()
@@ -345,9 +359,10 @@
             kind = rng.choice(["idempotent", "non_idempotent", "draft"])
             if kind == "draft" and rng.random() < _CRASHING_SHARE:
                 kind = "crashing"
+            position = rng.randrange(len(daemons))
             self.results.append(
-                _send_request(
-                    rng.choice(daemons).address, f"r{number}x{index}", kind))
+                _send_request(daemons[position].address,
+                              f"r{number}x{index}d{position}", kind))
             time.sleep(_CALLER_PAUSE_S)
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
@@ -355,7 +370,7 @@
                       entries: dict[str, soak_replicas.Entry]) -> None:
         kind = self._rng.choice([
             "kill", "stop", "pause", "store", "replicas", "leave", "change",
-            "reload"
+            "reload", "close"
         ])
         daemon = self._rng.choice(daemons)
         self.faults.append(kind)
@@ -371,6 +386,9 @@
             daemon.process.send_signal(signal.SIGCONT)
         elif kind == "store":
             store.mode = self._rng.choice(["ok", "busy", "silent", "lost"])
+        elif kind == "close":
+            name = self._rng.choice(sorted(entries))
+            replicas.closing = self._rng.choice([entries[name].server, None])
         elif kind == "replicas":
             replicas.fault_share = self._rng.choice([0.0, 0.1, 0.3])
         elif kind == "leave":
--- a/testbed/soak_replicas.py
+++ b/testbed/soak_replicas.py
@@ -1,4 +1,4 @@
-"""Replicas of the soak of edge daemons: they fail, crash and name a rate."""
+"""Replicas of the soak of edge daemons: they fail, crash, name a rate, close."""
 
 import collections
 import collections.abc
@@ -15,6 +15,8 @@
 EVENTS_PER_STREAM = 12
 CRASHING_PART = "bad0"
 RATE_PER_S = 1.0  # Of the replica that names one.
+PAUSE_S = 1.5  # That a closing replica names.
+GRACE_S = 0.5  # After this, a daemon may send two more in the pause.
 _DESKS = 3
 _ENGINES = 3
 _RESTART_S = 1.0
@@ -31,6 +33,13 @@
         self.limited: replica.Replica | None = None
         self.on_crash: collections.abc.Callable[[replica.Replica], None]
         self.fault_share = 0.0
+        self.closing: replica.Replica | None = None  # Turns requests away.
+        # Times at which each pair of a daemon and a replica was told, and at
+        # which requests came.
+        self.told_s: dict[tuple[str, str],
+                          list[float]] = collections.defaultdict(list)
+        self.arrived_s: dict[tuple[str, str],
+                             list[float]] = collections.defaultdict(list)
         self._refused = replica.Request("", "", {}, b"")  # The last one.
         self._rng = rng
         self._lock = threading.Lock()
@@ -51,6 +60,9 @@
         self, desk: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Responds with the request's id, or with a fault."""
+        if self._is_turned_away(desk, request):
+            yield replica.turn_away(request, str(PAUSE_S))
+            return
         if desk is self.limited:
             self.limited_s.append(time.monotonic())
             yield from self._respond_limited(request)
@@ -78,6 +90,33 @@
         else:
             yield answer
 
+    def _is_turned_away(self, server: replica.Replica,
+                        request: replica.Request) -> bool:
+        """Records a request, and returns whether its replica is closing."""
+        now_s = time.monotonic()
+        with self._lock:
+            # The callers of the soak put their daemon at the end of the id.
+            pair = (request.id.rpartition("d")[2], server.address)
+            self.arrived_s[pair].append(now_s)
+            if server is not self.closing:
+                return False
+            self.told_s[pair].append(now_s)
+            return True
+
+    def count_late(self, from_s: float) -> int:
+        """Returns the most requests of a daemon in a pause that it knew.
+
+        Args:
+            from_s: Monotonic time from which pauses count.
+        """
+        with self._lock:
+            return max((sum(told_s + GRACE_S <= at_s < told_s + PAUSE_S
+                            for at_s in self.arrived_s[pair])
+                        for pair, times_s in self.told_s.items()
+                        for told_s in times_s
+                        if told_s >= from_s),
+                       default=0)
+
     def _respond_limited(
             self, request: replica.Request) -> collections.abc.Iterator[bytes]:
         with self._lock:
@@ -90,6 +129,9 @@
         self, engine: replica.Replica, request: replica.Request
     ) -> collections.abc.Iterator[bytes | replica.ConnectionReset]:
         """Streams a draft until the engine crashes."""
+        if self._is_turned_away(engine, request):
+            yield replica.turn_away(request, str(PAUSE_S))
+            return
         if f"{CRASHING_PART}:" in request.headers.get("x-prefix-hash", ""):
             with self._lock:
                 self.runs[request.id] += 1
