--- a/testbed/experiment.py
+++ b/testbed/experiment.py
@@ -117,12 +117,13 @@
             for seed in range(options.seeds)
         ]
         for kind in scenario.kinds:
-            _print_row(strategy, kind.name,
-                       [outcome[kind.name] for outcome in outcomes])
+            print_row(strategy, kind.name,
+                      [outcome[kind.name] for outcome in outcomes])
     return 0
 
 
-def _print_row(strategy: str, kind: str, outcomes: list[crowd.Outcome]) -> None:
+def print_row(strategy: str, kind: str, outcomes: list[crowd.Outcome]) -> None:
+    """Prints the outcome of one kind, summed over runs."""
     asked = sum(outcome.asked for outcome in outcomes)
     times_s = [
         sum(outcome.first_token_quantile_s(share)
