--- a/persimmonspan/connection/load_reports.py
+++ b/persimmonspan/connection/load_reports.py
@@ -12,6 +12,7 @@
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import exchange
+from persimmonspan.connection import leaving_header
 from persimmonspan.connection import retry_after
 
 _load_decoder = msgspec.json.Decoder(engine.LoadDocument)
@@ -56,7 +57,7 @@
                 raise engine.ReportRefusedError(errors.Code.OVERLOADED,
                                                 f"{address} gives no report",
                                                 retry_after_s=pause_s)
-            return _load_decoder.decode(response.data)
+            report = _load_decoder.decode(response.data)
         except urllib3.exceptions.NewConnectionError as error:
             raise engine.NotSentError(errors.Code.TARGET_FAILED,
                                       f"cannot connect to target {address}",
@@ -67,6 +68,13 @@
             raise errors.TargetError(
                 errors.Code.TARGET_FAILED,
                 f"no load report from {address}") from error
+        report.pop("leaving", None)
+        values = response.headers.getlist(leaving_header.NAME)
+        incarnation = leaving_header.decode(
+            value.encode("latin-1") for value in values)
+        if incarnation is not None:
+            report["leaving"] = incarnation
+        return report
 
     def keep_only(self, addresses: collections.abc.Set[str]) -> None:
         """Closes connections to other addresses."""
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -14,11 +14,13 @@
 from persimmonspan import errors
 from persimmonspan.connection import engine
 from persimmonspan.connection import exchange
+from persimmonspan.connection import leaving_header
 from persimmonspan.connection import retry_after
 
 REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
 RUN_STATE_HEADER = "X-Run-State"
 
+_LEAVING_NAME = leaving_header.NAME.lower().encode()
 _REQUEST_ID_NAME = REQUEST_ID_HEADER.lower().encode()
 _RUN_STATE_NAME = RUN_STATE_HEADER.lower().encode()
 _MIN_FAILURE_STATUS = 400
@@ -51,8 +53,8 @@
     request: Request,
     connect_s: float,
     response_timeout_s: float,
-    report_pause: collections.abc.Callable[[float | None],
-                                           object] = (lambda pause_s: None)
+    report_leaving: collections.abc.Callable[[str], None] | None = None,
+    report_pause: collections.abc.Callable[[float | None], object] | None = None
 ) -> Response:
     """Sends a request once, over a connection of its own.
 
@@ -62,6 +64,8 @@
         connect_s: Timeout for connecting, in seconds.
         response_timeout_s: Limit from sending the request to the end of the
             response, in seconds.
+        report_leaving: Called with the incarnation that leaves according to the
+            response, also if it is a failure.
         report_pause: Called with the time for which the service wants no
             request, or None, if its response belongs to the request.
 
@@ -92,20 +96,22 @@
     except exchange.NotSentError as error:
         raise engine.NotSentError(error.code, str(error),
                                   error.run_state) from error
-    return _check_response(address, request, reader, body, report_pause)
-
-
-def _check_response(
-        address: str, request: Request, reader: exchange.ResponseReader,
-        body: bytes,
-        report_pause: collections.abc.Callable[[float | None],
-                                               object]) -> Response:
     head = reader.head
     if head.get_all(_REQUEST_ID_NAME) != {request.request_id.encode()}:
         raise MismatchedResponseError(
             errors.Code.TARGET_FAILED,
             f"response of {address} belongs to another request")
-    report_pause(retry_after.read_pause_s(head))
+    incarnation = leaving_header.decode(head.get_all(_LEAVING_NAME))
+    if incarnation is not None and report_leaving is not None:
+        report_leaving(incarnation)
+    if report_pause is not None:
+        report_pause(retry_after.read_pause_s(head))
+    return _check_response(address, reader, body)
+
+
+def _check_response(address: str, reader: exchange.ResponseReader,
+                    body: bytes) -> Response:
+    head = reader.head
     if head.get(b"content-encoding", _NO_ENCODING) != _NO_ENCODING:
         raise errors.TargetError(errors.Code.TARGET_FAILED,
                                  f"response of {address} is encoded")
--- a/persimmonspan/connection/tests/test_plain_service.py
+++ b/persimmonspan/connection/tests/test_plain_service.py
@@ -120,6 +120,8 @@
     with service.running(), contextlib.suppress(errors.TargetError):
         plain_service.dispatch(service.address,
                                plain_service.Request("r1", "POST", "/", b"x"),
-                               _TIMEOUT_S, _TIMEOUT_S, pauses.append)
+                               _TIMEOUT_S,
+                               _TIMEOUT_S,
+                               report_pause=pauses.append)
     assert [item for item in pauses if item is not None
            ] == ([] if pause_s is None else [pause_s])
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import random
 import threading
 import typing
@@ -21,6 +22,7 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import load_totals
@@ -52,6 +54,21 @@
                            ...], tuple[rate_limits.Answer, ...]]
 
 
+class Tracker(typing.Protocol):
+    """Keeps the targets that leave according to their answers."""
+
+    def record_peer_departures(
+            self, told: collections.abc.Iterable[departures.Departure]) -> None:
+        """Records what a peer tells."""
+
+    def select(self, turn: int) -> tuple[departures.Departure, ...]:
+        """Returns what the digest of a number tells."""
+
+
+_ApplySnapshot = collections.abc.Callable[
+    [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
+
+
 class Peering:
     """Sends digests to the other daemons and merges theirs.
 
@@ -62,28 +79,29 @@
         apply_store_snapshot: Called with the targets that the reader read, or
             None if they are not newer than the recorded ones, with the version
             of the configuration in the store, with the configuration if this
-            daemon reported an older version, and with the era of the store.
+            daemon reported an older version, with the era of the store, and
+            with the time since which the reader has known targets.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
+        tracker: Keeps the targets that leave according to their answers.
     """
 
-    def __init__(
-        self,
-        name: str,
-        address: str,
-        scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-        apply_store_snapshot: collections.abc.Callable[
-            [tuple[directory.Registration, ...] | None, int, bytes, int], None],
-        record_rates: collections.abc.Callable[[tuple[rate_limits.Answer, ...]],
-                                               None],
-        limits: read_schedule.Limits = read_schedule.Limits()
-    ) -> None:
+    def __init__(self,
+                 name: str,
+                 address: str,
+                 scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+                 apply_store_snapshot: _ApplySnapshot,
+                 record_rates: collections.abc.Callable[
+                     [tuple[rate_limits.Answer, ...]], None],
+                 limits: read_schedule.Limits = read_schedule.Limits(),
+                 tracker: Tracker | None = None) -> None:
         self._name = name
         self._address = address
         self._scheduler = scheduler_ref
         self._apply_store_snapshot = apply_store_snapshot
         self._record_rates = record_rates
         self._limits = limits
+        self._tracker = tracker
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
                                        name=name)
@@ -96,6 +114,7 @@
         self._wanted_by: frozenset[str] = frozenset()
         # Id of the registered targets in force.
         self._entries_id = 0
+        self._known_since_s = math.inf
         # Starts at random: after a restart, a hub may still count a digest of
         # the process before.
         self._number = random.getrandbits(_NUMBER_BITS)
@@ -153,7 +172,8 @@
 
     def configuration_pause_s(self) -> float:
         """Returns the pause after an own read of the configuration."""
-        return read_schedule.configuration_pause_s(self._state, self._limits)
+        return read_schedule.configuration_pause_s(self._state, self._limits,
+                                                   clock.now_s())
 
     def last_confirmed_s(self) -> float:
         """Returns when targets and configuration were both last current.
@@ -190,6 +210,7 @@
             self,
             entries: collections.abc.Iterable[directory.Registration]) -> None:
         """Records the registered targets that were read or received last."""
+        self._known_since_s = min(self._known_since_s, clock.now_s())
         self._entries_id = edge_peers.identify_entries(entries)
 
     def record_era(self, era: int) -> None:
@@ -276,6 +297,8 @@
         for report in reports:
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
+        if self._tracker is not None and digest.leaving:
+            self._tracker.record_peer_departures(digest.leaving)
         self._scheduler.tell(edge_peers.to_peer_load(digest, self._sent_parts))
         if digest.wants_configuration and digest.version < self._own_version:
             with self._lock:
@@ -288,14 +311,16 @@
                              "version": digest.version
                          })
             self._apply_store_snapshot(None, digest.version,
-                                       _decompress(digest.configuration), 0)
+                                       _decompress(digest.configuration), 0,
+                                       -math.inf)
         snapshot = digest.news
         if snapshot is not None and (is_newer or snapshot.configuration or
                                      snapshot.era > self._state.era):
             self._apply_store_snapshot(snapshot.entries if is_newer else None,
                                        snapshot.configuration_version,
                                        _decompress(snapshot.configuration),
-                                       snapshot.era)
+                                       snapshot.era,
+                                       now_s - snapshot.known_age_s)
 
     def _compose_digests(self) -> dict[str, bytes]:
         """Returns the digest that is due now, by receiver's address."""
@@ -316,12 +341,21 @@
         is_hub = edge_peers.is_hub(state, self._name, now_s)
         self._drop_loads_on_role_change(state, is_hub)
         requests = self._take_requests(receivers, now_s)
+        departing = (self._tracker.select(self._number)
+                     if self._tracker is not None else ())
         if not self._is_digest_due(
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates], requests), is_hub, now_s):
+             ], [answer[:2] for answer in rates
+                ], requests, [item[:2] for item in departing]), is_hub, now_s):
             return {}
+        totals = b""
+        if is_hub:
+            totals = load_totals.encode(
+                edge_peers.sum_loads(state, loads, demands, now_s))
+            # No other hub can count them: they are in these sums only.
+            loads, demands = (), ()
         digest = edge_peers.Digest(self._name,
                                    self._address,
                                    self._state.can_read,
@@ -330,17 +364,13 @@
                                    is_hub,
                                    self._own_version,
                                    demands,
+                                   totals=totals,
                                    number=self._remember_part(loads, demands),
                                    entries_id=self._entries_id,
                                    reports=reports,
-                                   rates=rates)
-        if is_hub:
-            totals = edge_peers.sum_loads(state, loads, demands, now_s)
-            digest = msgspec.structs.replace(digest,
-                                             loads=(),
-                                             demands=(),
-                                             totals=load_totals.encode(totals))
-        elif snapshot is None and not any(requests):
+                                   rates=rates,
+                                   leaving=departing)
+        if not is_hub and snapshot is None and not any(requests):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
@@ -476,7 +506,8 @@
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
                                             own_read.entries),
-                                        era=own_read.era)
+                                        era=own_read.era,
+                                        known_age_s=now_s - self._known_since_s)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/process/tests/test_report_poller.py
+++ b/persimmonspan/process/tests/test_report_poller.py
@@ -59,6 +59,7 @@
 
 def _make_poller(read_load, pauses=None):
     return report_poller.TargetPoller(read_load,
+                                      lambda target, incarnation: None,
                                       lambda target, incarnation: None,
                                       pauses or _Pauses())
 
--- a/persimmonspan/process/tests/test_target_pauses.py
+++ b/persimmonspan/process/tests/test_target_pauses.py
@@ -82,6 +82,7 @@
             wire,
             types.SimpleNamespace(targets_confirmed_s=lambda: -1e9),
             max_age_s=1.0,
+            departures=None,
             pauses=pauses)
         for _ in range(3):
             poller.poll()
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -75,6 +75,7 @@
     load: Load | None
     max_requests_per_s: float | None = None  # From all daemons together.
     media_type: str | None = None  # In lower case, without parameters.
+    is_leaving: bool = False  # Whether the target says that it leaves.
     retry_after_s: float | None = None  # The target wants nothing for so long.
 
 
@@ -129,6 +130,9 @@
                        body: bytes) -> bool:
         """Decodes from the response to this call whether a target leaves."""
 
+    def says_leaving(self, head: exchange.RawResponseHead) -> bool:
+        """Returns whether the head of an answer says that its target leaves."""
+
     def decode_retry_after(self,
                            head: exchange.RawResponseHead) -> float | None:
         """Decodes for how long a target that turns a call away wants none."""
@@ -147,6 +151,7 @@
     """Writes the response to the caller."""
 
     caller: socket.socket
+    arrived_s: float  # When the request arrived, on the monotonic clock.
 
     def stream_head(self, status: int, headers: exchange.Headers) -> bytes:
         """Returns the head of a streamed response and marks it as sent."""
--- a/persimmonspan/request/plain_call.py
+++ b/persimmonspan/request/plain_call.py
@@ -8,6 +8,7 @@
     `persimmonspan.request.at_most_once`: the claim and the record.
 """
 
+import functools
 import logging
 
 from persimmonspan import errors
@@ -98,6 +99,8 @@
         return plain_service.dispatch(
             target.address, plain_request, timeouts.connect_s,
             min(timeouts.first_token_s, request_session.remaining_s()),
+            functools.partial(request_session.context.report_leaving,
+                              target.name),
             lambda pause_s: request_session.context.pauses.record(
                 target.name, pause_s, "request"))
     except (engine.NotSentError, engine.NotRunError):
--- a/testbed/soak_replicas.py
+++ b/testbed/soak_replicas.py
@@ -1,4 +1,4 @@
-"""Replicas of the soak of edge daemons: they fail, crash, name a rate, close."""
+"""Replicas of the soak of edge daemons: they fail, crash, limit and close."""
 
 import collections
 import collections.abc
