--- a/persimmonspan/request/tests/test_copies.py
+++ b/persimmonspan/request/tests/test_copies.py
@@ -7,6 +7,7 @@
 from persimmonspan.connection import exchange
 from persimmonspan.platform import wire
 from persimmonspan.process import metrics
+from persimmonspan.process import target_pauses
 from persimmonspan.request import copies
 from persimmonspan.request import events
 
@@ -34,6 +35,8 @@
         wire=wire,
         report_leaving=reported.append,
         metrics=metrics.Metrics(),
+        pauses=target_pauses.TargetPauses(lambda event: None,
+                                          lambda reason: None),
         find_target=lambda name: _REFUGE,
         scheduler=types.SimpleNamespace(tell=lambda event: None))
     routed_call = types.SimpleNamespace(
