--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -88,13 +88,16 @@
                         backup_target: events.Target | None) -> Handover | None:
         """Returns where an interrupted stream continues, or None.
 
+        One stream may continue at a closed target, since its memory is there.
+
         Args:
             backup_target: Target with a backup kept from the stream's start.
         """
-        if self._handover is not None:
+        if self._handover is not None and self._may_call(
+                self._handover.target, "move"):
             self._context.metrics.count("stream_moved_to_refuge")
             return self._handover
-        if backup_target is None:
+        if backup_target is None or not self._may_call(backup_target, "move"):
             return None
         self._context.metrics.count("stream_moved_to_backup")
         return Handover(
@@ -107,10 +110,16 @@
         handle, self._copy_handle = self._copy_handle, None
         if handle is None:
             return
+        if self._context.pauses.is_closed(source.name):
+            # The target discards unused copies itself.
+            _logger.info("copy of a stream not freed at a closed target",
+                         extra={"target": source.name})
+            return
         try:
             head, _ = exchange.call(source.address,
                                     self._context.wire.encode_drop(handle),
                                     _DROP_TIMEOUT_S)
+            self._record_pause(source, head, "drop")
             self._check_leaving(source, head)
         except errors.TargetError as error:
             _logger.info("failed to free the copy of a stream",
@@ -118,10 +127,13 @@
 
     def _request_copy(self, source: events.Target,
                       target: events.Target) -> forwarded.MoveResponse | None:
+        if not self._may_call(source, "copy"):
+            return None
         order = self._context.wire.encode_move(
             self._routed_call.call.request_id, target.address)
         try:
             head, body = exchange.call(source.address, order, _COPY_TIMEOUT_S)
+            self._record_pause(source, head, "copy")
         except errors.TargetError as error:
             _logger.warning("move failed",
                             extra={
@@ -140,6 +152,23 @@
                      })
         return move
 
+    def _may_call(self, target: events.Target, purpose: str) -> bool:
+        if self._context.pauses.may_cross(target.name):
+            return True
+        self._context.metrics.count("stream_kept_from_closed_target")
+        _logger.warning("stream cannot use a closed target",
+                        extra={
+                            "target": target.name,
+                            "purpose": purpose
+                        })
+        return False
+
+    def _record_pause(self, target: events.Target,
+                      head: exchange.RawResponseHead, source: str) -> None:
+        self._context.pauses.record(target.name,
+                                    self._context.wire.decode_retry_after(head),
+                                    source)
+
     def _check_leaving(self, source: events.Target,
                        head: exchange.RawResponseHead) -> None:
         if self._context.wire.says_leaving(head):
