--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -13,10 +13,12 @@
 import select
 import selectors
 import socket
+import threading
 import time
 
 from cheroot import connections
 from cheroot import server
+from cheroot.workers import threadpool
 
 from persimmonspan.connection import idle_limits
 
@@ -54,6 +56,7 @@
                          minthreads=threads[0],
                          maxthreads=threads[1],
                          server_name=server_name)
+        self.requests = _ThreadPool(self, min=threads[0], max=threads[1])
         self._connections: connections.ConnectionManager | None = None
         self.count = count
         self.limits: idle_limits.Limits = ()
@@ -92,6 +95,28 @@
                                           time.monotonic())
 
 
+class _ThreadPool(threadpool.ThreadPool):
+    """Worker threads for which a stop waits on the monotonic clock."""
+
+    def stop(self, timeout: float = 5.0) -> None:
+        """Waits for the worker threads; later ends what they still read.
+
+        Args:
+            timeout: Time after which reads are ended, in seconds.
+        """
+        workers = [*self._threads]
+
+        def end_reads() -> None:
+            for worker in workers:
+                self._force_close(worker.conn)
+
+        timer = threading.Timer(timeout, end_reads)
+        timer.daemon = True
+        timer.start()
+        super().stop(None)
+        timer.cancel()
+
+
 class _IdleConnections(connections.ConnectionManager):
     """The idle connections of a server."""
 
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -270,6 +270,39 @@
         assert sock.recv(1) == b""
 
 
+def test_step_of_the_time_of_day_does_not_end_the_wait_of_a_stop(
+        server, application, monkeypatch):
+    under_way = threading.Semaphore(0)
+
+    def forward(call, read_body, responder):
+        del call, responder
+        under_way.release()
+        return forwarded.Response(200, (), read_body(1000, 4.0))
+
+    monkeypatch.setattr(application, "forward", forward)
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(
+                socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
+            for _ in range(3)
+        ]
+        for sock in sockets:
+            sock.sendall(_REQUEST[:-1])
+            assert under_way.acquire(timeout=_RESPONSE_TIMEOUT_S)
+        stopping = threading.Thread(target=server.stop)
+        stopping.start()
+        stack.callback(stopping.join)
+        time.sleep(1.0)
+        time_of_day = time.time
+        monkeypatch.setattr(time, "time", lambda: time_of_day() + 3600.0)
+        statuses = []
+        for sock in sockets:
+            time.sleep(0.4)
+            sock.sendall(_REQUEST[-1:])
+            statuses.append(_read_status(sock))
+    assert statuses == [200] * 3
+
+
 class _OwnApplication:
     """Responds to health checks only."""
 
