--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import logging
+import queue
 import socket
 import threading
 import time
@@ -272,11 +273,11 @@
 
 def test_step_of_the_time_of_day_does_not_end_the_wait_of_a_stop(
         server, application, monkeypatch):
-    under_way = threading.Semaphore(0)
+    under_way = queue.SimpleQueue()
 
     def forward(call, read_body, responder):
-        del call, responder
-        under_way.release()
+        del responder
+        under_way.put(call)
         return forwarded.Response(200, (), read_body(1000, 4.0))
 
     monkeypatch.setattr(application, "forward", forward)
@@ -288,7 +289,7 @@
         ]
         for sock in sockets:
             sock.sendall(_REQUEST[:-1])
-            assert under_way.acquire(timeout=_RESPONSE_TIMEOUT_S)
+            under_way.get(timeout=_RESPONSE_TIMEOUT_S)
         stopping = threading.Thread(target=server.stop)
         stopping.start()
         stack.callback(stopping.join)
