--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -13,10 +13,12 @@
 import select
 import selectors
 import socket
+import threading
 import time
 
 from cheroot import connections
 from cheroot import server
+from cheroot.workers import threadpool
 
 from persimmonspan.connection import idle_limits
 
@@ -54,6 +56,7 @@
                          minthreads=threads[0],
                          maxthreads=threads[1],
                          server_name=server_name)
+        self.requests = _ThreadPool(self, min=threads[0], max=threads[1])
         self._connections: connections.ConnectionManager | None = None
         self.count = count
         self.limits: idle_limits.Limits = ()
@@ -67,21 +70,53 @@
         self._connections = _IdleConnections(self)
         unused.close()
 
-    def limit_idle_time(self, idle_s: float, slack_s: float = 0.0) -> None:
+    def process_conn(self, conn: server.HTTPConnection) -> None:
+        """Lets a worker thread process a connection."""
+        conn.socket.settimeout(
+            max(conn.socket.gettimeout(), self.read_timeout_s))
+        super().process_conn(conn)
+
+    def limit_idle_time(self,
+                        idle_s: float,
+                        slack_s: float = 0.0,
+                        head_s: float = 0.0) -> None:
         """Changes how long connections may be idle from now on.
 
         Args:
             idle_s: The time that callers know.
             slack_s: How much longer connections are kept.
+            head_s: How long callers may take to send a head.
         """
         # cheroot tells callers of HTTP/1.0 this time; it must be whole. It also
         # limits TLS handshakes.
         self.timeout = max(_MIN_TOLD_S, int(idle_s))
-        self.read_timeout_s = idle_s + slack_s
+        self.read_timeout_s = max(idle_s + slack_s, head_s)
         self.limits = idle_limits.replace(self.limits, idle_s + slack_s,
                                           time.monotonic())
 
 
+class _ThreadPool(threadpool.ThreadPool):
+    """Worker threads for which a stop waits on the monotonic clock."""
+
+    def stop(self, timeout: float = 5.0) -> None:
+        """Waits for the worker threads; later ends what they still read.
+
+        Args:
+            timeout: Time after which reads are ended, in seconds.
+        """
+        workers = [*self._threads]
+
+        def end_reads() -> None:
+            for worker in workers:
+                self._force_close(worker.conn)
+
+        timer = threading.Timer(timeout, end_reads)
+        timer.daemon = True
+        timer.start()
+        super().stop(None)
+        timer.cancel()
+
+
 class _IdleConnections(connections.ConnectionManager):
     """The idle connections of a server."""
 
--- a/persimmonspan/connection/plain_service.py
+++ b/persimmonspan/connection/plain_service.py
@@ -15,6 +15,7 @@
 from persimmonspan.connection import engine
 from persimmonspan.connection import exchange
 from persimmonspan.connection import leaving_header
+from persimmonspan.connection import retry_after
 
 REQUEST_ID_HEADER = engine.REQUEST_ID_HEADER
 RUN_STATE_HEADER = "X-Run-State"
@@ -52,7 +53,8 @@
     request: Request,
     connect_s: float,
     response_timeout_s: float,
-    report_leaving: collections.abc.Callable[[str], None] | None = None
+    report_leaving: collections.abc.Callable[[str], None] | None = None,
+    report_pause: collections.abc.Callable[[float | None], object] | None = None
 ) -> Response:
     """Sends a request once, over a connection of its own.
 
@@ -64,6 +66,8 @@
             response, in seconds.
         report_leaving: Called with the incarnation that leaves according to the
             response, also if it is a failure.
+        report_pause: Called with the time for which the service wants no
+            request, or None, if its response belongs to the request.
 
     Raises:
         engine.NotSentError: No byte was sent.
@@ -100,6 +104,8 @@
     incarnation = leaving_header.decode(head.get_all(_LEAVING_NAME))
     if incarnation is not None and report_leaving is not None:
         report_leaving(incarnation)
+    if report_pause is not None:
+        report_pause(retry_after.read_pause_s(head))
     return _check_response(address, reader, body)
 
 
--- a/persimmonspan/connection/tests/test_idle_connections.py
+++ b/persimmonspan/connection/tests/test_idle_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import logging
+import queue
 import socket
 import threading
 import time
@@ -188,6 +189,19 @@
         assert _read_status(sock) == 200
 
 
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_lowered_idle_limit_ends_no_head_within_its_own_limit(server, is_kept):
+    with _kept_connections(server, int(is_kept)) as sockets:
+        forwarding_listener.set_idle_timeout(server, _LOW_LIMIT_S, 3.0)
+        with contextlib.ExitStack() as stack:
+            sock = sockets[0] if is_kept else stack.enter_context(
+                socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
+            sock.sendall(_REQUEST[:20])
+            time.sleep(_EXPIRED_AFTER_S)
+            sock.sendall(_REQUEST[20:])
+            assert _read_status(sock) == 200
+
+
 def test_request_that_waits_at_an_expired_connection_is_served(
         server, monkeypatch):
     # Starting threads for other connections occupies the thread that waits for
@@ -257,6 +271,39 @@
         assert sock.recv(1) == b""
 
 
+def test_step_of_the_time_of_day_does_not_end_the_wait_of_a_stop(
+        server, application, monkeypatch):
+    under_way = queue.SimpleQueue()
+
+    def forward(call, read_body, responder):
+        del responder
+        under_way.put(call)
+        return forwarded.Response(200, (), read_body(1000, 4.0))
+
+    monkeypatch.setattr(application, "forward", forward)
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(
+                socket.create_connection(server.bind_addr, _RESPONSE_TIMEOUT_S))
+            for _ in range(3)
+        ]
+        for sock in sockets:
+            sock.sendall(_REQUEST[:-1])
+            under_way.get(timeout=_RESPONSE_TIMEOUT_S)
+        stopping = threading.Thread(target=server.stop)
+        stopping.start()
+        stack.callback(stopping.join)
+        time.sleep(1.0)
+        time_of_day = time.time
+        monkeypatch.setattr(time, "time", lambda: time_of_day() + 3600.0)
+        statuses = []
+        for sock in sockets:
+            time.sleep(0.4)
+            sock.sendall(_REQUEST[-1:])
+            statuses.append(_read_status(sock))
+    assert statuses == [200] * 3
+
+
 class _OwnApplication:
     """Responds to health checks only."""
 
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from persimmonspan.connection import exchange
+from persimmonspan.connection import retry_after
 from persimmonspan.request import forwarded
 
 # Says in the answers of a replica that it leaves.
@@ -99,7 +100,13 @@
         load=_parse_load(head.get(b"x-instance-load")),
         max_requests_per_s=_parse_rate(head.get(b"server-limit")),
         media_type=_parse_media_type(head.get(b"content-type")),
-        is_leaving=says_leaving(head))
+        is_leaving=says_leaving(head),
+        retry_after_s=decode_retry_after(head))
+
+
+def decode_retry_after(head: exchange.RawResponseHead) -> float | None:
+    """Decodes for how long a replica that turns a call away wants none."""
+    return retry_after.read_pause_s(head)
 
 
 class _MoveResult(msgspec.Struct):
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -41,6 +41,7 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
+from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
@@ -103,7 +104,10 @@
             share=self._share_quarantine,
             limits=retry_limits(options.retry),
             notify_peers=self._notify_peers)
-        self._death_probe = death_probe.DeathProbe(self.scheduler.tell)
+        self._pauses = target_pauses.TargetPauses(self.scheduler.tell,
+                                                  self.metrics.count)
+        self._death_probe = death_probe.DeathProbe(self.scheduler.tell,
+                                                   self._pauses.is_closed)
         self._named_rates = named_rates.NamedRates(self.scheduler.tell)
         self._departures = departure_tracker.DepartureTracker(
             self.scheduler.tell, self.metrics.count)
@@ -169,9 +173,9 @@
         self._refuse_while_stopping(routed_call)
         context = forwarding.Context(
             configuration, self._find_target, self._record_moved_target,
-            self._death_probe.check, self._named_rates.record, self.scheduler,
-            self.metrics, self._relay, self.wire, self._response_budget,
-            self._departures.record_answer)
+            self._death_probe.check, self._named_rates.record, self._pauses,
+            self.scheduler, self.metrics, self._relay, self.wire,
+            self._response_budget, self._departures.record_answer)
         return forwarding.serve(routed_call, context, responder)
 
     def _await_confirmation(self) -> bool:
@@ -278,7 +282,8 @@
                 return
             self._configuration = configuration
         forwarding_listener.set_idle_timeout(
-            self._server, configuration.limits.idle_timeout_s)
+            self._server, configuration.limits.idle_timeout_s,
+            configuration.limits.header_timeout_s)
         _logger.info("configuration in force",
                      extra={
                          "version": configuration.version,
@@ -318,6 +323,7 @@
             self.scheduler.tell(events.TargetLeaving(entry.name))
         for entry in (*change.restarted, *change.joined):
             self._moved_targets.discard(entry.name)
+            self._pauses.reopen(entry.name)
         for entry in (*change.restarted, *change.joined):
             if not self._departures.is_leaving(entry):
                 # The notice of its former process or entry holds no longer.
@@ -439,7 +445,8 @@
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
                 read_schedule.Limits(self._options.drain_s).max_targets_age_s,
-                self._departures)
+                self._departures, self._pauses)
+            stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
             stack.enter_context(follower.running())
--- a/persimmonspan/process/notice_poller.py
+++ b/persimmonspan/process/notice_poller.py
@@ -19,6 +19,7 @@
 from persimmonspan.connection import exchange
 from persimmonspan.process import clock
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import target_pauses
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import scheduler
@@ -56,6 +57,7 @@
         peers: Tells how old the targets are.
         max_age_s: Age of the targets from which engines are asked.
         departures: Receives the engines that say that they leave.
+        pauses: Says which engines are closed, and learns it from them.
     """
 
     def __init__(self,
@@ -63,13 +65,15 @@
                  find_target: collections.abc.Callable[[str],
                                                        events.Target | None],
                  wire: forwarded.Wire, peers: Peers, max_age_s: float,
-                 departures: Departures) -> None:
+                 departures: Departures,
+                 pauses: target_pauses.TargetPauses) -> None:
         self._scheduler = scheduler_ref
         self._find_target = find_target
         self._wire = wire
         self._peers = peers
         self._max_age_s = max_age_s
         self._departures = departures
+        self._pauses = pauses
 
     def poll(self) -> None:
         """Asks all engines with own streams once, if the targets are old."""
@@ -79,7 +83,10 @@
         for name in self._scheduler.ask(
                 scheduler_actor.Evaluate(_engines_with_streams)):
             target = self._find_target(name)
-            if target is not None:
+            if self._pauses.is_closed(name):
+                _logger.info("closed engine not asked whether it leaves",
+                             extra={"target": name})
+            elif target is not None:
                 self._ask(target)
 
     def _ask(self, target: events.Target) -> None:
@@ -87,6 +94,8 @@
             head, body = exchange.call(target.address,
                                        self._wire.encode_report_query(),
                                        _RESPONSE_TIMEOUT_S)
+            self._pauses.record(target.name,
+                                self._wire.decode_retry_after(head), "report")
         except errors.TargetError as error:
             # Its streams tell themselves if the engine is gone.
             _logger.info("engine did not answer whether it leaves",
--- a/persimmonspan/process/stale_entries.py
+++ b/persimmonspan/process/stale_entries.py
@@ -109,6 +109,12 @@
                        gone=immutables.Map({
                            **state.gone,
                            **added
+                       }),
+                       former=immutables.Map({
+                           **state.former,
+                           **{
+                               name: item.entry for name, item in added.items()
+                           }
                        })), rows.values(), now_s)
     gone = tuple(targets[name]
                  for name in added
@@ -124,7 +130,7 @@
 
 
 def _is_new(entry: directory.Registration, state: directory.State) -> bool:
-    if entry.name in state.remembered or entry.name in state.gone:
+    if entry.name in state.former or entry.name in state.gone:
         return False
     known = state.present.get(entry.name, state.lapsed.get(entry.name))
     if known is None or known.incarnation < entry.incarnation:
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -76,6 +76,7 @@
     max_requests_per_s: float | None = None  # From all daemons together.
     media_type: str | None = None  # In lower case, without parameters.
     is_leaving: bool = False  # Whether the target says that it leaves.
+    retry_after_s: float | None = None  # The target wants nothing for so long.
 
 
 class MoveResponse(typing.NamedTuple):
@@ -132,6 +133,10 @@
     def says_leaving(self, head: exchange.RawResponseHead) -> bool:
         """Returns whether the head of an answer says that its target leaves."""
 
+    def decode_retry_after(self,
+                           head: exchange.RawResponseHead) -> float | None:
+        """Decodes for how long a target that turns a call away wants none."""
+
     def copy_location(self, address: str, name: str) -> str:
         """Returns the location of a copy, named by request id or by handle."""
 
--- a/persimmonspan/request/plain_call.py
+++ b/persimmonspan/request/plain_call.py
@@ -100,7 +100,9 @@
             target.address, plain_request, timeouts.connect_s,
             min(timeouts.first_token_s, request_session.remaining_s()),
             functools.partial(request_session.context.report_leaving,
-                              target.name))
+                              target.name),
+            lambda pause_s: request_session.context.pauses.record(
+                target.name, pause_s, "request"))
     except (engine.NotSentError, engine.NotRunError):
         raise
     except errors.TargetError as error:
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -16,11 +16,16 @@
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import target_pauses
 from persimmonspan.request import at_most_once
 from persimmonspan.request import events
 from persimmonspan.request import gate
 from persimmonspan.version import model
 
+# How long after its deadline a request waits for a response that is being read.
+_MAX_LATE_S = 0.2
+_LATE_CHECK_INTERVAL_S = 0.02
+
 _logger = logging.getLogger(__name__)
 
 
@@ -38,6 +43,7 @@
     report_broken_target: collections.abc.Callable[[events.Target], None]
     # Called with a target and its incarnation that leaves.
     report_leaving: collections.abc.Callable[[str, str], None]
+    pauses: target_pauses.TargetPauses
 
 
 class Call(typing.NamedTuple):
@@ -91,6 +97,10 @@
             self) -> collections.abc.Callable[[str], events.Target | None]:
         """Function that returns the target of a name, or None."""
 
+    @property
+    def pauses(self) -> target_pauses.TargetPauses:
+        """The pauses of targets that turned requests away."""
+
 
 class CallerLeftError(ConnectionError):
     """The caller closed its connection or stopped reading."""
@@ -122,21 +132,35 @@
         """Returns the time until the deadline, at least zero."""
         return max(0.0, self._end_s - time.monotonic())
 
-    def next_message(self) -> events.Command | relay.Notice:
+    def next_message(
+        self,
+        has_input: collections.abc.Callable[[], bool] | None = None
+    ) -> events.Command | relay.Notice:
         """Waits for the next command or notice.
 
+        Args:
+            has_input: Returns whether bytes of a target wait to be read.
+
         Raises:
             CallerLeftError: The caller left or is too slow.
             errors.PersimmonspanError: The deadline passed, or the scheduler
                 refused the request.
         """
-        try:
-            message = self.messages.get(timeout=self.remaining_s())
-        except queue.Empty:
+        message = self._wait(self.remaining_s())
+        late_until_s = time.monotonic() + _MAX_LATE_S
+        # If this process was paused until after the deadline, the response may
+        # have arrived in time, and is not read yet.
+        while (message is None and has_input is not None and
+               time.monotonic() < late_until_s):
+            is_arriving = has_input()
+            message = self._wait(_LATE_CHECK_INTERVAL_S)
+            if not is_arriving:
+                break
+        if message is None:
             raise errors.PersimmonspanError(
                 errors.Code.DEADLINE_EXCEEDED,
                 "the request did not finish before its deadline",
-                self.run_state()) from None
+                self.run_state())
         if isinstance(message, relay.Notice):
             if message.signal in (relay.Signal.CALLER_LEFT,
                                   relay.Signal.CALLER_SLOW):
@@ -151,6 +175,12 @@
                 run_state, message.retry_after_s)
         return message
 
+    def _wait(self, timeout_s: float) -> events.Command | relay.Notice | None:
+        try:
+            return self.messages.get(timeout=timeout_s)
+        except queue.Empty:
+            return None
+
     def run_state(self) -> errors.RunState:
         """Returns the run state of a request without a complete response."""
         if self.has_run:
@@ -232,6 +262,8 @@
             if target is None:
                 session.end_attempt(message.target,
                                     events.Outcome.CONNECT_FAILED)
+            elif session.context.pauses.is_closed(target.name):
+                session.end_attempt(target.name, events.Outcome.TARGET_CLOSED)
             elif attempt(message, target):
                 return
     except (CallerLeftError, errors.PersimmonspanError):
--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -2,12 +2,14 @@
 
 Real daemons run as processes in front of stand-ins of the store and of
 replicas. While callers send requests, daemons are paused, killed, stopped and
-restarted, the store fails, and replicas interrupt responses, reset connections
-and leave. Halfway, the store comes back from a copy some seconds old; what its
-writers wrote since is written again. One part of a prompt crashes each engine
-that begins to answer it. Faults end before the callers do: a replica then names
-a rate, and the daemons must keep to it, refuse the part and serve the newest
-configuration. Afterwards the responses and the runs at replicas are checked.
+restarted, the store fails, and replicas interrupt responses and reset
+connections. Replicas leave, which they report to the store or say in their
+answers, and start again under their name. Halfway, the store comes back from a
+copy some seconds old; what its writers wrote since is written again. One part
+of a prompt crashes each engine that begins to answer it. Faults end before the
+callers do: a replica then names a rate, and the daemons must keep to it, refuse
+the part and serve the newest configuration. Afterwards the responses and the
+runs at replicas are checked.
 
     python -m testbed.soak --seeds 50 --seconds 8
 """
@@ -31,6 +33,8 @@
 import typing
 
 from testbed import edge_store
+from testbed import replica
+from testbed import soak_leaving
 from testbed import soak_replicas
 
 _HOST = "a.example"
@@ -44,11 +48,13 @@
 # After the faults, daemons have this time to be in touch, and are then checked.
 _SETTLE_S = 3.0
 _CHECK_S = 4.0
+_DESKS = frozenset({"i-0", "i-1", "i-2"})
 # Callers conclude from these that a request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The bounds of the operators for the time of the check.
 _MAX_LATE_CRASHES = 3
 _MAX_LIMITED_REQUESTS = 1.5 * soak_replicas.RATE_PER_S * _CHECK_S + 5
+_MAX_LATE_REQUESTS = 2
 
 
 class Result(typing.NamedTuple):
@@ -100,21 +106,27 @@
 
 
 def find_exceeded_bounds(late_crashes: int,
-                         limited_requests: int) -> dict[str, list[str]]:
+                         limited_requests: int,
+                         late_requests: int = 0) -> dict[str, list[str]]:
     """Returns which bounds were exceeded after the faults had ended.
 
     Args:
         late_crashes: Engines that crashed.
         limited_requests: Requests to the replica that named a rate.
+        late_requests: Most requests of a daemon in a pause that it knew.
 
-    >>> find_exceeded_bounds(3, 11), find_exceeded_bounds(4, 0)
+    >>> find_exceeded_bounds(3, 11, 2), find_exceeded_bounds(4, 0)
     ({}, {'part_not_refused': ['4 crashes']})
+    >>> find_exceeded_bounds(0, 0, 3)
+    {'pause_not_kept': ['3 requests']}
     """
     broken = {}
     if late_crashes > _MAX_LATE_CRASHES:
         broken["part_not_refused"] = [f"{late_crashes} crashes"]
     if limited_requests > _MAX_LIMITED_REQUESTS:
         broken["rate_exceeded"] = [f"{limited_requests} requests"]
+    if late_requests > _MAX_LATE_REQUESTS:
+        broken["pause_not_kept"] = [f"{late_requests} requests"]
     return broken
 
 
@@ -222,7 +234,10 @@
     }
 
 
-def _send_request(address: str, request_id: str, kind: str) -> Result:
+def _send_request(address: str,
+                  request_id: str,
+                  kind: str,
+                  departures: soak_leaving.Departures | None = None) -> Result:
     part = soak_replicas.CRASHING_PART if kind == "crashing" else "b0"
     route = "draft" if kind == "crashing" else kind
     host, port = address.rsplit(":", 1)
@@ -239,7 +254,10 @@
                 "X-Prefix-Hash": f"a0:20,{part}:20,{request_id}:20"
             })
         response = connection.getresponse()
-        return Result(request_id, kind, response.status, response.read())
+        body = response.read()
+        if departures is not None and response.getheader(replica.LEAVING):
+            departures.record_passed_on(request_id)
+        return Result(request_id, kind, response.status, body)
     except (OSError, http.client.HTTPException):
         return Result(request_id, kind, 0, b"")
     finally:
@@ -259,11 +277,18 @@
         self._callers_stopped = threading.Event()
         self._version = 1  # Of the configuration.
         self._outdated: list[str] = []
+        self._departures = soak_leaving.Departures()
         self._settled_s = 0.0  # When the check of the bounds began.
 
+    @property
+    def leaving_passed_on(self) -> int:
+        """Number of answers that said to callers that a replica leaves."""
+        return self._departures.passed_on
+
     def run(self) -> dict[str, list[str]]:
         """Runs callers and injects faults; returns the broken promises."""
         replicas = soak_replicas.Replicas(random.Random(self._seed + 1))
+        self._departures = replicas.departures
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(edge_store.Store().running())
             entries = soak_replicas.start_replicas(stack, replicas, store)
@@ -282,9 +307,12 @@
         return find_broken_promises(
             self.results, replicas.runs) | find_exceeded_bounds(
                 sum(at_s >= checked_s for at_s in replicas.crashed_s),
-                sum(at_s >= checked_s for at_s in replicas.limited_s)) | ({
+                sum(at_s >= checked_s for at_s in replicas.limited_s),
+                replicas.count_late(checked_s)) | ({
                     "configuration_outdated": self._outdated
-                } if self._outdated else {})
+                } if self._outdated else {}) | ({
+                    "request_after_leaving": self._departures.late
+                } if self._departures.late else {})
 
     def _run_workload(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
@@ -306,9 +334,10 @@
                                    >= began_s + self._seconds / 2):
                 self._come_back(store, copies, entries)
         store.mode, replicas.fault_share = "ok", 0.0
+        replicas.closing = None
         replicas.limited = entries["i-0"].server
-        for name, entry in entries.items():
-            store.write("servers", name, entry.document)
+        for name, entry in list(entries.items()):
+            replicas.write_ready(store, name, entry)
         time.sleep(_SETTLE_S)
         self._outdated = [
             daemon.address
@@ -317,7 +346,11 @@
                              _version_route(self._version)).status == 404
         ]
         self._settled_s = time.monotonic()
-        time.sleep(_CHECK_S)
+        for name in ("i-1", self._rng.choice(sorted(set(entries) - _DESKS))):
+            entry = entries.get(name)
+            replicas.closing = entry.server if entry is not None else None
+            time.sleep(_CHECK_S / 2)
+        replicas.closing = None
         self._callers_stopped.set()
         for caller in callers:
             caller.join()
@@ -345,39 +378,48 @@
             kind = rng.choice(["idempotent", "non_idempotent", "draft"])
             if kind == "draft" and rng.random() < _CRASHING_SHARE:
                 kind = "crashing"
+            position = rng.randrange(len(daemons))
+            address = daemons[position].address
+            name = f"r{number}x{index}d{position}"
+            self._departures.record_sent(name, address)
             self.results.append(
-                _send_request(
-                    rng.choice(daemons).address, f"r{number}x{index}", kind))
+                _send_request(address, name, kind, self._departures))
             time.sleep(_CALLER_PAUSE_S)
 
     def _inject_fault(self, daemons: list[_Daemon], store: edge_store.Store,
                       replicas: soak_replicas.Replicas,
                       entries: dict[str, soak_replicas.Entry]) -> None:
         kind = self._rng.choice([
-            "kill", "stop", "pause", "store", "replicas", "leave", "change",
-            "reload"
+            "kill", "stop", "pause", "store", "replicas", "leave", "leave",
+            "leave", "change", "reload", "close"
         ])
         daemon = self._rng.choice(daemons)
         self.faults.append(kind)
         if kind == "kill":
             daemon.stop(signal.SIGKILL)
+            self._departures.excuse(daemon.address)
             daemon.start()
         elif kind == "stop":
             daemon.stop(signal.SIGTERM)
+            self._departures.excuse(daemon.address)
             daemon.start()
         elif kind == "pause":
             daemon.process.send_signal(signal.SIGSTOP)
             time.sleep(self._rng.uniform(0.1, 1.0))
             daemon.process.send_signal(signal.SIGCONT)
+            self._departures.excuse(daemon.address)
         elif kind == "store":
             store.mode = self._rng.choice(["ok", "busy", "silent", "lost"])
+        elif kind == "close":
+            name = self._rng.choice(sorted(entries))
+            replicas.closing = self._rng.choice([entries[name].server, None])
         elif kind == "replicas":
             replicas.fault_share = self._rng.choice([0.0, 0.1, 0.3])
         elif kind == "leave":
             name = self._rng.choice(sorted(entries))
-            state = self._rng.choice(["ready", "draining"])
-            store.write("servers", name,
-                        entries[name].document | {"state": state})
+            sources = self._rng.choice(["store", "answer", "both"])
+            self.faults.append(f"{name}: {sources}")
+            replicas.leave_or_return(store, name, entries[name], sources)
         elif kind == "change":
             self._version += 1
             store.write("op", "config", _configuration(self._version))
@@ -403,7 +445,8 @@
                 "seed": seed,
                 "broken": broken,
                 "statuses": dict(statuses.most_common()),
-                "faults": soak.faults
+                "faults": soak.faults,
+                "leaving_passed_on": soak.leaving_passed_on
             }),
                   flush=True)
             if broken:
