Set the state of a daemon under its lock in the test of its reads

Cause: the test replaced the state of a daemon without the lock while the thread of its exchange ran. The thread reads the state, drops silent peers and writes it back under the lock, over the state of the test; the daemon then knows no reader.

Time that passes between two lines of the test could do the same; the clock stands still now.

Change: the state is set and asked under the lock. Same states, limits and results, as two cases.

--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -7,6 +7,8 @@
 import contextlib
 import time
 
+import pytest
+
 from persimmonspan.process import clock
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
@@ -224,11 +226,13 @@
     assert received <= 1.0 / _INTERVAL_S + 1
 
 
-def _must_read(limits):
+def _must_read(limits, monkeypatch):
     """Returns what a daemon reads when its news is 1 s and 1.5 s old."""
     daemon = _Daemon(1, limits)
     now_s = clock.now_s()
-    with daemon.peering.running():
+    # The thread of the exchange replaces the state under the same lock.
+    with daemon.peering.running(), daemon.peering._lock:  # pylint: disable=protected-access
+        monkeypatch.setattr(clock, "now_s", lambda: now_s)
         daemon.peering._state = edge_peers.State(  # pylint: disable=protected-access
             edge_peers.State().peers.set(
                 "d00", edge_peers.Peer("", now_s, now_s, True)),
@@ -239,9 +243,13 @@
                 daemon.peering.must_read_configuration())
 
 
-def test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds():
-    assert _must_read(read_schedule.Limits()) == (True, True)
-    assert _must_read(read_schedule.Limits(4.0, 4.0)) == (False, False)
+@pytest.mark.parametrize("limits, must_read", [
+    (read_schedule.Limits(), (True, True)),
+    (read_schedule.Limits(4.0, 4.0), (False, False)),
+])
+def test_daemon_reads_itself_once_the_news_is_too_old_for_the_bounds(
+        monkeypatch, limits, must_read):
+    assert _must_read(limits, monkeypatch) == must_read
 
 
 def test_one_lost_response_of_the_store_does_not_change_the_reader():
