--- a/testbed/soak.py
+++ b/testbed/soak.py
@@ -34,10 +34,10 @@
 
 from testbed import edge_store
 from testbed import replica
+from testbed import soak_configuration
 from testbed import soak_leaving
 from testbed import soak_replicas
 
-_HOST = "a.example"
 _DAEMON_COUNT = 3
 _CALLER_PAUSE_S = 0.05
 _CALLER_COUNT = 6
@@ -189,51 +189,6 @@
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
-def _version_route(version: int) -> str:
-    return f"version-{version}"
-
-
-def _configuration(version: int) -> dict[str, typing.Any]:
-    kinds = {"idempotent": "desk", "non_idempotent": "desk", "draft": "engines"}
-    return {
-        "version":
-            version,
-        "routes": [{
-            "name": kind,
-            "host": _HOST,
-            "pathPrefix": f"/{kind}/",
-            "kind": "streaming" if kind == "draft" else kind,
-            "timeoutMs": 4000,
-            "targetLatencyMs": 500,
-            "service": service,
-            "maxAttempts": 2 if kind == "idempotent" else 1,
-            "anonymous": True
-        } for kind, service in kinds.items()] + [{
-            # Shows which version is in force.
-            "name": "version",
-            "host": _HOST,
-            "pathPrefix": f"/{_version_route(version)}/",
-            "kind": "idempotent",
-            "timeoutMs": 4000,
-            "targetLatencyMs": 500,
-            "service": "desk",
-            "maxAttempts": 2,
-            "anonymous": True
-        }],
-        "services": [{
-            "name": "desk"
-        }, {
-            "name": "engines",
-            "runtime": {
-                "slots": 24,
-                "kvCapacity": 30000,
-                "snapshots": True
-            }
-        }],
-        "tenants": []
-    }
-
-
 def _send_request(address: str,
                   request_id: str,
                   kind: str,
@@ -247,7 +202,7 @@
     try:
         connection.request(
             "POST", f"/{route}/1", request_id.encode(), {
-                "Host": _HOST,
+                "Host": soak_configuration.HOST,
                 "X-Attempt-Id": request_id,
                 "X-Deadline-Ms": "4000",
                 "X-Token-Usage": "100,48",
@@ -292,7 +247,7 @@
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(edge_store.Store().running())
             entries = soak_replicas.start_replicas(stack, replicas, store)
-            store.write("op", "config", _configuration(1))
+            store.write("op", "config", soak_configuration.configuration(1))
             daemons = [
                 _Daemon(number, store.address, self._folder)
                 for number in range(_DAEMON_COUNT)
@@ -340,10 +295,9 @@
             replicas.write_ready(store, name, entry)
         time.sleep(_SETTLE_S)
         self._outdated = [
-            daemon.address
-            for daemon in daemons
-            if _send_request(daemon.address, f"version-at-{daemon.address}",
-                             _version_route(self._version)).status == 404
+            daemon.address for daemon in daemons if _send_request(
+                daemon.address, f"version-at-{daemon.address}",
+                soak_configuration.version_route(self._version)).status == 404
         ]
         self._settled_s = time.monotonic()
         for name in ("i-1", self._rng.choice(sorted(set(entries) - _DESKS))):
@@ -366,7 +320,8 @@
         store.restore(self._rng.choice(recent or [copies[-1][1]]))
         time.sleep(self._rng.uniform(0.1, 1.0))
         store.mode = mode
-        store.write("op", "config", _configuration(self._version))
+        store.write("op", "config",
+                    soak_configuration.configuration(self._version))
         for name, entry in list(entries.items()):
             store.write("servers", name, entry.document)
 
@@ -422,7 +377,8 @@
             replicas.leave_or_return(store, name, entries[name], sources)
         elif kind == "change":
             self._version += 1
-            store.write("op", "config", _configuration(self._version))
+            store.write("op", "config",
+                        soak_configuration.configuration(self._version))
         else:
             daemon.process.send_signal(signal.SIGHUP)
 
