Let documented commands be interrupted where SIGINT is ignored

Cause: the script had been started as a background job of a shell without job control, which ignores SIGINT; the commands inherit that, and Python then raises no KeyboardInterrupt.

Change: the test sets the handler of SIGINT, which the commands inherit as the default.

--- a/testbed/tests/test_documented_commands.py
+++ b/testbed/tests/test_documented_commands.py
@@ -14,6 +14,7 @@
 import sys
 
 from prometheus_client import parser
+import pytest
 
 from persimmonspan.process import metrics
 from persimmonspan.process import settings
@@ -94,6 +95,15 @@
                                ["persimmonspan", "check", "a"]]
 
 
+@pytest.fixture(name="interruptible")
+def _interruptible():
+    """Lets the commands be interrupted, also if this process ignores SIGINT."""
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, before)
+
+
+@pytest.mark.usefixtures("interruptible")
 def test_each_documented_command_succeeds(tmp_path):
     commands = [(page.name, arguments)
                 for page in _PAGES
