--- a/review/2/case.py
+++ b/review/2/case.py
@@ -90,8 +90,10 @@
 
     def send(self, number):
         """Sends a draft on a connection that was used before."""
-        ready = [item for item in self._machines
-                 if not item.is_lost and item.daemon.is_ready()]
+        ready = [
+            item for item in self._machines
+            if not item.is_lost and item.daemon.is_ready()
+        ]
         if not ready:
             self._count("no machine was ready")
             return
@@ -102,20 +104,28 @@
         try:
             with socket.create_connection(standins.split(daemon.front),
                                           1.0) as sock:
-                look = standins.send(daemon.front, "/look/a", f"look-{number}",
-                                     method="GET", deadline_ms=2500,
+                look = standins.send(daemon.front,
+                                     "/look/a",
+                                     f"look-{number}",
+                                     method="GET",
+                                     deadline_ms=2500,
                                      connection=sock)
                 answer = standins.send(
-                    daemon.front, "/draft/a", f"draft-{number}",
-                    b"x" * _BODY_BYTES, deadline_ms=39000, connection=sock,
+                    daemon.front,
+                    "/draft/a",
+                    f"draft-{number}",
+                    b"x" * _BODY_BYTES,
+                    deadline_ms=39000,
+                    connection=sock,
                     headers=("X-Model: m", "X-Token-Usage: 3000,940",
                              f"X-Prefix-Hash: 5c1e07a2:79,{number + 4096:x}"
                              ":2921"))
         except OSError:
             look, answer = standins.Answer(), standins.Answer()
-        outcome = ("whole" if answer.is_whole and answer.status == 200 else
-                   f"status {answer.status}" if answer.is_whole else
-                   "broken off midway" if answer.status else "without an answer")
+        outcome = (
+            "whole" if answer.is_whole and answer.status == 200 else
+            f"status {answer.status}" if answer.is_whole else
+            "broken off midway" if answer.status else "without an answer")
         self._record.write(f"draft-{number} at {name}: {outcome} "
                            f"(the look before: {look.status})")
         self._count(outcome)
@@ -136,8 +146,10 @@
                             lambda replica, request: [standins.whole(request)])
     store.write("servers", desk.name, desk.entry())
     machines = [
-        _Machine(record, standins.Daemon(f"edge-{number}", f"127.0.1.{number}",
-                                         store, folder, _MEMORY_MB))
+        _Machine(
+            record,
+            standins.Daemon(f"edge-{number}", f"127.0.1.{number}", store,
+                            folder, _MEMORY_MB))
         for number in range(1, _MACHINES + 1)
     ]
     clients = _Clients(record, machines)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -124,8 +124,8 @@
                 return 403, {}
             conflicts = []
             for row in document.get("expectedRevision", []):
-                data, version = self._tables.get(row["tableName"], {}).get(
-                    row["key"], (None, 0))
+                data, version = self._tables.get(row["tableName"],
+                                                 {}).get(row["key"], (None, 0))
                 version = version if data is not None else 0
                 if version != row["schemaVersion"]:
                     conflicts.append(_row(row["key"], data, version))
@@ -147,7 +147,8 @@
 
         def changed():
             found = sorted(self._tables.get(query["tableName"], {}).items())
-            return [(key, data, version) for key, (data, version) in found
+            return [(key, data, version)
+                    for key, (data, version) in found
                     if (version > since if is_feed else data is not None and
                         key >= start and (end is None or key < end))]
 
@@ -184,21 +185,43 @@
     return {
         "version": version,
         "routes": [{
-            "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
-            "service": service, "timeoutMs": timeout, "targetLatencyMs": aim,
-            "maxAttempts": attempts, "priority": 1, "resumable": resumable,
+            "name": name,
+            "host": HOST,
+            "pathPrefix": prefix,
+            "kind": kind,
+            "service": service,
+            "timeoutMs": timeout,
+            "targetLatencyMs": aim,
+            "maxAttempts": attempts,
+            "priority": 1,
+            "resumable": resumable,
             "interTokenMs": 180 if kind == "streaming" else 0,
             "sticky": kind == "streaming"
         } for name, prefix, kind, service, timeout, aim, attempts, resumable in
                    routes],
         "services": [{
-            "name": "engines", "healthPath": "/healthz",
-            "runtime": {"slots": 24, "kvCapacity": 34371, "migrations": True,
-                        "snapshots": True}
-        }, {"name": "desk", "healthPath": "/healthz"}],
-        "tenants": [{"name": TENANT, "apiKeys": [KEY]}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
-                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+            "name": "engines",
+            "healthPath": "/healthz",
+            "runtime": {
+                "slots": 24,
+                "kvCapacity": 34371,
+                "migrations": True,
+                "snapshots": True
+            }
+        }, {
+            "name": "desk",
+            "healthPath": "/healthz"
+        }],
+        "tenants": [{
+            "name": TENANT,
+            "apiKeys": [KEY]
+        }],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000
+        }
     }
 
 
@@ -254,9 +277,17 @@
 
     def entry(self, state="ready"):
         """Returns its entry of the store."""
-        return {"service": self.service, "address": self.address, "zone": "a",
-                "version": "1", "slots": 24, "state": state,
-                "coldRemainingMs": 0, "sequence": 1, "born": self.born}
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "1",
+            "slots": 24,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": self.born
+        }
 
     def _accept(self, listener):
         while True:
@@ -373,34 +404,71 @@
         self._log = open(folder / f"{name}.log", "ab")
         self.log_path = folder / f"{name}.log"
         self._settings = folder / f"{name}.json"
-        self._settings.write_text(json.dumps({
-            "nodeName": name, "role": "edge", "machineClass": "edge",
-            "serves": ["edge"], "ip": ip, "zone": "a", "region": "r",
-            "zones": {"a": "r"},
-            "listenersMap": {"frontend": self.front, "readiness": self.ready},
-            "portRange": [peer_port, peer_port + 1], "seedNodes": [],
-            "bootstrap": True, "faultCounted": False,
-            "limits": {"cpuFraction": 0.537, "cpuCores": 2,
-                       "memoryMb": memory_mb, "maxFds": 4100,
-                       "linkMbps": 1000.0, "diskMb": 0},
-            "dataDir": None, "discovery": "platform",
-            "entryPoint": "virtual_ip", "heartbeatMs": 1200,
-            "bounds": {"seedLagS": 3, "reuseAfterS": 2, "stabilityMs": 3000,
-                       "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
-                       "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000,
-                       "downgradeSlackMs": 250, "outerMs": 5000,
-                       "strictRevocation": False, "revokeMs": 5000,
-                       "retryBudgetRatio": 0.2, "retryWindowS": 10,
-                       "retryBurst": 54, "recoveryS": 12, "iterationMs": 120,
-                       "reuseWindowS": 4.4},
-            "platform": {"address": store.address, "form": "table"}
-        }), "utf-8")
+        self._settings.write_text(
+            json.dumps({
+                "nodeName": name,
+                "role": "edge",
+                "machineClass": "edge",
+                "serves": ["edge"],
+                "ip": ip,
+                "zone": "a",
+                "region": "r",
+                "zones": {
+                    "a": "r"
+                },
+                "listenersMap": {
+                    "frontend": self.front,
+                    "readiness": self.ready
+                },
+                "portRange": [peer_port, peer_port + 1],
+                "seedNodes": [],
+                "bootstrap": True,
+                "faultCounted": False,
+                "limits": {
+                    "cpuFraction": 0.537,
+                    "cpuCores": 2,
+                    "memoryMb": memory_mb,
+                    "maxFds": 4100,
+                    "linkMbps": 1000.0,
+                    "diskMb": 0
+                },
+                "dataDir": None,
+                "discovery": "platform",
+                "entryPoint": "virtual_ip",
+                "heartbeatMs": 1200,
+                "bounds": {
+                    "seedLagS": 3,
+                    "reuseAfterS": 2,
+                    "stabilityMs": 3000,
+                    "ackMs": 4000,
+                    "catchUpS": 4,
+                    "drainMs": 2000,
+                    "graceS": 8,
+                    "lossSlackMs": 200,
+                    "configApplyMs": 2000,
+                    "downgradeSlackMs": 250,
+                    "outerMs": 5000,
+                    "strictRevocation": False,
+                    "revokeMs": 5000,
+                    "retryBudgetRatio": 0.2,
+                    "retryWindowS": 10,
+                    "retryBurst": 54,
+                    "recoveryS": 12,
+                    "iterationMs": 120,
+                    "reuseWindowS": 4.4
+                },
+                "platform": {
+                    "address": store.address,
+                    "form": "table"
+                }
+            }), "utf-8")
         self._process = None
 
     def start(self):
         """Starts the process."""
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG")
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
         environment |= {
@@ -411,8 +479,11 @@
             "MALLOC_ARENA_MAX": "1"
         }
         self._process = subprocess.Popen(
-            ["python3", "-m", "persimmonspan.platform"], cwd=ROOT,
-            env=environment, stdin=subprocess.DEVNULL, stdout=self._log,
+            ["python3", "-m", "persimmonspan.platform"],
+            cwd=ROOT,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
             stderr=self._log)
 
     @property
@@ -485,8 +556,16 @@
         self.body, self.is_whole = body, whole
 
 
-def send(address, path, attempt, body=b"", method="POST", deadline_ms=4000,
-         headers=(), timeout_s=None, connection=None, late_headers=()):
+def send(address,
+         path,
+         attempt,
+         body=b"",
+         method="POST",
+         deadline_ms=4000,
+         headers=(),
+         timeout_s=None,
+         connection=None,
+         late_headers=()):
     """Sends a request and returns the answer.
 
     The connection is kept open if it was given.
@@ -581,8 +660,8 @@
     """
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write("with the disruption" if has_trouble else
-                 "without the disruption")
+    record.write(
+        "with the disruption" if has_trouble else "without the disruption")
     try:
         with temporary_folder() as temporary:
             held = case(record, temporary, has_trouble)
