Remove the prefix index, which nothing used

Ruled out: giving it a caller, since affinity would unlevel the load and polling cache events costs more calls than that.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -6,7 +6,6 @@
 from bench import capacity_fit
 from bench import capacity_roles
 from persimmonspan.process import registration
-from persimmonspan.process import prefix_index
 
 _PAGE = """# Capacity of one daemon and of the whole system
 
@@ -73,12 +72,10 @@
 |---|---|---|
 {memory_lines}
 
-### Retry budgets, health, quarantine, prefix index
+### Retry budgets, health, quarantine
 
 From `bench.decision_cost`, which this command runs; times by targets of the
-subset with 16 streams each. At its limit of {entries:,} entries a target's
-prefix index takes {index_kb:.0f} KB, all of a daemon {index_mb:.0f} MB; an entry
-is one block.
+subset with 16 streams each.
 
 | decision | measured (targets: us) | us per target |
 |---|---|---|
@@ -107,8 +104,6 @@
 _PAPER = (
     "control orders and leases: `process/orders.py` and `process/leases.py` "
     "are tested decision modules, but no daemon runs them: not built",
-    "prefix index: `process/prefix_index.py` is a tested decision module, but "
-    "the scheduler does not use it: not built",
     "lifetime of versions: `version/lifetime.py` is not used by a daemon: not "
     "built",
     "owners of ledger shards (`docs/design/ledger.md`): not built",
@@ -121,9 +116,6 @@
     found = capacity_roles.roles(measured)
     idle = measured["idle_daemon_mb"]
     budgets = _budgets(found, idle.at(capacity_roles.REPLICAS))
-    entries = prefix_index.MAX_ENTRIES
-    index_bytes = entries * measured["scheduler"]["parts"]["memory_bytes"][
-        "prefix_index, per entry"]
     over = [
         f"- OVER: {name} is {value}, the budget is {limit}"
         for name, value, limit, verdict in budgets
@@ -161,9 +153,6 @@
             for event, line in rows.items()),
         memory_lines=_lines(measured["scheduler"]["memory_bytes"]),
         parts="\n".join(map(_part, _part_times(measured))),
-        entries=entries,
-        index_mb=index_bytes * capacity_roles.targets() / 1e6,
-        index_kb=index_bytes / 1e3,
         part_memory="\n".join(
             _cells((name, f"{value:.0f}")) for name, value in
             measured["scheduler"]["parts"]["memory_bytes"].items()),
--- a/bench/capacity_scheduler.py
+++ b/bench/capacity_scheduler.py
@@ -1,7 +1,7 @@
 """Slopes of the scheduler: step time per event kind, and memory of its state.
 
 Step times are medians of `bench.policy_speed`. Times and memory of retry,
-health, quarantine and the prefix index are those of `bench.decision_cost`,
+health and quarantine are those of `bench.decision_cost`,
 which runs as a process of its own.
 """
 
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -18,7 +18,6 @@
 
 from persimmonspan.process import health
 from persimmonspan.process import leaving
-from persimmonspan.process import prefix_index
 from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
@@ -67,16 +66,6 @@
     return state
 
 
-def _index_state(entries: int) -> prefix_index.State:
-    state = prefix_index.State(max_entries=2 * entries)
-    blocks = [hash((i, "block")) for i in range(entries)]
-    for i in range(0, entries, 64):
-        state, _ = prefix_index.step(
-            state, events.CacheEvent("e1", i // 64, tuple(blocks[i:i + 64]),
-                                     ()))
-    return state
-
-
 def _retry_state(count: int) -> retry.State:
     state = retry.State()
     for i in range(count * _STREAMS):
@@ -160,20 +149,6 @@
             result["time_us"].setdefault(name, {})[count] = _microseconds(call)
     for name, row in result["time_us"].items():
         row["slope_per_target"] = _slope([(n, row[n]) for n in _TARGETS])
-    prompt = prefix_index.prefix_hashes(b"x" * 256 * 128)
-    state, _ = prefix_index.step(prefix_index.State(),
-                                 events.CacheEvent("e1", 0, prompt, ()))
-    for blocks in (1, 32, 128):
-        result["time_us"][f"prefix_index.match_tokens, {blocks} blocks"] = {
-            "any":
-                _microseconds(lambda hashes=prompt[:blocks]: prefix_index.
-                              match_tokens(state, "e1", hashes))
-        }
-        result["time_us"][f"prefix_index.prefix_hashes, {blocks} blocks"] = {
-            "any":
-                _microseconds(lambda size=256 * blocks: prefix_index.
-                              prefix_hashes(b"x" * size))
-        }
     for name, build in (("retry, per request",
                          _retry_state), ("health, per request", _health_state),
                         ("quarantine, per request", _quarantine_state)):
@@ -181,8 +156,6 @@
         result["memory_bytes"][name] = _slope(rows)
     rows = [(n, _bytes(_leaving_state, n)) for n in _TARGETS]
     result["memory_bytes"]["leaving, per target"] = _slope(rows)
-    rows = [(n, _bytes(_index_state, n)) for n in (1024, 4096, 16384)]
-    result["memory_bytes"]["prefix_index, per entry"] = _slope(rows)
     options.output.parent.mkdir(exist_ok=True)
     options.output.write_text(json.dumps(result, indent=1))
     print(json.dumps(result, indent=1))
--- a/bench/tests/test_capacity.py
+++ b/bench/tests/test_capacity.py
@@ -57,9 +57,7 @@
         },
         "parts": {
             "time_us": {},
-            "memory_bytes": {
-                "prefix_index, per entry": 72.0
-            }
+            "memory_bytes": {}
         }
     }
     return measured
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -241,15 +241,6 @@
     target: str
 
 
-class CacheEvent(typing.NamedTuple):
-    """Changes of an engine's prefix cache; it numbers them without gaps."""
-
-    target: str
-    sequence: int
-    added: tuple[int, ...]
-    removed: tuple[int, ...]
-
-
 class QuarantineShared(typing.NamedTuple):
     """A peer reports a fingerprint that crashed targets; none: it is cleared.
 
@@ -348,7 +339,7 @@
          MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
          TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
          TargetAlive | RateNamed | TargetClosed | TargetOpened |
-         DaemonsChanged | CacheEvent | QuarantineShared | QuarantineLifted |
+         DaemonsChanged | QuarantineShared | QuarantineLifted |
          RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | Count)
