Tell starts of requests to all daemons, and let late requests wait, as a trial

Cause: daemons behind a hub choose the same engine until the next digest. Change: datagrams with each start, lanes of their own for late requests.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -25,6 +25,7 @@
 from persimmonspan import errors
 from persimmonspan.connection import forwarding_listener
 from persimmonspan.connection import relay
+from persimmonspan.connection import start_notices
 from persimmonspan.process import clock
 from persimmonspan.process import death_probe
 from persimmonspan.process import departure_tracker
@@ -105,7 +106,8 @@
             secrets.randbits(_SEED_BITS),
             share=self._share_quarantine,
             limits=retry_limits(options.retry),
-            notify_peers=self._notify_peers)
+            notify_peers=self._notify_peers,
+            announce_start=self._announce_start)
         self._pauses = target_pauses.TargetPauses(self.scheduler.tell,
                                                   self.metrics.count)
         self._death_probe = death_probe.DeathProbe(self.scheduler.tell,
@@ -118,6 +120,7 @@
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
+        self._notices: start_notices.StartNotices | None = None
         self._retry_daemons = _MIN_RETRY_DAEMONS
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
@@ -320,6 +323,10 @@
         if self._peers is not None:
             self._peers.wake()
 
+    def _announce_start(self, target: str, prefill_tokens: int) -> None:
+        if self._notices is not None:
+            self._notices.send(target, prefill_tokens)
+
     def _share_quarantine(self, command: events.ShareQuarantine) -> None:
         if self._peers is not None:
             self._peers.publish_quarantine(events.QuarantineShared(*command))
@@ -451,6 +458,8 @@
     def _share_limits(self) -> None:
         """Divides what all daemons may send by the daemons that share it."""
         daemons = self._peers.list_daemons()
+        self._notices.set_peers(self._peers.list_addresses(),
+                                edge_peers.MAX_DIRECT_PEERS + 1)
         if len(daemons) > 1 and daemons != self._daemons:
             self._daemons = daemons
             self.scheduler.tell(
@@ -506,6 +515,10 @@
                 self.scheduler, self._find_target, self.wire, self._peers,
                 read_schedule.Limits(self._options.drain_s).max_targets_age_s,
                 self._departures, self._pauses)
+            self._notices = start_notices.StartNotices(
+                self._options.peer_address, self.scheduler.tell,
+                self.metrics.count)
+            stack.enter_context(self._notices.running())
             stack.enter_context(self._origins.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
@@ -569,7 +582,7 @@
 def _to_kind_policy(name: str, route: routes.Route) -> events.KindPolicy:
     return events.KindPolicy(name, route.splits[0].service, 1.0, route.timeout_s
                              < _SHORT_TIMEOUT_S, route.is_idempotent,
-                             route.timeout_s)
+                             route.timeout_s, route.latency_objective_s)
 
 
 def run(platform: Platform) -> int:
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -63,7 +63,7 @@
 # that cannot read; the others wait for one of them before they read themselves.
 _EARLY_DAEMONS = 8
 # With more peers, digests go through a hub.
-_MAX_DIRECT_PEERS = 15
+MAX_DIRECT_PEERS = 15
 _LAST_NAME = "\U0010ffff"  # Comes after all names of daemons.
 # Name under which the sum of the loads of all other daemons is recorded.
 OTHERS = "others"
@@ -314,7 +314,7 @@
 
 def has_hub(state: State) -> bool:
     """Returns whether digests go through a hub."""
-    return len(state.peers) > _MAX_DIRECT_PEERS
+    return len(state.peers) > MAX_DIRECT_PEERS
 
 
 def is_hub(state: State, name: str, now_s: float) -> bool:
--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -35,6 +35,15 @@
 # Time from the start of an attempt to the arrival of its digest at a peer.
 _DIGEST_DELAY_S = 0.08
 
+# A start that a peer told by itself is in the digest of a hub that arrives at
+# least this much later, and in one of those that arrive until the maximum age.
+_NOTICE_TOLD_AGE_S = 0.1
+_MAX_NOTICE_AGE_S = 0.8
+# Time from a start at a peer to its notice, and time without any notice after
+# which none are expected.
+_NOTICE_DELAY_S = 0.01
+_NOTICES_EXPIRY_S = 2.0
+
 # Index of the horizon from which work counts as lasting: short work that peers
 # may have started ends before their next digest.
 _LASTING_HORIZON_INDEX = 2
@@ -76,6 +85,8 @@
     copy_tokens: float = 0.0  # Expected peak of their tokens.
     peers_copy_tokens: float = 0.0
     peers_prefill_tokens: float = 0.0
+    # Starts at peers that their digests do not tell yet: time and tokens.
+    notices: tuple[tuple[float, int], ...] = ()
 
 
 class Peer(typing.NamedTuple):
@@ -93,6 +104,7 @@
     targets: immutables.Map[str, TargetView] = immutables.Map()
     groups: immutables.Map[str, tuple[str, ...]] = immutables.Map()
     peers: immutables.Map[str, Peer] = immutables.Map()
+    noticed_s: float = -math.inf  # When a peer last told a start by itself.
 
 
 def add(one: Vector, other: Vector) -> Vector:
@@ -111,7 +123,7 @@
 
 def _set_target(view: View, item: TargetView) -> View:
     return View(view.targets.set(item.target.name, item), view.groups,
-                view.peers)
+                view.peers, view.noticed_s)
 
 
 def add_attempt(view: View, name: str, profile: Profile, is_long: bool,
@@ -225,9 +237,10 @@
     Requests that wait at peers are placed as soon as a target has room.
     """
     expected = 0.0
+    has_notices = now_s - view.noticed_s <= _NOTICES_EXPIRY_S
     for peer in view.peers.values():
-        unseen_s = _DIGEST_DELAY_S
-        if peer.is_sum:
+        unseen_s = _NOTICE_DELAY_S if has_notices else _DIGEST_DELAY_S
+        if peer.is_sum and not has_notices:
             unseen_s += min(_PEER_EXPIRY_S, now_s - peer.last_received_s)
         for demand in peer.demands:
             if demand.service == service:
@@ -235,6 +248,39 @@
     return expected
 
 
+def record_peer_start(view: View, event: events.PeerStarted,
+                      now_s: float) -> View:
+    """Records a start that a peer told by itself."""
+    item = view.targets.get(event.target)
+    view = view._replace(noticed_s=now_s)
+    if item is None:
+        return view
+    kept = tuple(notice for notice in item.notices
+                 if now_s - notice[0] <= _MAX_NOTICE_AGE_S)
+    return _set_target(
+        view,
+        item._replace(notices=kept +
+                      ((now_s - event.age_s, event.prefill_tokens),)))
+
+
+def noticed_tokens(item: TargetView, now_s: float) -> int:
+    """Returns the prompt tokens of starts that no digest tells yet."""
+    return sum(tokens for at_s, tokens in item.notices
+               if now_s - at_s <= _MAX_NOTICE_AGE_S)
+
+
+def _drop_told_notices(view: View, now_s: float) -> View:
+    """Drops the starts that a digest that has just arrived contains."""
+    targets = view.targets
+    for name, item in view.targets.items():
+        if item.notices:
+            kept = tuple(notice for notice in item.notices
+                         if now_s - notice[0] < _NOTICE_TOLD_AGE_S)
+            if len(kept) < len(item.notices):
+                targets = targets.set(name, item._replace(notices=kept))
+    return view._replace(targets=targets)
+
+
 def recent_tokens(item: TargetView, now_s: float) -> float:
     """Returns the tokens of this daemon's recent starts, decayed by age."""
     if not item.recent_tokens:
@@ -282,6 +328,8 @@
 
 def apply_peer_load(view: View, event: events.PeerLoad, now_s: float) -> View:
     """Replaces the load that a peer has on each target."""
+    if event.is_sum:
+        view = _drop_told_notices(view, now_s)
     old = view.peers.get(event.daemon)
     loads = immutables.Map({item.target: item for item in event.loads})
     targets = view.targets
@@ -416,7 +464,7 @@
         service: tuple(target.name for target in members)
         for service, members in groups.items()
     }
-    return View(targets, immutables.Map(names), view.peers)
+    return View(targets, immutables.Map(names), view.peers, view.noticed_s)
 
 
 def avoid(view: View, name: str, until_s: float) -> View:
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -168,6 +168,10 @@
         """Returns the names of all daemons, with this one."""
         return tuple(sorted((self._name, *self._state.peers)))
 
+    def list_addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of all other daemons."""
+        return tuple(peer.address for peer in self._state.peers.values())
+
     def interval_s(self) -> float:
         """Returns the time between two digests, in seconds."""
         return edge_peers.interval_s(self._state, self._sent_bytes,
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -81,6 +81,8 @@
         limits: Limits of the retry budget.
         notify_peers: Called after a placement and after a first token, to send
             the loads to peers at once.
+        announce_start: Called with the target and the prompt tokens of each
+            request that is sent to an engine.
     """
 
     use_daemon_thread = True
@@ -91,12 +93,15 @@
         seed: int,
         share: ShareQuarantine = lambda command: None,
         limits: retry.Limits = retry.Limits(),
-        notify_peers: collections.abc.Callable[[],
-                                               None] = lambda: None) -> None:
+        notify_peers: collections.abc.Callable[[], None] = lambda: None,
+        announce_start: collections.abc.Callable[[str, int], None] = (
+            lambda target, prefill_tokens: None)
+    ) -> None:
         super().__init__()
         self._metrics = counters
         self._share_quarantine = share
         self._notify_peers = notify_peers
+        self._announce_start = announce_start
         self._decisions: collections.OrderedDict[
             str, collections.deque[Decision]] = collections.OrderedDict()
         self._rng = random.Random(seed)
@@ -137,8 +142,18 @@
                 isinstance(command, _PLACING_COMMANDS) for command in commands):
             # Peers must not choose the same target for their next requests.
             self._notify_peers()
+        for command in commands:
+            if isinstance(command, events.Dispatch):
+                self._announce(command)
         return None
 
+    def _announce(self, command: events.Dispatch) -> None:
+        running = self._state.running.get(command.request_id)
+        view = self._state.view.targets.get(command.target)
+        if running and view and view.target.kv_capacity_tokens:
+            self._announce_start(command.target,
+                                 running.item.arrived.prompt_tokens)
+
     def _step(self, event: events.Event) -> list[events.Command]:
         """Applies an event; an event that fails leaves the state as it was.
 
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -133,6 +133,12 @@
     return load_view.Profile(tuple(mean), tuple(variance))
 
 
+def unread_tokens(item: load_view.TargetView, now_s: float) -> float:
+    """Returns the prompt tokens at a target that are not prefilled yet."""
+    return (item.prefill_tokens + item.peers_prefill_tokens +
+            load_view.noticed_tokens(item, now_s))
+
+
 def estimate_use(item: load_view.TargetView, is_long: bool, peers: int,
                  now_s: float) -> float:
     """Estimates which share of a target is in use, to rank targets."""
@@ -142,7 +148,7 @@
     horizon = _RANK_HORIZONS[is_long]
     tokens = (item.own.mean[horizon] + item.peers.mean[horizon] +
               peers * load_view.recent_tokens(item, now_s))
-    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    prefill = unread_tokens(item, now_s)
     if not is_long or prefill:
         tokens += _PREFILL_WEIGHT * prefill
     return tokens / target.kv_capacity_tokens
@@ -159,8 +165,12 @@
     return tokens / target.kv_capacity_tokens
 
 
-def fits(item: load_view.TargetView, profile: load_view.Profile, is_long: bool,
-         peers: int, now_s: float) -> bool:
+def fits(item: load_view.TargetView,
+         profile: load_view.Profile,
+         is_long: bool,
+         peers: int,
+         now_s: float,
+         is_late: bool = False) -> bool:
     """Returns whether a target has room for a request.
 
     Args:
@@ -169,6 +179,7 @@
         is_long: Whether it belongs to the long class.
         peers: Number of peers that send to the same targets.
         now_s: Current time.
+        is_late: Whether it misses its latency objective in any case.
     """
     target = item.target
     # A daemon may always use an equal part of the slots, and the slots that its
@@ -179,14 +190,16 @@
         return False
     if not target.kv_capacity_tokens:
         return True
-    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    prefill = unread_tokens(item, now_s)
+    if is_late and prefill > 0:
+        return False
     if (prefill > 0 and prefill + profile.mean[0]
             > _MAX_PREFILL_SHARE * target.kv_capacity_tokens):
         return False
     if is_long and not _has_free_long_slot(item, target, now_s):
         return False
     limit = _USABLE_SHARE * target.kv_capacity_tokens
-    if is_long:
+    if is_long or is_late:
         limit -= _SHORT_RESERVE_SHARE * target.kv_capacity_tokens
     age_s = min(_MAX_REPORT_AGE_S, now_s - item.reported_s)
     if peers and age_s > _MAX_TRUSTED_REPORT_AGE_S:
@@ -214,7 +227,7 @@
            now_s: float) -> float:
     """Returns for how many requests with a profile an engine has room."""
     capacity = item.target.kv_capacity_tokens
-    prefill = item.prefill_tokens + item.peers_prefill_tokens
+    prefill = unread_tokens(item, now_s)
     free_prefill_tokens = _MAX_PREFILL_SHARE * capacity - prefill
     free_tokens = free_memory_share(item, profile, peers, now_s) * capacity
     return max(
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -123,6 +123,7 @@
     excluded: tuple[str, ...] = ()
     allowed: tuple[str, ...] = ()
     software_version: str = ""  # Empty if any may run it.
+    is_late: bool = False  # It gets only what requests in time leave.
 
     def accepts(self, target: events.Target) -> bool:
         """Returns whether a target has the software version, if one matters.
@@ -170,7 +171,8 @@
         demand *= _ENGINE_DEMAND_FACTOR
     for position, name in enumerate(spread(ranked, demand, rng)):
         item = view.targets[name]
-        if not admission.fits(item, query.profile, query.is_long, peers, now_s):
+        if not admission.fits(item, query.profile, query.is_long, peers, now_s,
+                              query.is_late):
             continue
         if position and expected_starts and item.target.kv_capacity_tokens:
             # Few targets have room, and all daemons see the same ones.
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -55,6 +55,9 @@
     is_short: bool
     is_idempotent: bool
     deadline_s: float
+    # Time to the first token, or the whole answer, within which a response is
+    # in time; zero if none is stated.
+    latency_objective_s: float = 0.0
 
 
 class WorkspaceShare(typing.NamedTuple):
@@ -176,6 +179,14 @@
     is_sum: bool = False  # Sum of several daemons, sent periodically.
 
 
+class PeerStarted(typing.NamedTuple):
+    """A peer started a request at an engine, told before its next digest."""
+
+    target: str
+    prefill_tokens: int
+    age_s: float = 0.0
+
+
 class TargetsChanged(typing.NamedTuple):
     """A configuration version was adopted."""
 
@@ -335,10 +346,10 @@
     reason: str
 
 
-Event = (Arrived | FirstToken | Progressed | AttemptEnded | RequestMoved |
-         MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
-         TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
-         TargetAlive | RateNamed | TargetClosed | TargetOpened |
+Event = (Arrived | PeerStarted | FirstToken | Progressed | AttemptEnded |
+         RequestMoved | MoveFailed | RequestAbandoned | LoadReported |
+         PeerLoad | TargetsChanged | TargetLeaving | TargetReturned |
+         TargetDied | TargetAlive | RateNamed | TargetClosed | TargetOpened |
          DaemonsChanged | QuarantineShared | QuarantineLifted |
          RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -271,6 +271,14 @@
         view=load_view.apply_peer_load(state.view, event, now_s)), []
 
 
+@_handle_event.register
+def _(event: events.PeerStarted, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    return state._replace(
+        view=load_view.record_peer_start(state.view, event, now_s)), []
+
+
 @_handle_event.register
 def _(event: events.TargetsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -388,6 +396,7 @@
       rng: random.Random) -> Result:
     del event
     queue, expired = queueing.remove_expired(state.queue, now_s)
+    queue = queueing.defer_late(queue, now_s)
     services = state.view.groups
     state = state._replace(
         view=load_view.forget_silent_peers(state.view, now_s),
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -70,6 +70,9 @@
     leave_every_s: float = 3.3  # Between two departures; 0 for none.
     leave_together: int = 3
     notice_s: float = 1.8
+    # Time after which a daemon tells the others of a start by itself; zero if it
+    # does not.
+    start_notice_s: float = 0.0
 
 
 class Outcome(typing.NamedTuple):
@@ -282,12 +285,25 @@
         for command in commands:
             if isinstance(command, events.Dispatch):
                 self._queue_dispatched(command)
+                if self._scenario.start_notice_s:
+                    self._after(
+                        self._scenario.start_notice_s,
+                        lambda item=command: self._tell_start(daemon, item))
             elif isinstance(command, events.Evacuate):
                 self._evacuate_request(daemon, command)
             elif (isinstance(command, events.Refuse) and
                   command.request_id in self._requests):
                 self._finish(self._requests[command.request_id], "refused")
 
+    def _tell_start(self, daemon: int, command: events.Dispatch) -> None:
+        item = self._requests.get(command.request_id)
+        if item is None:
+            return
+        event = events.PeerStarted(command.target, item.prompt)
+        for other in range(self._scenario.daemons):
+            if other != daemon:
+                self._send(other, event)
+
     def _tick_schedulers(self) -> None:
         self._after(_TICK_S, self._tick_schedulers)
         for daemon, state in enumerate(self._states):
@@ -320,7 +336,8 @@
     def _send_targets(self) -> None:
         kinds = tuple(
             events.KindPolicy(kind.name, _SERVICE, 1.0, not kind.is_long, False,
-                              kind.deadline_s) for kind in self._scenario.kinds)
+                              kind.deadline_s, kind.aim_s)
+            for kind in self._scenario.kinds)
         targets = tuple(engine.target
                         for name, engine in self._engines.items()
                         if name not in self._leaving)
