--- a/testbed/tests/test_crowd.py
+++ b/testbed/tests/test_crowd.py
@@ -13,11 +13,12 @@
 _QUANTILE = 0.95
 
 
-def _are_in_time(strategy, seed, name):
+def _are_in_time(strategy, seed, name, quantile=_QUANTILE, **changes):
     scenario = experiment.read_scenario(_SCENARIOS / f"{name}.toml")
+    scenario = scenario._replace(**changes)
     outcomes = experiment.run_scenario(scenario, strategy, seed)
     return all(
-        outcomes[kind.name].first_token_quantile_s(_QUANTILE) <= kind.aim_s
+        outcomes[kind.name].first_token_quantile_s(quantile) <= kind.aim_s
         for kind in scenario.kinds)
 
 
@@ -36,6 +37,13 @@
     assert _are_in_time("current", 1, "small")
 
 
+def test_start_notices_keep_99_in_100_first_tokens_in_time():
+    # Without notices, daemons see a start only with the next digest of the hub.
+    assert _are_in_time("current", 1, "competition", 0.99)
+    assert not _are_in_time(
+        "current", 1, "competition", 0.99, start_notice_s=0.0)
+
+
 def test_command_line_prints_a_line_for_each_strategy_and_kind(capsys):
     path = str(_SCENARIOS / "small.toml")
     assert not experiment.main([path, "--seeds", "1", "--ways", "current"])
