Evacuate failure domains and limit the requests to cold targets

Operators can write the row evacuate/DOMAIN beside the configuration. Daemons ignored it and went on sending to the targets of the domain. When it returned, all daemons chose its empty targets first, though a cold target takes few requests a second.

The thread that follows the configuration applies the rows to a set with the store's version, which digests carry. Targets of evacuated domains are not listed in the scheduler; copies there count as none; the rates by which lanes are judged fall by the lost share, and requests that then start too late are refused at once. Cold targets belong to a few daemons with a token bucket each.

--- a/persimmonspan/platform/configuration.py
+++ b/persimmonspan/platform/configuration.py
@@ -45,6 +45,8 @@
 class _Service(msgspec.Struct):
     name: str
     runtime: _Runtime | None = None
+    coldStartS: float = 0.0
+    coldPerS: float = 0.0  # No limit if zero.
 
 
 class _Limits(msgspec.Struct):
@@ -112,9 +114,8 @@
 
 
 def _decode_service(item: _Service) -> routes.Service:
-    if item.runtime is None:
-        return routes.Service(item.name)
-    return routes.Service(
-        item.name,
-        routes.Engine(item.runtime.kvCapacity, item.runtime.slots,
-                      item.runtime.snapshots, item.runtime.migrations))
+    engine = None
+    if item.runtime is not None:
+        engine = routes.Engine(item.runtime.kvCapacity, item.runtime.slots,
+                               item.runtime.snapshots, item.runtime.migrations)
+    return routes.Service(item.name, engine, item.coldStartS, item.coldPerS)
--- a/persimmonspan/platform/program.py
+++ b/persimmonspan/platform/program.py
@@ -1,6 +1,7 @@
 """Edge daemon with the formats and the store of the platform."""
 
 from persimmonspan.platform import configuration
+from persimmonspan.platform import evacuations
 from persimmonspan.platform import registrations
 from persimmonspan.platform import settings
 from persimmonspan.platform import store
@@ -12,7 +13,7 @@
     wire, store.Store,
     followers.Formats(configuration.TABLE, configuration.KEY,
                       configuration.decode, registrations.TABLE,
-                      registrations.decode),
+                      registrations.decode, evacuations.decode),
     lambda: settings.read(settings.path()))
 
 
--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -26,6 +26,10 @@
     retryBudgetRatio: float = 0.2
     retryWindowS: float = 10.0
     retryBurst: float = 50.0
+    evacuationMs: float = 5000.0
+    # A cold replica takes its rate times the factor, plus the tolerance.
+    coldOverrun: float = 1.5
+    coldTolerance: float = 5.0
 
 
 class _Store(msgspec.Struct):
@@ -87,6 +91,9 @@
         memory_mb=document.limits.memoryMb,
         drain_s=bounds.drainMs / _MS_PER_S,
         configuration_apply_s=bounds.configApplyMs / _MS_PER_S,
+        evacuation_s=bounds.evacuationMs / _MS_PER_S,
+        cold_overrun=bounds.coldOverrun,
+        cold_tolerance=bounds.coldTolerance,
         **_link_settings(document.limits.linkMbps))
 
 
--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -103,7 +103,8 @@
         max_requests_per_s=_parse_rate(head.get(b"server-limit")),
         media_type=_parse_media_type(head.get(b"content-type")),
         is_leaving=says_leaving(head),
-        retry_after_s=decode_retry_after(head))
+        retry_after_s=decode_retry_after(head),
+        cold_s=decode_cold_start(head))
 
 
 def decode_retry_after(head: exchange.RawResponseHead) -> float | None:
@@ -111,6 +112,12 @@
     return retry_after.read_pause_s(head)
 
 
+def decode_cold_start(head: exchange.RawResponseHead) -> float | None:
+    """Decodes for how long a replica is still cold; None if it does not say."""
+    cold_ms = _parse_number(head.get(b"x-cold-start-ms"))
+    return None if cold_ms is None else max(0.0, cold_ms / _MS_PER_S)
+
+
 class _MoveResult(msgspec.Struct):
     # Misleading name: handle of the memory that was moved.
     session: str | None = None
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -26,11 +26,13 @@
 from persimmonspan.connection import forwarding_listener
 from persimmonspan.connection import relay
 from persimmonspan.process import clock
+from persimmonspan.process import cold_tracker
 from persimmonspan.process import death_probe
 from persimmonspan.process import departure_tracker
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
+from persimmonspan.process import evacuation_tracker
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
@@ -113,6 +115,14 @@
         self._named_rates = named_rates.NamedRates(self.scheduler.tell)
         self._departures = departure_tracker.DepartureTracker(
             self.scheduler.tell, self.metrics.count)
+        self._evacuations = evacuation_tracker.EvacuationTracker(
+            platform.formats.decode_evacuation, self._apply_evacuations,
+            self.metrics.count)
+        self._cold = cold_tracker.ColdTracker(self.scheduler.tell,
+                                              self.metrics.count)
+        self.metrics.cold_targets.set_function(self._cold.count_cold)
+        self.metrics.evacuated_domains.set_function(
+            lambda: len(self._evacuations.domains))
         self._origins = stream_origins.StreamOrigins(platform.open_store,
                                                      options.store_address)
         self._daemons: tuple[str, ...] = ()
@@ -182,7 +192,7 @@
             self._death_probe.check, self._named_rates.record, self._pauses,
             self.scheduler, self.metrics, self._relay, self.wire,
             self._response_budget, self._departures.record_answer,
-            self._origins)
+            self._origins, self._find_obstacle, self._cold.record_answer)
         return forwarding.serve(routed_call, context, responder)
 
     def _place_take_up(
@@ -255,7 +265,8 @@
         if follower is None:
             return False
         max_age_s = min(self._options.drain_s,
-                        self._options.configuration_apply_s)
+                        self._options.configuration_apply_s,
+                        self._options.evacuation_s)
         began_s = now_s = clock.now_s()
         age_s = now_s - follower.last_checked_s()
         if age_s <= max_age_s:
@@ -316,6 +327,12 @@
         # that joined after the request arrived.
         return self._targets.get(name)
 
+    def _find_obstacle(self, target: events.Target) -> str:
+        """Returns why a target gets nothing new besides load, or ""."""
+        if self._evacuations.is_evacuated(target):
+            return "evacuated_domain"
+        return "cold_target" if self._cold.is_cold(target.name) else ""
+
     def _notify_peers(self) -> None:
         if self._peers is not None:
             self._peers.wake()
@@ -350,6 +367,7 @@
                          "services": len(configuration.services),
                          "idle_timeout_s": configuration.limits.idle_timeout_s
                      })
+        self._apply_cold_entries()
         self._send_targets()
 
     def apply_directory(self, state: directory.State,
@@ -359,6 +377,7 @@
         if is_first or not change.is_empty:
             self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
+        self._apply_cold_entries()
         for entry in change.doubted:
             self.metrics.count("target_entry_doubted")
             _logger.warning("older entry of a target not believed",
@@ -390,6 +409,19 @@
         if is_first or not change.is_empty:
             self._send_targets()
 
+    def _apply_cold_entries(self) -> None:
+        configuration, entries = self._configuration, self._registrations
+        if configuration is not None and entries is not None:
+            self._cold.apply_entries(entries, configuration.services)
+
+    def _apply_evacuations(self, returned: frozenset[str]) -> None:
+        """Applies a change of the evacuated domains, some of which return."""
+        # First: cold targets must not be listed as warm ones.
+        self._cold.assume_cold(
+            self._registrations or (), returned,
+            read_schedule.Limits(self._options.drain_s).max_targets_age_s)
+        self._send_targets()
+
     def _send_targets(self) -> None:
         """Sends targets, request kinds and workspaces to the scheduler."""
         # Configuration and targets change on different threads; the last
@@ -429,7 +461,7 @@
                         for item in configuration.workspaces_by_key.values()
                     })), self._options.name,
                 edge_peers.interval_s(edge_peers.State()),
-                self._departures.leaving_targets()))
+                self._departures.leaving_targets(), self._evacuations.domains))
 
     def reload(self, options: edge_settings.EdgeSettings) -> None:
         """Applies changed settings, except those that need a restart."""
@@ -451,6 +483,12 @@
     def _share_limits(self) -> None:
         """Divides what all daemons may send by the daemons that share it."""
         daemons = self._peers.list_daemons()
+        # Daemons that start at once miss each other in their first read.
+        self._cold.set_shares(
+            events.ColdSharesChanged(self._options.name, daemons,
+                                     self._peers.address_reads > 1,
+                                     self._options.cold_overrun,
+                                     self._options.cold_tolerance))
         if len(daemons) > 1 and daemons != self._daemons:
             self._daemons = daemons
             self.scheduler.tell(
@@ -491,7 +529,8 @@
                 stack.callback(server.stop)
             follower = followers.Followers(self._platform.open_store,
                                            self._options.store_address,
-                                           self._platform.formats, self)
+                                           self._platform.formats, self,
+                                           self._evacuations)
             self._peers = peering.Peering(
                 self._options.name, self._options.peer_address, self.scheduler,
                 follower.apply_store_snapshot,
@@ -499,13 +538,15 @@
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
                 self._departures, follower.apply_stale_entries,
-                self._options.link_bits_per_s)
+                self._options.link_bits_per_s, self._evacuations)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
                 read_schedule.Limits(self._options.drain_s).max_targets_age_s,
-                self._departures, self._pauses)
+                self._departures, self._pauses, self._find_obstacle,
+                self._cold.record_answer)
+            self._share_limits()
             stack.enter_context(self._origins.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -43,6 +43,7 @@
 from persimmonspan import decoding
 from persimmonspan.process import departures
 from persimmonspan.process import directory
+from persimmonspan.process import evacuated_set
 from persimmonspan.process import load_totals
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
@@ -119,6 +120,8 @@
     # What a reader that has just started does not know.
     stale: stale_entries.StaleEntries | None = None
     counted_age_s: float = 0.0  # Since the receiver's digest arrived.
+    # Not in the snapshot, which a reader without fresh targets does not send.
+    evacuations: evacuated_set.State | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/persimmonspan/process/edge_settings.py
+++ b/persimmonspan/process/edge_settings.py
@@ -32,3 +32,8 @@
     drain_s: float = 2.0
     configuration_apply_s: float = 2.0
     link_bits_per_s: float = 1e12  # More than any link: no limit.
+    evacuation_s: float = 5.0  # Like `drain_s`, for a failure domain.
+    # In any one second, a cold target gets at most its rate times the factor,
+    # plus the tolerance.
+    cold_overrun: float = 1.5
+    cold_tolerance: float = 5.0
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -19,6 +19,8 @@
 from persimmonspan import errors
 from persimmonspan.process import clock
 from persimmonspan.process import directory
+from persimmonspan.process import evacuated_set
+from persimmonspan.process import evacuation_tracker
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
 from persimmonspan.process import stale_entries
@@ -59,6 +61,8 @@
     targets_table: str
     decode_target: collections.abc.Callable[[str, bytes],
                                             directory.Registration | None]
+    # Domain that the row of a key of the configuration's table evacuates.
+    decode_evacuation: evacuated_set.DecodeKey = lambda key: None
 
 
 class Receiver(typing.Protocol):
@@ -78,13 +82,20 @@
 class Followers:
     """Runs the threads that read the store.
 
-    `peers` must be set before the threads start.
+    `peers` must be set before the threads start. `evacuations` receives the
+    rows of the configuration's table.
     """
 
-    def __init__(self, open_store: collections.abc.Callable[[str],
-                                                            row_store.RowStore],
-                 address: str, formats: Formats, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        open_store: collections.abc.Callable[[str], row_store.RowStore],
+        address: str,
+        formats: Formats,
+        receiver: Receiver,
+        evacuations: evacuation_tracker.EvacuationTracker | None = None
+    ) -> None:
         self.peers: peering.Peering
+        self._evacuations = evacuations
         self._open_store = open_store
         self._address = address
         self._formats = formats
@@ -201,7 +212,8 @@
             can_rely_on_peers = (self._peer_version <= self._version or
                                  clock.now_s() - self._peer_version_s
                                  < _CONFIGURATION_DELIVERY_TIMEOUT_S)
-            if (self._version and can_rely_on_peers and
+            if (self._version and self._knows_evacuations() and
+                    can_rely_on_peers and
                     not self.peers.must_read_configuration()):
                 since = None
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
@@ -233,6 +245,9 @@
                 since = None
                 continue
             losses = losses if since is None else 0
+            if self._evacuations is not None:
+                # Before a first configuration makes the daemon ready.
+                self._evacuations.apply_rows(rows, since is None)
             since = rows
             written = [
                 row for row in rows.rows
@@ -247,6 +262,10 @@
             self.peers.record_version_read(self._version, began_s)
             self._stopped.wait(self.peers.configuration_pause_s())
 
+    def _knows_evacuations(self) -> bool:
+        """Returns whether peers told what this daemon did not read."""
+        return self._evacuations is None or self._evacuations.is_known
+
     def _log_read(self, now_s: float) -> None:
         """Logs why this daemon reads the configuration itself."""
         age_s = now_s - self.peers.last_confirmed_s()
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -71,6 +71,14 @@
         self.tokens = prometheus_client.Counter("persimmonspan_tokens",
                                                 "Tokens relayed to callers",
                                                 registry=self.registry)
+        self.evacuated_domains = prometheus_client.Gauge(
+            "persimmonspan_evacuated_domains",
+            "Failure domains that get no new requests",
+            registry=self.registry)
+        self.cold_targets = prometheus_client.Gauge(
+            "persimmonspan_cold_targets",
+            "Targets that get few requests because they have started",
+            registry=self.registry)
         self.first_token = LatencySummary(
             "persimmonspan_first_token_seconds",
             "Time from arrival to the first token")
--- a/persimmonspan/process/notice_poller.py
+++ b/persimmonspan/process/notice_poller.py
@@ -58,15 +58,24 @@
         max_age_s: Age of the targets from which engines are asked.
         departures: Receives the engines that say that they leave.
         pauses: Says which engines are closed, and learns it from them.
+        find_obstacle: Returns why a target gets nothing new, or "".
+        report_cold: Called with for how long a target says that it is cold.
     """
 
-    def __init__(self,
-                 scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
-                 find_target: collections.abc.Callable[[str],
-                                                       events.Target | None],
-                 wire: forwarded.Wire, peers: Peers, max_age_s: float,
-                 departures: Departures,
-                 pauses: target_pauses.TargetPauses) -> None:
+    def __init__(
+        self,
+        scheduler_ref: pykka.ActorRef[scheduler_actor.SchedulerActor],
+        find_target: collections.abc.Callable[[str], events.Target | None],
+        wire: forwarded.Wire,
+        peers: Peers,
+        max_age_s: float,
+        departures: Departures,
+        pauses: target_pauses.TargetPauses,
+        find_obstacle: collections.abc.Callable[[events.Target],
+                                                str] = lambda target: "",
+        report_cold: collections.abc.Callable[
+            [events.Target, float | None], None] = lambda target, cold_s: None
+    ) -> None:
         self._scheduler = scheduler_ref
         self._find_target = find_target
         self._wire = wire
@@ -74,6 +83,8 @@
         self._max_age_s = max_age_s
         self._departures = departures
         self._pauses = pauses
+        self._find_obstacle = find_obstacle
+        self._report_cold = report_cold
 
     def poll(self) -> None:
         """Asks all engines with own streams once, if the targets are old."""
@@ -86,6 +97,12 @@
             if self._pauses.is_closed(name):
                 _logger.info("closed engine not asked whether it leaves",
                              extra={"target": name})
+            elif target is not None and self._find_obstacle(target):
+                _logger.info("engine not asked whether it leaves",
+                             extra={
+                                 "target": name,
+                                 "reason": self._find_obstacle(target)
+                             })
             elif target is not None:
                 self._ask(target)
 
@@ -96,6 +113,7 @@
                                        _RESPONSE_TIMEOUT_S)
             self._pauses.record(target.name,
                                 self._wire.decode_retry_after(head), "report")
+            self._report_cold(target, self._wire.decode_cold_start(head))
         except errors.TargetError as error:
             # Its streams tell themselves if the engine is gone.
             _logger.info("engine did not answer whether it leaves",
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -25,6 +25,7 @@
 from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.process import evacuated_set
 from persimmonspan.process import load_totals
 from persimmonspan.process import quarantine_reports
 from persimmonspan.process import read_schedule
@@ -67,6 +68,17 @@
         """Returns what the digest of a number tells."""
 
 
+class Evacuations(typing.Protocol):
+    """Keeps the evacuated failure domains."""
+
+    @property
+    def state(self) -> evacuated_set.State:
+        """What this daemon knows, to tell it to peers."""
+
+    def apply_peer_state(self, state: evacuated_set.State) -> None:
+        """Applies what a peer knows."""
+
+
 _ApplySnapshot = collections.abc.Callable[
     [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
 
@@ -89,6 +101,7 @@
         apply_stale_entries: Called with what a peer knows of targets that left
             before this daemon started.
         link_bits_per_s: Speed of the link of this daemon.
+        evacuations: Keeps the evacuated failure domains.
     """
 
     def __init__(
@@ -104,6 +117,7 @@
         apply_stale_entries: collections.abc.Callable[
             [stale_entries.StaleEntries], None] = lambda stale: None,
         link_bits_per_s: float = math.inf,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._name = name
         self._address = address
@@ -114,6 +128,8 @@
         self._limits = limits
         self._tracker = tracker
         self._link_bits_per_s = link_bits_per_s
+        self._evacuations = evacuations
+        self.address_reads = 0  # Of the rows of all daemons.
         self._sent_bytes = 0  # Size of the last digests.
         self._next_digests_s = -math.inf
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
@@ -293,6 +309,7 @@
             _logger.warning("row of this daemon written again",
                             extra={"table": TABLE})
             store.put(TABLE, self._name, own_value)
+        self.address_reads += 1
         now_s = clock.now_s()
         for row in rows:
             if (row.value and row.key != self._name and
@@ -325,6 +342,9 @@
                 now_s)
         for report in reports:
             self._scheduler.tell(report)
+        # Before the configuration and the targets that it may come with.
+        if digest.evacuations is not None and self._evacuations is not None:
+            self._evacuations.apply_peer_state(digest.evacuations)
         self._record_rates(digest.rates)
         if self._tracker is not None and digest.leaving:
             self._tracker.record_peer_departures(digest.leaving)
@@ -403,8 +423,9 @@
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
              ], [answer[:2] for answer in rates], requests,
-             [item[:2] for item in departing], stale and stale.entries), is_hub,
-                now_s):
+             [item[:2] for item in departing], stale and stale.entries,
+             self._evacuation_state() and self._evacuation_state().domains),
+                is_hub, now_s):
             return {}
         totals = b""
         if is_hub:
@@ -427,13 +448,17 @@
                                    reports=reports,
                                    rates=rates,
                                    leaving=departing,
-                                   stale=stale)
+                                   stale=stale,
+                                   evacuations=self._evacuation_state())
         if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
 
+    def _evacuation_state(self) -> evacuated_set.State | None:
+        return None if self._evacuations is None else self._evacuations.state
+
     def _encode_for_peers(self, digest: edge_peers.Digest,
                           state: edge_peers.State, receivers: dict[str, str],
                           requests: configuration_exchange.Requests,
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -26,6 +26,7 @@
 from persimmonspan.process import health
 from persimmonspan.process import load_view
 from persimmonspan.request import admission
+from persimmonspan.request import cold_targets
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
@@ -145,6 +146,7 @@
     budget: retry.State = retry.State()
     rates: rate_limits.State = rate_limits.State()
     backoff: target_backoff.State = target_backoff.State()
+    cold: cold_targets.State = cold_targets.State()
 
 
 def choose_target(view: load_view.View, query: TargetQuery,
@@ -198,7 +200,8 @@
         if now_s < item.avoid_until_s or not rate_limits.may_send(
                 rules.rates, name, now_s):
             continue
-        if not target_backoff.may_send(rules.backoff, name, now_s):
+        if not (target_backoff.may_send(rules.backoff, name, now_s) and
+                cold_targets.may_send(rules.cold, name, now_s)):
             continue
         target_health = rules.health_state.targets.get(name)
         weight = target_health.weight if target_health else 1.0
@@ -256,7 +259,7 @@
     for name in view.groups.get(query.service, ()):
         if (name in rules.leaving or name == target or name in query.excluded or
                 rate_limits.is_limited(rules.rates, name) or
-                target_backoff.is_closed(rules.backoff, name, now_s)):
+                _may_not_continue(rules, name, now_s)):
             continue
         item = view.targets[name]
         if not query.accepts(item.target):
@@ -271,6 +274,14 @@
     return best[1] if best is not None else None
 
 
+def _may_not_continue(rules: TargetConstraints, name: str,
+                      now_s: float) -> bool:
+    """Returns whether a target is closed or cold, so that no copy helps there.
+    """
+    return (target_backoff.is_closed(rules.backoff, name, now_s) or
+            cold_targets.is_cold(rules.cold, name, now_s))
+
+
 def choose_evacuation_target(view: load_view.View, query: TargetQuery,
                              rules: TargetConstraints, source: str,
                              now_s: float, rng: random.Random) -> str | None:
@@ -290,7 +301,7 @@
         item = view.targets[name]
         if (name in rules.leaving or name in query.excluded or
                 not query.accepts(item.target) or now_s < item.avoid_until_s or
-                target_backoff.is_closed(rules.backoff, name, now_s)):
+                _may_not_continue(rules, name, now_s)):
             continue
         uses.append((admission.estimate_use(item, True, peers, now_s), name))
         free_share = admission.free_memory_share(item, query.profile, peers,
@@ -326,12 +337,18 @@
     """Returns now, or the time from which a closed target can respond.
 
     It is later than now if all targets that are neither leaving nor excluded
-    are closed.
+    are closed, or are cold and get nothing from this daemon now.
     """
-    if not rules.backoff.pauses:
+    if not rules.backoff.pauses and not rules.cold.targets:
         return now_s
-    opens_s = target_backoff.find_opening_s(
-        rules.backoff, (name for name in view.groups.get(service, ())
-                        if name not in rules.leaving and name not in excluded),
-        now_s)
+    opens_s = None
+    for name in view.groups.get(service, ()):
+        if name in rules.leaving or name in excluded:
+            continue
+        opening_s = max(
+            target_backoff.find_opening_s(rules.backoff, (name,), now_s) or
+            now_s, cold_targets.find_opening_s(rules.cold, name, now_s))
+        if opening_s <= now_s:
+            return now_s
+        opens_s = opening_s if opens_s is None else min(opens_s, opening_s)
     return now_s if opens_s is None else opens_s + _MIN_RESPONSE_S
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -44,6 +44,16 @@
     def report_leaving(self) -> collections.abc.Callable[[events.Target], None]:
         """Called with a target that says that it leaves."""
 
+    @property
+    def find_obstacle(self) -> collections.abc.Callable[[events.Target], str]:
+        """Returns why a target gets nothing new, or an empty string."""
+
+    @property
+    def report_cold(
+            self
+    ) -> collections.abc.Callable[[events.Target, float | None], None]:
+        """Called with for how long a target says that it is cold, or None."""
+
 
 class Copies:
     """The copies of one stream at its current target."""
@@ -57,8 +67,16 @@
 
     @property
     def has_copy(self) -> bool:
-        """Whether a copy was made at another target."""
-        return self._handover is not None
+        """Whether a copy was made at another target that may be used."""
+        return (self._handover is not None and
+                not self._context.find_obstacle(self._handover.target))
+
+    def find_backup(self, name: str | None) -> events.Target | None:
+        """Returns the target of a backup; None if there is none to be used."""
+        target = self._context.find_target(name) if name else None
+        if target is None or self._context.find_obstacle(target):
+            return None
+        return target
 
     def reset(self) -> None:
         """Forgets the copy, because the stream continues at another target."""
@@ -70,7 +88,7 @@
         If the copy fails, the scheduler receives `events.MoveFailed` and may
         choose another target.
         """
-        target = self._context.find_target(target_name)
+        target = self.find_backup(target_name)
         move = self._request_copy(source,
                                   target) if target is not None else None
         if move is None or not move.is_done or move.handle is None:
@@ -99,10 +117,12 @@
             backup_target = None
         if (self._handover is not None and
                 self._handover.target.software_version == software_version and
+                self._may_continue_at(self._handover.target) and
                 self._may_call(self._handover.target, "move")):
             self._context.metrics.count("stream_moved_to_refuge")
             return self._handover
-        if backup_target is None or not self._may_call(backup_target, "move"):
+        if (backup_target is None or not self._may_continue_at(backup_target) or
+                not self._may_call(backup_target, "move")):
             return None
         self._context.metrics.count("stream_moved_to_backup")
         return Handover(
@@ -115,11 +135,19 @@
         handle, self._copy_handle = self._copy_handle, None
         if handle is None:
             return
+        # A target discards unused copies itself.
         if self._context.pauses.is_closed(source.name):
-            # The target discards unused copies itself.
             _logger.info("copy of a stream not freed at a closed target",
                          extra={"target": source.name})
             return
+        obstacle = self._context.find_obstacle(source)
+        if obstacle:
+            _logger.info("copy of a stream not freed",
+                         extra={
+                             "target": source.name,
+                             "reason": obstacle
+                         })
+            return
         try:
             head, _ = exchange.call(source.address,
                                     self._context.wire.encode_drop(handle),
@@ -157,6 +185,18 @@
                      })
         return move
 
+    def _may_continue_at(self, target: events.Target) -> bool:
+        obstacle = self._context.find_obstacle(target)
+        if not obstacle:
+            return True
+        self._context.metrics.count(f"stream_kept_from_{obstacle}")
+        _logger.warning("stream cannot continue at its copy",
+                        extra={
+                            "target": target.name,
+                            "reason": obstacle
+                        })
+        return False
+
     def _may_call(self, target: events.Target, purpose: str) -> bool:
         if self._context.pauses.may_cross(target.name):
             return True
@@ -173,6 +213,8 @@
         self._context.pauses.record(target.name,
                                     self._context.wire.decode_retry_after(head),
                                     source)
+        self._context.report_cold(target,
+                                  self._context.wire.decode_cold_start(head))
 
     def _check_leaving(self, source: events.Target,
                        head: exchange.RawResponseHead) -> None:
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -187,6 +187,8 @@
     digest_interval_s: float = 1.0  # Between two digests of a peer.
     # Targets that leave; they are not listed, but may still run requests.
     leaving: frozenset[str] = frozenset()
+    # Failure domains whose targets are listed, but get no new requests.
+    evacuated: frozenset[str] = frozenset()
 
 
 class TargetLeaving(typing.NamedTuple):
@@ -228,6 +230,28 @@
     target: str
 
 
+class TargetCold(typing.NamedTuple):
+    """A target is cold for a time, or warm (zero)."""
+
+    target: str
+    per_s: float  # Sustained while it is cold, from all daemons together.
+    cold_s: float
+
+
+class ColdSharesChanged(typing.NamedTuple):
+    """What divides the rate of cold targets changed.
+
+    `is_complete` says whether `daemons` are all daemons, as far as the store
+    knows. The limits are those of `cold_targets.Limits`.
+    """
+
+    daemon: str
+    daemons: tuple[str, ...]
+    is_complete: bool
+    overrun: float
+    tolerance: float
+
+
 class DaemonsChanged(typing.NamedTuple):
     """Other daemons joined or left; `daemons` includes this one."""
 
@@ -347,8 +371,8 @@
 Event = (Arrived | FirstToken | Progressed | AttemptEnded | RequestMoved |
          MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
          TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
-         TargetAlive | RateNamed | TargetClosed | TargetOpened |
-         DaemonsChanged | CacheEvent | QuarantineShared | QuarantineLifted |
-         RetryLimitsChanged | Tick)
+         TargetAlive | RateNamed | TargetClosed | TargetOpened | TargetCold |
+         ColdSharesChanged | DaemonsChanged | CacheEvent | QuarantineShared |
+         QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | Count)
--- a/persimmonspan/request/eviction.py
+++ b/persimmonspan/request/eviction.py
@@ -52,9 +52,9 @@
 
 def refuse_late(state: placement.State, now_s: float,
                 rng: random.Random) -> placement.Result:
-    """Refuses waiting requests whose targets all open too late."""
+    """Refuses waiting requests whose targets all open or warm up too late."""
     commands: list[events.Command] = []
-    if not state.backoff.pauses:
+    if not state.backoff.pauses and not state.cold.targets:
         return state, commands
     rules = placement.target_constraints(state)
     starts_s = {
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -83,6 +83,7 @@
     media_type: str | None = None  # In lower case, without parameters.
     is_leaving: bool = False  # Whether the target says that it leaves.
     retry_after_s: float | None = None  # The target wants nothing for so long.
+    cold_s: float | None = None  # It is cold for so long; None: it did not say.
 
 
 class MoveResponse(typing.NamedTuple):
@@ -143,6 +144,9 @@
                            head: exchange.RawResponseHead) -> float | None:
         """Decodes for how long a target that turns a call away wants none."""
 
+    def decode_cold_start(self, head: exchange.RawResponseHead) -> float | None:
+        """Decodes for how long a target is still cold, if it says so."""
+
     def copy_location(self, address: str, name: str) -> str:
         """Returns the location of a copy, named by request id or by handle."""
 
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -71,6 +71,11 @@
     response_budget: response_body.Budget
     report_leaving: collections.abc.Callable[[events.Target], None]
     origins: stream_origins.StreamOrigins
+    # Returns why a target gets nothing new, or an empty string.
+    find_obstacle: collections.abc.Callable[[events.Target],
+                                            str] = lambda target: ""
+    report_cold: collections.abc.Callable[[events.Target, float | None],
+                                          None] = lambda target, cold_s: None
 
 
 def serve(routed_call: forwarded.RoutedCall, context: Context,
@@ -264,7 +269,7 @@
             handover = None
             if has_progressed and outcome is events.Outcome.INTERRUPTED:
                 handover = self._copies.select_handover(
-                    self._find_backup(backup), self._software_version)
+                    self._copies.find_backup(backup), self._software_version)
             if handover is None:
                 break
             target, resume_from = handover
@@ -284,9 +289,6 @@
             if isinstance(message, events.AssignBackup):
                 return message.backup
 
-    def _find_backup(self, backup: str | None) -> events.Target | None:
-        return self._context.find_target(backup) if backup else None
-
     def _end_failed_attempt(self, outcome: events.Outcome) -> bool:
         is_idempotent = self._routed_call.route.is_idempotent
         if outcome in (events.Outcome.REFUSED, events.Outcome.CONNECT_FAILED):
@@ -335,7 +337,7 @@
             return (events.Outcome.INTERRUPTED
                     if self.event_count else events.Outcome.CONNECT_FAILED)
         self._attempts += 1
-        copy = self._find_backup(backup)
+        copy = self._copies.find_backup(backup)
         last_id = self._stream.last_id if self._is_stream else None
         order = self._context.wire.encode_order(
             self._routed_call.call,
@@ -438,8 +440,10 @@
         """Returns whether another target may continue a silent stream."""
         if self._routed_call.route.is_idempotent:
             return self._has_attempts_left
+        has_backup = (backup is not None and
+                      self._copies.find_backup(backup.name) is not None)
         return (self.event_count > self._events_before_attempt and
-                (backup is not None or self._copies.has_copy))
+                (has_backup or self._copies.has_copy))
 
     def _record_silence(self, target: events.Target) -> None:
         self._context.metrics.count("stream_silence_borne")
@@ -499,6 +503,10 @@
             self._context.relay.call_soon(self._context.pauses.record,
                                           self._target.name, head.retry_after_s,
                                           "request")
+        if head.cold_s is not None and head.request_id in (
+                None, self._routed_call.call.request_id):
+            self._context.relay.call_soon(self._context.report_cold,
+                                          self._target, head.cold_s)
 
     def _is_streaming(self) -> bool:
         return (self._is_stream and self._head is not None and
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -20,6 +20,7 @@
 from persimmonspan.process import load_view
 from persimmonspan.request import admission
 from persimmonspan.request import choice
+from persimmonspan.request import cold_targets
 from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
 from persimmonspan.request import length
@@ -94,6 +95,8 @@
     suspects: quarantine.State = quarantine.State()
     rates: rate_limits.State = rate_limits.State()
     backoff: target_backoff.State = target_backoff.State()
+    evacuated: frozenset[str] = frozenset()  # Failure domains.
+    cold: cold_targets.State = cold_targets.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -209,7 +212,12 @@
                                             now_s),
         rates=rate_limits.record_dispatch(state.rates, target, now_s),
         backoff=target_backoff.record_dispatch(state.backoff, target, now_s))
-    return state, [dispatch]
+    if not cold_targets.is_cold(state.cold, target, now_s):
+        return state, [dispatch]
+    return state._replace(
+        cold=cold_targets.record_dispatch(state.cold, target, now_s)), [
+            dispatch, events.Count("cold_target_used")
+        ]
 
 
 def fingerprints(arrived: events.Arrived) -> crash_evidence.Fingerprints:
@@ -338,7 +346,8 @@
 def target_constraints(state: State) -> choice.TargetConstraints:
     """Returns the constraints on targets other than load."""
     return choice.TargetConstraints(state.leaving, state.health_state,
-                                    state.budget, state.rates, state.backoff)
+                                    state.budget, state.rates, state.backoff,
+                                    state.cold)
 
 
 def retry_or_refuse(state: State, running: RunningRequest,
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -296,12 +296,42 @@
     lane = queue.lanes.get(item.lane_key)
     if lane is None or len(lane.items) < _MIN_LANE_CAPACITY:
         return False
-    rate = queue.rates.get(item.lane_key, DecayingAmount()).value_at(
-        now_s, _RATE_DECAY_S) / _RATE_DECAY_S
-    return len(lane.items) > _MIN_LANE_CAPACITY + _LANE_SLACK_FACTOR * rate * (
+    return len(lane.items) > max_waiting(
+        _rate_per_s(queue, item.lane_key, now_s), item, now_s)
+
+
+def max_waiting(rate_per_s: float, item: QueuedRequest, now_s: float) -> float:
+    """Returns before how many waiting requests one still starts in time.
+
+    Args:
+        rate_per_s: Rate at which the requests before it start.
+        item: The request.
+        now_s: Time.
+    """
+    return _MIN_LANE_CAPACITY + _LANE_SLACK_FACTOR * rate_per_s * (
         item.latest_start_s - now_s)
 
 
+def _rate_per_s(queue: Queue, key: LaneKey, now_s: float) -> float:
+    return queue.rates.get(key, DecayingAmount()).value_at(
+        now_s, _RATE_DECAY_S) / _RATE_DECAY_S
+
+
+def rates_per_s(queue: Queue, now_s: float) -> dict[LaneKey, float]:
+    """Returns the recent rate of dispatches of each lane."""
+    return {key: _rate_per_s(queue, key, now_s) for key in queue.rates}
+
+
+def scale_rates(queue: Queue, service: str, factor: float) -> Queue:
+    """Scales the rates of a service whose capacity changed at once."""
+    return queue._replace(rates=immutables.Map({
+        key:
+            rate._replace(amount=factor *
+                          rate.amount) if key[0] == service else rate
+        for key, rate in queue.rates.items()
+    }))
+
+
 def retry_after_s(queue: Queue, item: QueuedRequest, now_s: float,
                   rng: random.Random) -> float:
     """Returns the time until the lane probably has room, with jitter."""
--- a/persimmonspan/request/rate_limits.py
+++ b/persimmonspan/request/rate_limits.py
@@ -162,8 +162,29 @@
         return per_s / max(owners, _UNKNOWN_DAEMONS)
     if len(state.daemons) <= owners:
         return per_s / len(state.daemons)
-    ranked = sorted(state.daemons, key=lambda name: _rank(name, target))
-    return per_s / owners if state.daemon in ranked[:owners] else 0.0
+    is_one = is_owner(state.daemon, state.daemons, target, owners)
+    return per_s / owners if is_one else 0.0
+
+
+def is_owner(daemon: str, daemons: tuple[str, ...], target: str,
+             owners: int) -> bool:
+    """Returns whether a daemon is one of the owners of a target.
+
+    >>> names = ("a", "b", "c")
+    >>> sum(is_owner(name, names, "t", 2) for name in names)
+    2
+    """
+    ranked = sorted(daemons, key=lambda name: _rank(name, target))
+    return daemon in ranked[:owners]
+
+
+def rank_share(daemon: str, target: str) -> float:
+    """Returns a number from 0 to 1 by which daemons rank for a target.
+
+    The owners have the lowest.
+    """
+    rank = _rank(daemon, target)
+    return int.from_bytes(rank) / 2**(8 * len(rank))
 
 
 def _rank(daemon: str, target: str) -> bytes:
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -24,6 +24,8 @@
 from persimmonspan.process import health
 from persimmonspan.process import load_view
 from persimmonspan.request import choice
+from persimmonspan.request import cold_targets
+from persimmonspan.request import evacuated_domains
 from persimmonspan.request import evacuation
 from persimmonspan.request import events
 from persimmonspan.request import eviction
@@ -217,7 +219,8 @@
     if running is None or running.target == event.target:
         return state, [events.AssignBackup(event.request_id, None)]
     state = state._replace(
-        rates=rate_limits.record_dispatch(state.rates, event.target, now_s))
+        rates=rate_limits.record_dispatch(state.rates, event.target, now_s),
+        cold=cold_targets.record_dispatch(state.cold, event.target, now_s))
     state, commands = evacuation.record_move(state, event, running, now_s, rng)
     state, more = placement.dispatch_waiting(state,
                                              running.item.arrived.service,
@@ -274,9 +277,9 @@
 @_handle_event.register
 def _(event: events.TargetsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
-    del rng
     groups: dict[str, list[events.Target]] = {}
-    for target in event.targets:
+    for target in evacuated_domains.select_targets(event.targets,
+                                                   event.evacuated):
         groups.setdefault(target.service, []).append(target)
     subsets = {
         service: choice.select_subset(event.daemon, members)
@@ -288,14 +291,16 @@
                                          event._replace(targets=members), now_s)
     shares = immutables.Map(
         {item.name: item.share for item in event.workspaces})
-    return state._replace(
+    state = state._replace(
         view=view,
         leaving=(state.leaving & {item.name for item in event.targets} |
                  event.leaving),
         queue=state.queue._replace(shares=shares),
         health_state=health_state,
-        kinds=immutables.Map({item.name: item for item in event.kinds
-                             })), commands
+        kinds=immutables.Map({item.name: item for item in event.kinds}))
+    state, more = evacuated_domains.apply(state, event.targets, event.evacuated,
+                                          now_s, rng)
+    return state, commands + more
 
 
 @_handle_event.register
@@ -326,6 +331,24 @@
                                       (event.target,), now_s, rng)
 
 
+@_handle_event.register
+def _(event: events.TargetCold, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    return state._replace(cold=cold_targets.set_cold(
+        state.cold, event.target, event.per_s, event.cold_s, now_s)), []
+
+
+@_handle_event.register
+def _(event: events.ColdSharesChanged, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    limits = cold_targets.Limits(event.overrun, event.tolerance)
+    return state._replace(
+        cold=cold_targets.set_daemons(state.cold, event.daemon, event.daemons,
+                                      event.is_complete, limits, now_s)), []
+
+
 @_handle_event.register
 def _(event: events.DaemonsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -400,6 +423,7 @@
     if now_s - state.last_sweep_s >= _SWEEP_INTERVAL_S:
         state = state._replace(budget=retry.tick(state.budget, now_s),
                                rates=rate_limits.expire(state.rates, now_s),
+                               cold=cold_targets.expire(state.cold, now_s),
                                backoff=target_backoff.expire(
                                    state.backoff, now_s),
                                last_sweep_s=now_s)
--- a/persimmonspan/request/tests/test_copies.py
+++ b/persimmonspan/request/tests/test_copies.py
@@ -34,6 +34,8 @@
     context = types.SimpleNamespace(
         wire=wire,
         report_leaving=reported.append,
+        find_obstacle=lambda target: "",
+        report_cold=lambda target, cold_s: None,
         metrics=metrics.Metrics(),
         pauses=target_pauses.TargetPauses(lambda event: None,
                                           lambda reason: None),
--- a/persimmonspan/version/routes.py
+++ b/persimmonspan/version/routes.py
@@ -38,10 +38,16 @@
 
 
 class Service(typing.NamedTuple):
-    """A service that routes refer to; a plain service has no `engine`."""
+    """A service that routes refer to; a plain service has no `engine`.
+
+    Its targets are cold for `cold_start_s` after they start. A cold one
+    sustains `cold_per_s` requests a second; 0: no limit.
+    """
 
     name: str
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Split(typing.NamedTuple):
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -164,10 +164,14 @@
             program.PLATFORM._replace(open_store=lambda address: self.rows))
         self._replicas = contextlib.ExitStack()
 
-    def add_replica(self, name, service, script, version=None):
-        """Starts a replica and registers it."""
+    def add_replica(self, name, service, script, version=None, **fields):
+        """Starts a replica and registers it, with these fields in its row."""
         added = self._replicas.enter_context(replica.Replica(script).running())
-        self.register_replica(name, service, added.address, version=version)
+        self.register_replica(name,
+                              service,
+                              added.address,
+                              version=version,
+                              **fields)
         return added
 
     def register_replica(self,
@@ -176,7 +180,8 @@
                          address,
                          state="ready",
                          born=1,
-                         version=None):
+                         version=None,
+                         **fields):
         """Writes the store row of a replica."""
         self.rows.write(
             "servers", name, {
@@ -188,7 +193,7 @@
                 "born": born
             } | ({} if version is None else {
                 "version": version
-            }))
+            }) | fields)
 
     @contextlib.contextmanager
     def running(self):
