Restore no target from an entry that has expired for the reader only

A daemon that was cut off took entries that were removed meanwhile for expired, became the reader at its first read and reported them as targets. A daemon uses them only within 2 s after a gap in its own knowledge of the targets, and never if it knows them to be gone in the same era. Digests tell since when the targets of their sender were confirmed without a gap (Digest.confirmed); a daemon that was cut off takes that as evidence that the store was available, and drops what it took for expired.

The existing tests of the directory, digests, followers and of the store's return pass.

--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -14,6 +14,11 @@
 before, if the clock was set back between them. A target whose entry was gone is
 not used until the entry has outlived the removal of those that nobody renews.
 
+A daemon that could not read the store takes that for an outage. If only that
+daemon had lost it, what it shows as lapsed has left. A peer uses such an entry
+until `_REREGISTRATION_TIMEOUT_S` after a gap in its own knowledge, and not if it
+has seen the entry gone in the same era.
+
 `apply_rows` is pure: it takes the rows and the time of the read, and returns
 the next state with the changes.
 """
@@ -74,7 +79,8 @@
     shortly after `regained_s` or `returned_s`, the time of the first read after
     the store came back from a copy. `doubted` holds the rows that are not
     believed as they are, `gone` recent entries by name, `former` the entries
-    known when the store came back.
+    known when the store came back. `expired` names the present entries that a
+    peer marked as lapsed, which are used until `expired_until_s`.
     """
 
     present: immutables.Map[str, Registration] = immutables.Map()
@@ -88,6 +94,8 @@
     doubted: immutables.Map[str, Registration] = immutables.Map()
     gone: immutables.Map[str, Gone] = immutables.Map()
     former: immutables.Map[str, Registration] = immutables.Map()
+    expired: frozenset[str] = frozenset()
+    expired_until_s: float = -math.inf
 
 
 class Change(typing.NamedTuple):
@@ -140,15 +148,19 @@
     >>> apply_rows(state, [], 12.5)[1].gone == (one,)
     True
     """
-    state = _regain(_enter_era(state, era, now_s), now_s)._replace(read_s=now_s)
+    state = _regain(_enter_era(state, era, now_s),
+                    now_s)._replace(read_s=now_s, expired=frozenset())
     return _apply(state, rows, max(state.regained_s, state.returned_s), now_s)
 
 
-def apply_snapshot(state: State,
-                   rows: typing.Iterable[Registration],
-                   now_s: float,
-                   era: int,
-                   known_since_s: float = -math.inf) -> tuple[State, Change]:
+def apply_snapshot(
+        state: State,
+        rows: typing.Iterable[Registration],
+        now_s: float,
+        era: int,
+        known_since_s: float = -math.inf,
+        expired: typing.Collection[str] = (),
+        confirmed_since_s: float = -math.inf) -> tuple[State, Change]:
     """Applies the targets of a peer that reads the store.
 
     They include the entries that lapsed for the peer. A peer that has started
@@ -161,8 +173,24 @@
         now_s: Time.
         era: Era of the store at the peer's read, 0 if it was not told.
         known_since_s: Since when the peer has known targets.
+        expired: Names of the targets that lapsed for the peer.
+        confirmed_since_s: Since when the targets of this daemon were confirmed
+            without a gap.
+
+    >>> one = Registration("a", "s", "10.0.0.1:80", "d", 1)
+    >>> state, _ = apply_rows(State(), [one], 0.0)
+    >>> state, _ = apply_rows(state, [], 5.0)
+    >>> apply_snapshot(state, [one], 6.0, 0, 0.0, ["a"], 5.5)[1].is_empty
+    True
     """
     state = _regain(_enter_era(state, era, now_s), now_s)
+    until_s = confirmed_since_s + _REREGISTRATION_TIMEOUT_S
+    if expired:
+        rows = [
+            row for row in rows if row.name not in expired or
+            (now_s < until_s and not _is_known_gone(row.name, state))
+        ]
+    state = state._replace(expired=frozenset(expired), expired_until_s=until_s)
     available_s = state.returned_s
     if known_since_s > state.lost_since_s:
         available_s = max(available_s, state.regained_s)
@@ -180,7 +208,18 @@
     """
     if confirmed_s > state.lost_since_s:
         state = _regain(state, now_s)
-    return apply_last_rows(state, last_rows(state), now_s)
+    rows = last_rows(state)
+    if now_s >= state.expired_until_s:
+        rows = tuple(row for row in rows if row.name not in state.expired)
+    return apply_last_rows(state, rows, now_s)
+
+
+def disprove_loss(state: State) -> State:
+    """Records that peers read the store while this daemon could not.
+
+    What is missing from the next rows was removed, and has not lapsed.
+    """
+    return state._replace(is_lost=False, regained_s=-math.inf)
 
 
 def apply_last_rows(state: State, rows: typing.Iterable[Registration],
@@ -256,9 +295,15 @@
     return state._replace(present=immutables.Map(present),
                           lapsed=immutables.Map(lapsed),
                           doubted=immutables.Map(doubted),
+                          expired=state.expired.intersection(present),
                           gone=_remember(state, present, gone, now_s)), change
 
 
+def _is_known_gone(name: str, state: State) -> bool:
+    past = state.gone.get(name)
+    return past is not None and past.era == state.era
+
+
 def _believe(row: Registration, state: State,
              now_s: float) -> Registration | None:
     """Returns the entry that follows from a row, or None if none does.
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -41,6 +41,7 @@
 import msgspec
 
 from persimmonspan import decoding
+from persimmonspan.process import confirmations
 from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import load_totals
@@ -92,6 +93,8 @@
     entries_id: int = 0
     era: int = 0  # Of the store when the entries were read; 0 if not told.
     known_age_s: float = math.inf
+    # Names of the entries that were missing, and lapsed for the reader only.
+    expired: tuple[str, ...] = ()
 
 
 class Digest(msgspec.Struct, array_like=True):
@@ -119,6 +122,8 @@
     # What a reader that has just started does not know.
     stale: stale_entries.StaleEntries | None = None
     counted_age_s: float = 0.0  # Since the receiver's digest arrived.
+    # When the sender's targets were confirmed without a gap.
+    confirmed: confirmations.Ages = confirmations.Ages()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -141,6 +146,7 @@
     sent_s: float = -math.inf  # When that version was sent.
     asked_s: float = -math.inf  # When it was asked for its configuration.
     sums_received_s: float = -math.inf  # Last digest that it sent as the hub.
+    confirmed: confirmations.Span = confirmations.Span()
 
 
 class State(typing.NamedTuple):
@@ -158,6 +164,7 @@
     can_read: bool = True
     name: str = ""
     era: int = 0  # Newest era of the store that this daemon knows.
+    confirmed: confirmations.Span = confirmations.Span()  # The own targets.
 
 
 def encode(digest: Digest) -> bytes:
@@ -174,15 +181,22 @@
     return _decoder.decode(data)
 
 
-def identify_entries(entries: typing.Iterable[directory.Registration]) -> int:
+def identify_entries(
+    entries: typing.Iterable[directory.Registration],
+    expired: typing.Iterable[str] = ()
+) -> int:
     """Returns an id that differs for different registered targets.
 
+    It also differs if other targets have expired.
+
     >>> one = directory.Registration("a", "s", "10.0.0.1:80", "d", 1)
     >>> other = one._replace(is_leaving=True)
     >>> identify_entries([one]) == identify_entries([other])
     False
     """
-    data = _encoder.encode(sorted(entries))
+    names = sorted(expired)
+    data = _encoder.encode(
+        sorted(entries)) + (_encoder.encode(names) if names else b"")
     return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
 
 
@@ -207,6 +221,8 @@
         The next state, and whether the digest holds registered targets that
         were read later than the recorded ones.
     """
+    if composed_after_s is None:
+        composed_after_s = now_s
     loads = () if digest.is_sum else digest.loads
     previous = state.peers.get(digest.name, Peer("", now_s, now_s, False))
     peer = previous._replace(
@@ -219,7 +235,9 @@
         number=digest.number,
         entries_id=digest.entries_id,
         version=digest.version,
-        sums_received_s=now_s if digest.is_sum else previous.sums_received_s)
+        sums_received_s=now_s if digest.is_sum else previous.sums_received_s,
+        confirmed=confirmations.from_ages(digest.confirmed, now_s,
+                                          composed_after_s))
     # A hub is to be replaced by a daemon of a better rank, such as one that can
     # read in place of one that cannot.
     is_usable_hub = digest.is_sum and _hub_rank(
@@ -231,15 +249,15 @@
     if news is None or 0 < news.era < state.era:
         # Versions and entries of an earlier era confirm nothing.
         return state, False
-    if composed_after_s is None:
-        composed_after_s = now_s
     snapshot_s = composed_after_s - news.age_s
     if snapshot_s <= max(state.snapshot_s, read_s):
         return state, False
     if news.entries is None and news.entries_id != entries_id:
         # The targets in force changed after this daemon reported them.
         return state, False
-    return state._replace(snapshot_s=snapshot_s), news.entries is not None
+    confirmed = confirmations.confirm(state.confirmed, snapshot_s)
+    return state._replace(snapshot_s=snapshot_s,
+                          confirmed=confirmed), news.entries is not None
 
 
 def confirm_configuration(state: State, news: StoreSnapshot, version: int,
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -23,6 +23,7 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import stale_entries
 from persimmonspan.process import store_eras
+from persimmonspan.process import store_losses
 from persimmonspan.process import threads
 from persimmonspan.version import routes
 
@@ -129,13 +130,15 @@
                 _logger.exception("following the store failed")
                 self._stopped.wait(_ERROR_PAUSE_S)
 
-    def apply_store_snapshot(self,
-                             registrations: tuple[directory.Registration, ...] |
-                             None,
-                             configuration_version: int,
-                             configuration: bytes,
-                             era: int,
-                             known_since_s: float = -math.inf) -> None:
+    def apply_store_snapshot(
+        self,
+        registrations: tuple[directory.Registration, ...] | None,
+        configuration_version: int,
+        configuration: bytes,
+        era: int,
+        known_since_s: float = -math.inf,
+        expired: collections.abc.Collection[str] = ()
+    ) -> None:
         """Applies a store snapshot of a peer.
 
         Args:
@@ -145,6 +148,7 @@
             configuration: The value of its row, if the peer sent it.
             era: Era of the store when the targets were read, or 0.
             known_since_s: Since when the peer has known targets.
+            expired: Names of the targets that lapsed for the peer.
         """
         if configuration_version > self._peer_version:
             if self._peer_version <= self._version:
@@ -161,14 +165,17 @@
             if registrations is None:
                 if not state.era or era in (0, state.era):
                     return
-                rows = directory.last_rows(state)
+                rows, expired = directory.last_rows(state), state.expired
             else:
                 rows = registrations
                 # The id of what was received: the targets in force may differ
                 # from it for some time, and would be sent again and again.
-                self.peers.record_entries(registrations)
+                self.peers.record_entries(registrations, expired)
             self._directory, change = directory.apply_snapshot(
-                state, rows, clock.now_s(), era, known_since_s)
+                state, rows, clock.now_s(), era, known_since_s, expired,
+                self.peers.evidence.confirmed_since_s()
+                if expired else -math.inf)
+            store_losses.log_left_out(self._directory, expired)
             self._receiver.apply_directory(self._directory, change)
             if registrations is not None:
                 self.peers.record_stale_entries(
@@ -349,8 +356,10 @@
     def _apply_time(self) -> None:
         """Ends spans of time of entries while a peer confirms the rows."""
         with self._directory_lock:
-            state = self._directory
-            if not (state.lapsed or state.doubted or state.is_lost):
+            self._directory = state = store_losses.disprove(
+                self._directory, self.peers)
+            if not (state.lapsed or state.doubted or state.expired or
+                    state.is_lost):
                 return
             self._directory, change = directory.apply_time(
                 state, clock.now_s(), self.peers.targets_confirmed_s())
@@ -382,7 +391,8 @@
             if not self._accept_era(table, rows.era, rows.version, began_s):
                 return True
             self._directory, change = directory.apply_rows(
-                self._directory, entries, clock.now_s(), rows.era)
+                store_losses.disprove(self._directory, self.peers), entries,
+                clock.now_s(), rows.era)
             self._receiver.apply_directory(self._directory, change)
             self.peers.record_targets_read(self._directory, began_s)
         return True
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,6 +22,7 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import confirmations
 from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
@@ -31,6 +32,7 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import stale_entries
+from persimmonspan.process import store_losses
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import rate_limits
@@ -67,8 +69,10 @@
         """Returns what the digest of a number tells."""
 
 
-_ApplySnapshot = collections.abc.Callable[
-    [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
+_ApplySnapshot = collections.abc.Callable[[
+    tuple[directory.Registration, ...] |
+    None, int, bytes, int, float, tuple[str, ...]
+], None]
 
 
 class Peering:
@@ -81,8 +85,9 @@
         apply_store_snapshot: Called with the targets that the reader read, or
             None if they are not newer than the recorded ones, with the version
             of the configuration in the store, with the configuration if this
-            daemon reported an older version, with the era of the store, and
-            with the time since which the reader has known targets.
+            daemon reported an older version, with the era of the store, with
+            the time since which the reader has known targets, and with the
+            names of those that lapsed for the reader.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
         tracker: Keeps the targets that leave according to their answers.
@@ -119,6 +124,7 @@
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
                                        name=name)
+        self.evidence = store_losses.Evidence(lambda: self._state)
         # Guards `_state` and `_own_read`, which three threads replace.
         self._lock = threading.Lock()
         self._is_hub = False
@@ -220,17 +226,23 @@
         with self._lock:
             self._own_read = self._own_read._replace(entries=entries,
                                                      entries_s=began_s,
-                                                     era=state.era)
+                                                     era=state.era,
+                                                     expired=tuple(
+                                                         state.lapsed))
+            self._state = self._state._replace(
+                confirmed=confirmations.confirm(self._state.confirmed, began_s))
         # Entries that have lapsed end here after some time, unless the reader
         # has them. If they were part of the id, it would not send them.
         self.record_entries(state.present.values())
 
     def record_entries(
-            self,
-            entries: collections.abc.Iterable[directory.Registration]) -> None:
+        self,
+        entries: collections.abc.Iterable[directory.Registration],
+        expired: collections.abc.Iterable[str] = ()
+    ) -> None:
         """Records the registered targets that were read or received last."""
         self._known_since_s = min(self._known_since_s, clock.now_s())
-        self._entries_id = edge_peers.identify_entries(entries)
+        self._entries_id = edge_peers.identify_entries(entries, expired)
 
     def record_stale_entries(self,
                              selection: stale_entries.Selection | None) -> None:
@@ -341,7 +353,7 @@
                          })
             self._apply_store_snapshot(None, digest.version,
                                        _decompress(digest.configuration), 0,
-                                       -math.inf)
+                                       -math.inf, ())
         if digest.stale is not None:
             self._apply_stale_entries(digest.stale)
         if digest.news is not None:
@@ -357,7 +369,8 @@
             self._apply_store_snapshot(news.entries if is_newer else None,
                                        news.configuration_version,
                                        _decompress(news.configuration),
-                                       news.era, now_s - news.known_age_s)
+                                       news.era, now_s - news.known_age_s,
+                                       news.expired)
         with self._lock:
             self._state = edge_peers.confirm_configuration(
                 self._state, news, self._own_version, composed_after_s)
@@ -412,22 +425,23 @@
                 edge_peers.sum_loads(state, loads, demands, now_s))
             # No other hub can count them: they are in these sums only.
             loads, demands = (), ()
-        digest = edge_peers.Digest(self._name,
-                                   self._address,
-                                   self._state.can_read,
-                                   loads,
-                                   snapshot,
-                                   is_hub,
-                                   self._own_version,
-                                   demands,
-                                   totals=totals,
-                                   number=self._remember_part(
-                                       loads, demands, now_s),
-                                   entries_id=self._entries_id,
-                                   reports=reports,
-                                   rates=rates,
-                                   leaving=departing,
-                                   stale=stale)
+        digest = edge_peers.Digest(
+            self._name,
+            self._address,
+            self._state.can_read,
+            loads,
+            snapshot,
+            is_hub,
+            self._own_version,
+            demands,
+            totals=totals,
+            number=self._remember_part(loads, demands, now_s),
+            entries_id=self._entries_id,
+            reports=reports,
+            rates=rates,
+            leaving=departing,
+            stale=stale,
+            confirmed=confirmations.to_ages(state.confirmed, now_s))
         if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
             data = edge_peers.encode(digest)
@@ -534,6 +548,7 @@
             snapshot = msgspec.structs.replace(
                 snapshot,
                 entries=snapshot.entries if needs_entries else None,
+                expired=snapshot.expired if needs_entries else (),
                 configuration=self._own_read.configuration
                 if is_outdated else b"")
         return msgspec.structs.replace(digest,
@@ -569,9 +584,10 @@
                                         own_read.version,
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
-                                            own_read.entries),
+                                            own_read.entries, own_read.expired),
                                         era=own_read.era,
-                                        known_age_s=now_s - self._known_since_s)
+                                        known_age_s=now_s - self._known_since_s,
+                                        expired=own_read.expired)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/process/read_schedule.py
+++ b/persimmonspan/process/read_schedule.py
@@ -66,6 +66,7 @@
     version_s: float = -math.inf
     configuration: bytes = b""  # Compressed.
     era: int = 0  # Of the store at the read of the entries.
+    expired: tuple[str, ...] = ()  # Names of the entries that have lapsed.
 
 
 def must_read_targets(state: edge_peers.State, own_read: OwnRead,
--- a/persimmonspan/process/tests/test_directory.py
+++ b/persimmonspan/process/tests/test_directory.py
@@ -192,3 +192,49 @@
     assert not any(change)
     state, change = _read_by_peer([], 10.0, 9.9, state)
     assert change.gone == (_BORN,)
+
+
+def _read_by_returned_peer(rows, expired, now_s, confirmed_since_s, state):
+    """Applies what a peer reads that took its loss of the store for an outage.
+    """
+    return directory.apply_snapshot(state, rows, now_s, 1, 0.0, expired,
+                                    confirmed_since_s)
+
+
+def test_expired_entry_restores_no_target_that_is_known_to_be_gone():
+    state, _ = _read_in(1, [_BORN, _TWO])
+    state, _ = _read_in(1, [_TWO], 5.0, state)
+    for confirmed_since_s in (0.0, 5.9):
+        after, change = _read_by_returned_peer([_BORN, _TWO], ["i-1"], 6.0,
+                                               confirmed_since_s, state)
+        assert change.is_empty and directory.usable_targets(after) == (_TWO,)
+    _, change = _read_by_returned_peer([_BORN, _TWO], [], 6.0, 0.0, state)
+    assert change.joined == (_BORN,)
+
+
+def test_present_target_that_expired_for_a_returned_peer_only_is_gone():
+    state, _ = _read_in(1, [_BORN, _TWO])
+    state, change = _read_by_returned_peer([_BORN, _TWO], ["i-1"], 6.0, 0.0,
+                                           state)
+    assert change.gone == (_BORN,) and directory.usable_targets(state) == (
+        _TWO,)
+
+
+def test_daemon_without_a_read_uses_expired_entries_for_a_time():
+    # It started in an outage of the store; the reader dies after its digest.
+    state, change = _read_by_returned_peer([_BORN, _TWO], ["i-1"], 6.0, 5.8,
+                                           directory.State())
+    assert len(change.joined) == 2
+    state, change = directory.apply_time(state, 7.7, 7.7)
+    assert change.is_empty and len(directory.usable_targets(state)) == 2
+    state, change = directory.apply_time(state, 7.8, 7.7)
+    assert change.gone == (_BORN,) and directory.usable_targets(state) == (
+        _TWO,)
+
+
+def test_entry_that_lapsed_for_this_daemon_only_is_gone():
+    state, _ = _read_in(1, [_BORN, _TWO])
+    state, change = _read_in(1, [_TWO], 10.0, directory.failed(state, 0.0))
+    assert change.is_empty
+    state, change = _read_in(1, [_TWO], 10.2, directory.disprove_loss(state))
+    assert change.gone == (_BORN,)
--- a/persimmonspan/process/tests/test_followers.py
+++ b/persimmonspan/process/tests/test_followers.py
@@ -72,7 +72,7 @@
 
     targets_confirmed_s = last_confirmed_s
 
-    def record_entries(self, entries):
+    def record_entries(self, entries, expired=()):
         """Ignores targets of peers."""
 
     def list_daemons(self):
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -59,8 +59,9 @@
                                        self.scheduler, self._apply,
                                        lambda rates: None, limits)
 
-    def _apply(self, entries, version, configuration, era, known_since_s):
-        del era
+    def _apply(self, entries, version, configuration, era, known_since_s,
+               expired):
+        del era, expired
         self.known_since_s = known_since_s
         if configuration:
             self.configurations.append((version, configuration))
