--- /dev/null
+++ b/persimmonspan/platform/tests/test_refusals_after_loss.py
@@ -0,0 +1,103 @@
+"""Tests that requests which crash engines stay refused without a daemon.
+
+The quarantine was held in memory only: after all daemons had been killed, a
+request crashed three more engines before it was refused again.
+"""
+
+import contextlib
+import itertools
+import logging
+import time
+
+import pytest
+
+from testbed import edge_world
+from testbed import replica
+
+_ENGINES = 4
+_MAX_ATTEMPTS = 8
+_KILLS = 2
+_MAX_MORE_CRASHES = 3  # Of a request that has crashed three engines.
+_WRITE_S = 0.5  # In which a row is written.
+
+
+class _Engines:
+    """Engines that live longer than the daemons, and crash at bad requests."""
+
+    def __init__(self, rows, stack):
+        self._rows = rows
+        self._stack = stack
+        self._names = (f"i-{number}" for number in itertools.count())
+        self.crashes = 0
+        for _ in range(_ENGINES):
+            self._add()
+
+    def _add(self):
+        name = next(self._names)
+        stub = replica.Replica(None)
+        stub.script = lambda request: self._answer(request, name, stub)
+        self._stack.enter_context(stub.running())
+        self._rows.write(
+            "servers", name, {
+                "service": "engines",
+                "address": stub.address,
+                "zone": "a",
+                "slots": 6,
+                "state": "ready",
+                "born": 1
+            })
+
+    def _answer(self, request, name, stub):
+        if request.body == b"bad":
+            self.crashes += 1
+            stub.stop()
+            self._rows.write("servers", name, None)
+            self._add()
+            yield replica.stream_head(request)
+            yield replica.ConnectionReset()
+        else:
+            yield replica.stream_head(request)
+            yield replica.event_chunk(0) + replica.STREAM_END
+
+
+@pytest.fixture(name="engines")
+def _engines(caplog):
+    caplog.set_level(logging.INFO)
+    rows = edge_world.InMemoryRowStore()
+    rows.write("op", "config", edge_world.configuration())
+    with contextlib.ExitStack() as stack:
+        yield rows, _Engines(rows, stack)
+
+
+def _send_until_refused(daemons, engines, life):
+    """Sends the bad request to each daemon in turn, until all refuse it."""
+    refused = 0
+    for number in range(_MAX_ATTEMPTS):
+        before = engines.crashes
+        status = daemons[number % len(daemons)].send_request(
+            "/draft/1",
+            body=b"bad",
+            X_Attempt_Id=f"bad-{life}-{number}",
+            X_Token_Usage="100,10")[0]
+        is_refused = status == 503 and engines.crashes == before
+        refused = refused + 1 if is_refused else 0
+        if refused == len(daemons):
+            return True
+    return False
+
+
+def test_crashing_request_stays_refused_after_all_daemons_are_lost(engines):
+    rows, engines = engines
+    crashes = []
+    for life in range(1 + _KILLS):
+        first = edge_world.EdgeEnvironment("edge-1", rows)
+        second = edge_world.EdgeEnvironment("edge-2", rows)
+        with first.running(), second.running():
+            if not life:
+                edge_world.wait_until(
+                    lambda first=first: first.edge._peers and len(  # pylint: disable=protected-access
+                        first.edge._peers.list_daemons()) == 2)  # pylint: disable=protected-access
+            assert _send_until_refused((first, second), engines, life)
+            time.sleep(_WRITE_S)
+        crashes.append(engines.crashes)
+    assert crashes[-1] - crashes[0] <= _MAX_MORE_CRASHES
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -16,8 +16,8 @@
 
 A daemon that could not read the store takes that for an outage. If only that
 daemon had lost it, what it shows as lapsed has left. A peer uses such an entry
-until `_REREGISTRATION_TIMEOUT_S` after a gap in its own knowledge, and not if it
-has seen the entry gone in the same era.
+until `_REREGISTRATION_TIMEOUT_S` after a gap in its own knowledge, and not if
+it has seen the entry gone in the same era.
 
 `apply_rows` is pure: it takes the rows and the time of the read, and returns
 the next state with the changes.
