Keep refusals of crashing requests in the store

The quarantine was lost with the last daemon, so that a request that had crashed three targets crashed three more after each loss of all daemons. The daemon that condemns a fingerprint now writes a row to the table refused_requests, once; each daemon reads the table with one call at its start. A row holds the time of day of its end, and a reader believes it for 600 s at most. One daemon, chosen by rendezvous hashing, removes the row after its end; a cleared one is removed at once. Without an answer of the store the daemons serve without the rows.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -38,6 +38,7 @@
 from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
 from persimmonspan.process import read_schedule
+from persimmonspan.process import refusal_store
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
@@ -115,6 +116,9 @@
             self.scheduler.tell, self.metrics.count)
         self._origins = stream_origins.StreamOrigins(platform.open_store,
                                                      options.store_address)
+        self._refusals = refusal_store.RefusalStore(
+            platform.open_store, options.store_address, options.name,
+            lambda: self._daemons, self.scheduler.tell, self.metrics.count)
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
@@ -321,8 +325,10 @@
             self._peers.wake()
 
     def _share_quarantine(self, command: events.ShareQuarantine) -> None:
+        report = events.QuarantineShared(*command)
+        self._refusals.record_own(report)
         if self._peers is not None:
-            self._peers.publish_quarantine(events.QuarantineShared(*command))
+            self._peers.publish_quarantine(report)
 
     def _record_moved_target(self, target: str) -> None:
         """Excludes a target at whose address another process responds."""
@@ -499,13 +505,14 @@
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
                 self._departures, follower.apply_stale_entries,
-                self._options.link_bits_per_s)
+                self._options.link_bits_per_s, self._refusals.record_peer)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
                 read_schedule.Limits(self._options.drain_s).max_targets_age_s,
                 self._departures, self._pauses)
+            stack.enter_context(self._refusals.running())
             stack.enter_context(self._origins.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
@@ -517,6 +524,7 @@
             stack.enter_context(
                 threads.calling_periodically(self._share_limits,
                                              _SHARE_LIMITS_INTERVAL_S))
+            self._refusals.await_first_read()
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
             yield
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -94,6 +94,7 @@
         apply_stale_entries: Called with what a peer knows of targets that left
             before this daemon started.
         link_bits_per_s: Speed of the link of this daemon.
+        record_report: Called with each new report of a peer's quarantine.
     """
 
     def __init__(
@@ -109,6 +110,8 @@
         apply_stale_entries: collections.abc.Callable[
             [stale_entries.StaleEntries], None] = lambda stale: None,
         link_bits_per_s: float = math.inf,
+        record_report: collections.abc.Callable[[events.QuarantineShared],
+                                                object] = lambda report: None,
     ) -> None:
         self._name = name
         self._address = address
@@ -119,6 +122,7 @@
         self._limits = limits
         self._tracker = tracker
         self._link_bits_per_s = link_bits_per_s
+        self._record_report = record_report
         self._sent_bytes = 0  # Size of the last digests.
         self._next_digests_s = -math.inf
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
@@ -336,6 +340,7 @@
                 self._reports, digest.reports, self._refused, self._is_hub,
                 now_s)
         for report in reports:
+            self._record_report(report)
             self._scheduler.tell(report)
         self._record_rates(digest.rates)
         if self._tracker is not None and digest.leaving:
