--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -39,7 +39,9 @@
 from persimmonspan.process import named_rates
 from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
+from persimmonspan.process import planned_stop
 from persimmonspan.process import read_schedule
+from persimmonspan.process import refusal_store
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
@@ -61,9 +63,6 @@
 # The balancer checks readiness once a second and reacts within two checks;
 # requests that were already on their way arrive in the rest of the time.
 _MIN_STOP_S = 2.6
-# Part of the grace period that is reserved for ending the process.
-_STOP_MARGIN_S = 0.4
-_STOP_CHECK_INTERVAL_S = 0.05
 # A settings file that changes without a signal is read within this time.
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _FIXED_SETTINGS = ("name", "failure_domain", "listen_address",
@@ -125,6 +124,9 @@
             lambda: len(self._evacuations.domains))
         self._origins = stream_origins.StreamOrigins(platform.open_store,
                                                      options.store_address)
+        self._refusals = refusal_store.RefusalStore(
+            platform.open_store, options.store_address, options.name,
+            lambda: self._daemons, self.scheduler.tell, self.metrics.count)
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
@@ -307,8 +309,8 @@
         """
         if self._stop_s is None:
             return
-        end_s = self._stop_s + self._options.grace_s - _STOP_MARGIN_S
-        if routed_call.end_s > end_s:
+        if routed_call.end_s > planned_stop.plan(self._stop_s,
+                                                 self._options.grace_s).cut_s:
             raise errors.RefusalError(errors.Code.DRAINING,
                                       "this daemon is stopping", 0.0)
 
@@ -338,8 +340,10 @@
             self._peers.wake()
 
     def _share_quarantine(self, command: events.ShareQuarantine) -> None:
+        report = events.QuarantineShared(*command)
+        self._refusals.record_own(report)
         if self._peers is not None:
-            self._peers.publish_quarantine(events.QuarantineShared(*command))
+            self._peers.publish_quarantine(report)
 
     def _record_moved_target(self, target: str) -> None:
         """Excludes a target at whose address another process responds."""
@@ -538,7 +542,8 @@
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
                 self._departures, follower.apply_stale_entries,
-                self._options.link_bits_per_s, self._evacuations)
+                self._options.link_bits_per_s, self._evacuations,
+                self._refusals.record_peer)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
@@ -547,6 +552,7 @@
                 self._departures, self._pauses, self._find_obstacle,
                 self._cold.record_answer)
             self._share_limits()
+            stack.enter_context(self._refusals.running())
             stack.enter_context(self._origins.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
@@ -558,26 +564,22 @@
             stack.enter_context(
                 threads.calling_periodically(self._share_limits,
                                              _SHARE_LIMITS_INTERVAL_S))
+            self._refusals.await_first_read()
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
             yield
 
-    def stop(self) -> None:
-        """Begins a planned stop and waits until the process may end."""
+    def stop(self, end_process: planned_stop.EndProcess = lambda: None) -> None:
+        """Begins a planned stop and waits until the process may end.
+
+        Args:
+            end_process: Called shortly before the end of the grace period.
+        """
         self._stop_s = time.monotonic()
-        _logger.info("stopping", extra={"in_flight": self._in_flight})
-        end_s = self._stop_s + self._options.grace_s - _STOP_MARGIN_S
-        while time.monotonic() < end_s:
-            has_waited_min = time.monotonic() - self._stop_s >= _MIN_STOP_S
-            if has_waited_min and not self._in_flight:
-                break
-            time.sleep(_STOP_CHECK_INTERVAL_S)
-        # Requests are still admitted until the listener closes, if they end
-        # within the grace period.
-        self._server.shutdown_timeout = max(
-            self._server.shutdown_timeout,
-            self._stop_s + self._options.grace_s - time.monotonic())
-        _logger.info("stopped", extra={"in_flight": self._in_flight})
+        planned_stop.run(planned_stop.plan(self._stop_s, self._options.grace_s),
+                         self._stop_s + _MIN_STOP_S, self._server,
+                         lambda: self._in_flight, self.metrics.count,
+                         end_process)
 
 
 def retry_limits(budget: edge_settings.RetryBudget,
@@ -640,7 +642,7 @@
                 wakeup.clear()
             if not stopping.is_set():
                 _reload(edge, platform)
-        edge.stop()
+        edge.stop(planned_stop.exit_process)
     return 0
 
 
