--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -27,18 +27,22 @@
 from persimmonspan.connection import relay
 from persimmonspan.connection import start_notices
 from persimmonspan.process import clock
+from persimmonspan.process import cold_tracker
 from persimmonspan.process import death_probe
 from persimmonspan.process import departure_tracker
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
+from persimmonspan.process import evacuation_tracker
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
 from persimmonspan.process import named_rates
 from persimmonspan.process import notice_poller
 from persimmonspan.process import peering
+from persimmonspan.process import planned_stop
 from persimmonspan.process import read_schedule
+from persimmonspan.process import refusal_store
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
@@ -60,9 +64,6 @@
 # The balancer checks readiness once a second and reacts within two checks;
 # requests that were already on their way arrive in the rest of the time.
 _MIN_STOP_S = 2.6
-# Part of the grace period that is reserved for ending the process.
-_STOP_MARGIN_S = 0.4
-_STOP_CHECK_INTERVAL_S = 0.05
 # A settings file that changes without a signal is read within this time.
 _SETTINGS_CHECK_INTERVAL_S = 2.0
 _FIXED_SETTINGS = ("name", "failure_domain", "listen_address",
@@ -115,8 +116,19 @@
         self._named_rates = named_rates.NamedRates(self.scheduler.tell)
         self._departures = departure_tracker.DepartureTracker(
             self.scheduler.tell, self.metrics.count)
+        self._evacuations = evacuation_tracker.EvacuationTracker(
+            platform.formats.decode_evacuation, self._apply_evacuations,
+            self.metrics.count)
+        self._cold = cold_tracker.ColdTracker(self.scheduler.tell,
+                                              self.metrics.count)
+        self.metrics.cold_targets.set_function(self._cold.count_cold)
+        self.metrics.evacuated_domains.set_function(
+            lambda: len(self._evacuations.domains))
         self._origins = stream_origins.StreamOrigins(platform.open_store,
                                                      options.store_address)
+        self._refusals = refusal_store.RefusalStore(
+            platform.open_store, options.store_address, options.name,
+            lambda: self._daemons, self.scheduler.tell, self.metrics.count)
         self._daemons: tuple[str, ...] = ()
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
@@ -185,7 +197,7 @@
             self._death_probe.check, self._named_rates.record, self._pauses,
             self.scheduler, self.metrics, self._relay, self.wire,
             self._response_budget, self._departures.record_answer,
-            self._origins)
+            self._origins, self._find_obstacle, self._cold.record_answer)
         return forwarding.serve(routed_call, context, responder)
 
     def _place_take_up(
@@ -258,7 +270,8 @@
         if follower is None:
             return False
         max_age_s = min(self._options.drain_s,
-                        self._options.configuration_apply_s)
+                        self._options.configuration_apply_s,
+                        self._options.evacuation_s)
         began_s = now_s = clock.now_s()
         age_s = now_s - follower.last_checked_s()
         if age_s <= max_age_s:
@@ -299,8 +312,8 @@
         """
         if self._stop_s is None:
             return
-        end_s = self._stop_s + self._options.grace_s - _STOP_MARGIN_S
-        if routed_call.end_s > end_s:
+        if routed_call.end_s > planned_stop.plan(self._stop_s,
+                                                 self._options.grace_s).cut_s:
             raise errors.RefusalError(errors.Code.DRAINING,
                                       "this daemon is stopping", 0.0)
 
@@ -319,6 +332,12 @@
         # that joined after the request arrived.
         return self._targets.get(name)
 
+    def _find_obstacle(self, target: events.Target) -> str:
+        """Returns why a target gets nothing new besides load, or ""."""
+        if self._evacuations.is_evacuated(target):
+            return "evacuated_domain"
+        return "cold_target" if self._cold.is_cold(target.name) else ""
+
     def _notify_peers(self) -> None:
         if self._peers is not None:
             self._peers.wake()
@@ -328,8 +347,10 @@
             self._notices.send(target, prefill_tokens)
 
     def _share_quarantine(self, command: events.ShareQuarantine) -> None:
+        report = events.QuarantineShared(*command)
+        self._refusals.record_own(report)
         if self._peers is not None:
-            self._peers.publish_quarantine(events.QuarantineShared(*command))
+            self._peers.publish_quarantine(report)
 
     def _record_moved_target(self, target: str) -> None:
         """Excludes a target at whose address another process responds."""
@@ -357,6 +378,7 @@
                          "services": len(configuration.services),
                          "idle_timeout_s": configuration.limits.idle_timeout_s
                      })
+        self._apply_cold_entries()
         self._send_targets()
 
     def apply_directory(self, state: directory.State,
@@ -366,6 +388,7 @@
         if is_first or not change.is_empty:
             self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
+        self._apply_cold_entries()
         for entry in change.doubted:
             self.metrics.count("target_entry_doubted")
             _logger.warning("older entry of a target not believed",
@@ -397,6 +420,19 @@
         if is_first or not change.is_empty:
             self._send_targets()
 
+    def _apply_cold_entries(self) -> None:
+        configuration, entries = self._configuration, self._registrations
+        if configuration is not None and entries is not None:
+            self._cold.apply_entries(entries, configuration.services)
+
+    def _apply_evacuations(self, returned: frozenset[str]) -> None:
+        """Applies a change of the evacuated domains, some of which return."""
+        # First: cold targets must not be listed as warm ones.
+        self._cold.assume_cold(
+            self._registrations or (), returned,
+            read_schedule.Limits(self._options.drain_s).max_targets_age_s)
+        self._send_targets()
+
     def _send_targets(self) -> None:
         """Sends targets, request kinds and workspaces to the scheduler."""
         # Configuration and targets change on different threads; the last
@@ -436,7 +472,7 @@
                         for item in configuration.workspaces_by_key.values()
                     })), self._options.name,
                 edge_peers.interval_s(edge_peers.State()),
-                self._departures.leaving_targets()))
+                self._departures.leaving_targets(), self._evacuations.domains))
 
     def reload(self, options: edge_settings.EdgeSettings) -> None:
         """Applies changed settings, except those that need a restart."""
@@ -457,9 +493,17 @@
 
     def _share_limits(self) -> None:
         """Divides what all daemons may send by the daemons that share it."""
-        daemons = self._peers.list_daemons()
-        self._notices.set_peers(self._peers.list_addresses(),
+        addresses = self._peers.list_daemons()
+        daemons = tuple(addresses)
+        del addresses[self._options.name]
+        self._notices.set_peers(addresses.values(),
                                 edge_peers.MAX_DIRECT_PEERS + 1)
+        # Daemons that start at once miss each other in their first read.
+        self._cold.set_shares(
+            events.ColdSharesChanged(self._options.name, daemons,
+                                     self._peers.address_reads > 1,
+                                     self._options.cold_overrun,
+                                     self._options.cold_tolerance))
         if len(daemons) > 1 and daemons != self._daemons:
             self._daemons = daemons
             self.scheduler.tell(
@@ -500,7 +544,8 @@
                 stack.callback(server.stop)
             follower = followers.Followers(self._platform.open_store,
                                            self._options.store_address,
-                                           self._platform.formats, self)
+                                           self._platform.formats, self,
+                                           self._evacuations)
             self._peers = peering.Peering(
                 self._options.name, self._options.peer_address, self.scheduler,
                 follower.apply_store_snapshot,
@@ -508,17 +553,21 @@
                 read_schedule.Limits(self._options.drain_s,
                                      self._options.configuration_apply_s),
                 self._departures, follower.apply_stale_entries,
-                self._options.link_bits_per_s)
+                self._options.link_bits_per_s, self._evacuations,
+                self._refusals.record_peer)
             follower.peers = self._peers
             self._follower = follower
             poller = notice_poller.NoticePoller(
                 self.scheduler, self._find_target, self.wire, self._peers,
                 read_schedule.Limits(self._options.drain_s).max_targets_age_s,
-                self._departures, self._pauses)
+                self._departures, self._pauses, self._find_obstacle,
+                self._cold.record_answer)
             self._notices = start_notices.StartNotices(
                 self._options.peer_address, self.scheduler.tell,
                 self.metrics.count)
             stack.enter_context(self._notices.running())
+            self._share_limits()
+            stack.enter_context(self._refusals.running())
             stack.enter_context(self._origins.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
@@ -530,26 +579,22 @@
             stack.enter_context(
                 threads.calling_periodically(self._share_limits,
                                              _SHARE_LIMITS_INTERVAL_S))
+            self._refusals.await_first_read()
             for server in (self._server, readiness):
                 stack.enter_context(threads.running(server.serve, server.stop))
             yield
 
-    def stop(self) -> None:
-        """Begins a planned stop and waits until the process may end."""
+    def stop(self, end_process: planned_stop.EndProcess = lambda: None) -> None:
+        """Begins a planned stop and waits until the process may end.
+
+        Args:
+            end_process: Called shortly before the end of the grace period.
+        """
         self._stop_s = time.monotonic()
-        _logger.info("stopping", extra={"in_flight": self._in_flight})
-        end_s = self._stop_s + self._options.grace_s - _STOP_MARGIN_S
-        while time.monotonic() < end_s:
-            has_waited_min = time.monotonic() - self._stop_s >= _MIN_STOP_S
-            if has_waited_min and not self._in_flight:
-                break
-            time.sleep(_STOP_CHECK_INTERVAL_S)
-        # Requests are still admitted until the listener closes, if they end
-        # within the grace period.
-        self._server.shutdown_timeout = max(
-            self._server.shutdown_timeout,
-            self._stop_s + self._options.grace_s - time.monotonic())
-        _logger.info("stopped", extra={"in_flight": self._in_flight})
+        planned_stop.run(planned_stop.plan(self._stop_s, self._options.grace_s),
+                         self._stop_s + _MIN_STOP_S, self._server,
+                         lambda: self._in_flight, self.metrics.count,
+                         end_process)
 
 
 def retry_limits(budget: edge_settings.RetryBudget,
@@ -612,7 +657,7 @@
                 wakeup.clear()
             if not stopping.is_set():
                 _reload(edge, platform)
-        edge.stop()
+        edge.stop(planned_stop.exit_process)
     return 0
 
 
--- a/persimmonspan/process/followers.py
+++ b/persimmonspan/process/followers.py
@@ -19,10 +19,13 @@
 from persimmonspan import errors
 from persimmonspan.process import clock
 from persimmonspan.process import directory
+from persimmonspan.process import evacuated_set
+from persimmonspan.process import evacuation_tracker
 from persimmonspan.process import peering
 from persimmonspan.process import row_store
 from persimmonspan.process import stale_entries
 from persimmonspan.process import store_eras
+from persimmonspan.process import store_losses
 from persimmonspan.process import threads
 from persimmonspan.version import routes
 
@@ -59,6 +62,8 @@
     targets_table: str
     decode_target: collections.abc.Callable[[str, bytes],
                                             directory.Registration | None]
+    # Domain that the row of a key of the configuration's table evacuates.
+    decode_evacuation: evacuated_set.DecodeKey = lambda key: None
 
 
 class Receiver(typing.Protocol):
@@ -78,13 +83,20 @@
 class Followers:
     """Runs the threads that read the store.
 
-    `peers` must be set before the threads start.
+    `peers` must be set before the threads start. `evacuations` receives the
+    rows of the configuration's table.
     """
 
-    def __init__(self, open_store: collections.abc.Callable[[str],
-                                                            row_store.RowStore],
-                 address: str, formats: Formats, receiver: Receiver) -> None:
+    def __init__(
+        self,
+        open_store: collections.abc.Callable[[str], row_store.RowStore],
+        address: str,
+        formats: Formats,
+        receiver: Receiver,
+        evacuations: evacuation_tracker.EvacuationTracker | None = None
+    ) -> None:
         self.peers: peering.Peering
+        self._evacuations = evacuations
         self._open_store = open_store
         self._address = address
         self._formats = formats
@@ -129,13 +141,15 @@
                 _logger.exception("following the store failed")
                 self._stopped.wait(_ERROR_PAUSE_S)
 
-    def apply_store_snapshot(self,
-                             registrations: tuple[directory.Registration, ...] |
-                             None,
-                             configuration_version: int,
-                             configuration: bytes,
-                             era: int,
-                             known_since_s: float = -math.inf) -> None:
+    def apply_store_snapshot(
+        self,
+        registrations: tuple[directory.Registration, ...] | None,
+        configuration_version: int,
+        configuration: bytes,
+        era: int,
+        known_since_s: float = -math.inf,
+        expired: collections.abc.Collection[str] = ()
+    ) -> None:
         """Applies a store snapshot of a peer.
 
         Args:
@@ -145,6 +159,7 @@
             configuration: The value of its row, if the peer sent it.
             era: Era of the store when the targets were read, or 0.
             known_since_s: Since when the peer has known targets.
+            expired: Names of the targets that lapsed for the peer.
         """
         if configuration_version > self._peer_version:
             if self._peer_version <= self._version:
@@ -161,14 +176,17 @@
             if registrations is None:
                 if not state.era or era in (0, state.era):
                     return
-                rows = directory.last_rows(state)
+                rows, expired = directory.last_rows(state), state.expired
             else:
                 rows = registrations
                 # The id of what was received: the targets in force may differ
                 # from it for some time, and would be sent again and again.
-                self.peers.record_entries(registrations)
+                self.peers.record_entries(registrations, expired)
             self._directory, change = directory.apply_snapshot(
-                state, rows, clock.now_s(), era, known_since_s)
+                state, rows, clock.now_s(), era, known_since_s, expired,
+                self.peers.evidence.confirmed_since_s()
+                if expired else -math.inf)
+            store_losses.log_left_out(self._directory, expired)
             self._receiver.apply_directory(self._directory, change)
             if registrations is not None:
                 self.peers.record_stale_entries(
@@ -201,7 +219,8 @@
             can_rely_on_peers = (self._peer_version <= self._version or
                                  clock.now_s() - self._peer_version_s
                                  < _CONFIGURATION_DELIVERY_TIMEOUT_S)
-            if (self._version and can_rely_on_peers and
+            if (self._version and self._knows_evacuations() and
+                    can_rely_on_peers and
                     not self.peers.must_read_configuration()):
                 since = None
                 self._stopped.wait(_ROLE_CHECK_INTERVAL_S)
@@ -233,6 +252,9 @@
                 since = None
                 continue
             losses = losses if since is None else 0
+            if self._evacuations is not None:
+                # Before a first configuration makes the daemon ready.
+                self._evacuations.apply_rows(rows, since is None)
             since = rows
             written = [
                 row for row in rows.rows
@@ -247,6 +269,10 @@
             self.peers.record_version_read(self._version, began_s)
             self._stopped.wait(self.peers.configuration_pause_s())
 
+    def _knows_evacuations(self) -> bool:
+        """Returns whether peers told what this daemon did not read."""
+        return self._evacuations is None or self._evacuations.is_known
+
     def _log_read(self, now_s: float) -> None:
         """Logs why this daemon reads the configuration itself."""
         age_s = now_s - self.peers.last_confirmed_s()
@@ -349,8 +375,10 @@
     def _apply_time(self) -> None:
         """Ends spans of time of entries while a peer confirms the rows."""
         with self._directory_lock:
-            state = self._directory
-            if not (state.lapsed or state.doubted or state.is_lost):
+            self._directory = state = store_losses.disprove(
+                self._directory, self.peers)
+            if not (state.lapsed or state.doubted or state.expired or
+                    state.is_lost):
                 return
             self._directory, change = directory.apply_time(
                 state, clock.now_s(), self.peers.targets_confirmed_s())
@@ -382,7 +410,8 @@
             if not self._accept_era(table, rows.era, rows.version, began_s):
                 return True
             self._directory, change = directory.apply_rows(
-                self._directory, entries, clock.now_s(), rows.era)
+                store_losses.disprove(self._directory, self.peers), entries,
+                clock.now_s(), rows.era)
             self._receiver.apply_directory(self._directory, change)
             self.peers.record_targets_read(self._directory, began_s)
         return True
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -22,15 +22,18 @@
 from persimmonspan.connection import digest_links
 from persimmonspan.process import clock
 from persimmonspan.process import configuration_exchange
+from persimmonspan.process import confirmations
 from persimmonspan.process import departures
 from persimmonspan.process import directory
 from persimmonspan.process import edge_peers
+from persimmonspan.process import evacuated_set
 from persimmonspan.process import load_totals
 from persimmonspan.process import quarantine_reports
 from persimmonspan.process import read_schedule
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import stale_entries
+from persimmonspan.process import store_losses
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import rate_limits
@@ -67,8 +70,21 @@
         """Returns what the digest of a number tells."""
 
 
-_ApplySnapshot = collections.abc.Callable[
-    [tuple[directory.Registration, ...] | None, int, bytes, int, float], None]
+class Evacuations(typing.Protocol):
+    """Keeps the evacuated failure domains."""
+
+    @property
+    def state(self) -> evacuated_set.State:
+        """What this daemon knows, to tell it to peers."""
+
+    def apply_peer_state(self, state: evacuated_set.State) -> None:
+        """Applies what a peer knows."""
+
+
+_ApplySnapshot = collections.abc.Callable[[
+    tuple[directory.Registration, ...] |
+    None, int, bytes, int, float, tuple[str, ...]
+], None]
 
 
 class Peering:
@@ -81,14 +97,17 @@
         apply_store_snapshot: Called with the targets that the reader read, or
             None if they are not newer than the recorded ones, with the version
             of the configuration in the store, with the configuration if this
-            daemon reported an older version, with the era of the store, and
-            with the time since which the reader has known targets.
+            daemon reported an older version, with the era of the store, with
+            the time since which the reader has known targets, and with the
+            names of those that lapsed for the reader.
         record_rates: Called with what targets answered to peers.
         limits: Times in which changes in the store must take effect.
         tracker: Keeps the targets that leave according to their answers.
         apply_stale_entries: Called with what a peer knows of targets that left
             before this daemon started.
         link_bits_per_s: Speed of the link of this daemon.
+        evacuations: Keeps the evacuated failure domains.
+        record_report: Called with each new report of a peer's quarantine.
     """
 
     def __init__(
@@ -104,6 +123,9 @@
         apply_stale_entries: collections.abc.Callable[
             [stale_entries.StaleEntries], None] = lambda stale: None,
         link_bits_per_s: float = math.inf,
+        evacuations: Evacuations | None = None,
+        record_report: collections.abc.Callable[[events.QuarantineShared],
+                                                object] = lambda report: None,
     ) -> None:
         self._name = name
         self._address = address
@@ -114,11 +136,15 @@
         self._limits = limits
         self._tracker = tracker
         self._link_bits_per_s = link_bits_per_s
+        self._evacuations = evacuations
+        self.address_reads = 0  # Of the rows of all daemons.
+        self._record_report = record_report
         self._sent_bytes = 0  # Size of the last digests.
         self._next_digests_s = -math.inf
         self._state = edge_peers.State(hub_received_s=clock.now_s(),
                                        can_read=False,
                                        name=name)
+        self.evidence = store_losses.Evidence(lambda: self._state)
         # Guards `_state` and `_own_read`, which three threads replace.
         self._lock = threading.Lock()
         self._is_hub = False
@@ -164,13 +190,12 @@
                 clock.now_s())
         self.wake()
 
-    def list_daemons(self) -> tuple[str, ...]:
-        """Returns the names of all daemons, with this one."""
-        return tuple(sorted((self._name, *self._state.peers)))
-
-    def list_addresses(self) -> tuple[str, ...]:
-        """Returns the addresses of all other daemons."""
-        return tuple(peer.address for peer in self._state.peers.values())
+    def list_daemons(self) -> dict[str, str]:
+        """Returns the addresses of all daemons, with this one, by name."""
+        addresses = {
+            name: peer.address for name, peer in self._state.peers.items()
+        }
+        return dict(sorted({**addresses, self._name: self._address}.items()))
 
     def interval_s(self) -> float:
         """Returns the time between two digests, in seconds."""
@@ -224,17 +249,23 @@
         with self._lock:
             self._own_read = self._own_read._replace(entries=entries,
                                                      entries_s=began_s,
-                                                     era=state.era)
+                                                     era=state.era,
+                                                     expired=tuple(
+                                                         state.lapsed))
+            self._state = self._state._replace(
+                confirmed=confirmations.confirm(self._state.confirmed, began_s))
         # Entries that have lapsed end here after some time, unless the reader
         # has them. If they were part of the id, it would not send them.
         self.record_entries(state.present.values())
 
     def record_entries(
-            self,
-            entries: collections.abc.Iterable[directory.Registration]) -> None:
+        self,
+        entries: collections.abc.Iterable[directory.Registration],
+        expired: collections.abc.Iterable[str] = ()
+    ) -> None:
         """Records the registered targets that were read or received last."""
         self._known_since_s = min(self._known_since_s, clock.now_s())
-        self._entries_id = edge_peers.identify_entries(entries)
+        self._entries_id = edge_peers.identify_entries(entries, expired)
 
     def record_stale_entries(self,
                              selection: stale_entries.Selection | None) -> None:
@@ -297,6 +328,7 @@
             _logger.warning("row of this daemon written again",
                             extra={"table": TABLE})
             store.put(TABLE, self._name, own_value)
+        self.address_reads += 1
         now_s = clock.now_s()
         for row in rows:
             if (row.value and row.key != self._name and
@@ -328,7 +360,11 @@
                 self._reports, digest.reports, self._refused, self._is_hub,
                 now_s)
         for report in reports:
+            self._record_report(report)
             self._scheduler.tell(report)
+        # Before the configuration and the targets that it may come with.
+        if digest.evacuations is not None and self._evacuations is not None:
+            self._evacuations.apply_peer_state(digest.evacuations)
         self._record_rates(digest.rates)
         if self._tracker is not None and digest.leaving:
             self._tracker.record_peer_departures(digest.leaving)
@@ -345,7 +381,7 @@
                          })
             self._apply_store_snapshot(None, digest.version,
                                        _decompress(digest.configuration), 0,
-                                       -math.inf)
+                                       -math.inf, ())
         if digest.stale is not None:
             self._apply_stale_entries(digest.stale)
         if digest.news is not None:
@@ -361,7 +397,8 @@
             self._apply_store_snapshot(news.entries if is_newer else None,
                                        news.configuration_version,
                                        _decompress(news.configuration),
-                                       news.era, now_s - news.known_age_s)
+                                       news.era, now_s - news.known_age_s,
+                                       news.expired)
         with self._lock:
             self._state = edge_peers.confirm_configuration(
                 self._state, news, self._own_version, composed_after_s)
@@ -407,8 +444,9 @@
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
              ], [answer[:2] for answer in rates], requests,
-             [item[:2] for item in departing], stale and stale.entries), is_hub,
-                now_s):
+             [item[:2] for item in departing], stale and stale.entries,
+             self._evacuation_state() and self._evacuation_state().domains),
+                is_hub, now_s):
             return {}
         totals = b""
         if is_hub:
@@ -416,28 +454,33 @@
                 edge_peers.sum_loads(state, loads, demands, now_s))
             # No other hub can count them: they are in these sums only.
             loads, demands = (), ()
-        digest = edge_peers.Digest(self._name,
-                                   self._address,
-                                   self._state.can_read,
-                                   loads,
-                                   snapshot,
-                                   is_hub,
-                                   self._own_version,
-                                   demands,
-                                   totals=totals,
-                                   number=self._remember_part(
-                                       loads, demands, now_s),
-                                   entries_id=self._entries_id,
-                                   reports=reports,
-                                   rates=rates,
-                                   leaving=departing,
-                                   stale=stale)
+        digest = edge_peers.Digest(
+            self._name,
+            self._address,
+            self._state.can_read,
+            loads,
+            snapshot,
+            is_hub,
+            self._own_version,
+            demands,
+            totals=totals,
+            number=self._remember_part(loads, demands, now_s),
+            entries_id=self._entries_id,
+            reports=reports,
+            rates=rates,
+            leaving=departing,
+            stale=stale,
+            confirmed=confirmations.to_ages(state.confirmed, now_s),
+            evacuations=self._evacuation_state())
         if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
             data = edge_peers.encode(digest)
             return {address: data for address in receivers.values()}
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
 
+    def _evacuation_state(self) -> evacuated_set.State | None:
+        return None if self._evacuations is None else self._evacuations.state
+
     def _encode_for_peers(self, digest: edge_peers.Digest,
                           state: edge_peers.State, receivers: dict[str, str],
                           requests: configuration_exchange.Requests,
@@ -538,6 +581,7 @@
             snapshot = msgspec.structs.replace(
                 snapshot,
                 entries=snapshot.entries if needs_entries else None,
+                expired=snapshot.expired if needs_entries else (),
                 configuration=self._own_read.configuration
                 if is_outdated else b"")
         return msgspec.structs.replace(digest,
@@ -573,9 +617,10 @@
                                         own_read.version,
                                         now_s - own_read.version_s,
                                         entries_id=edge_peers.identify_entries(
-                                            own_read.entries),
+                                            own_read.entries, own_read.expired),
                                         era=own_read.era,
-                                        known_age_s=now_s - self._known_since_s)
+                                        known_age_s=now_s - self._known_since_s,
+                                        expired=own_read.expired)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/persimmonspan/request/tests/test_late_requests.py
+++ b/persimmonspan/request/tests/test_late_requests.py
@@ -1,7 +1,7 @@
 """Tests that requests which are late in any case wait behind the others.
 
-They guard against a crest at which requests that wait in arrival order all start
-a little too late.
+They guard against a crest at which requests that wait in arrival order all
+start a little too late.
 """
 
 import random
--- a/testbed/crowd.py
+++ b/testbed/crowd.py
@@ -70,8 +70,8 @@
     leave_every_s: float = 3.3  # Between two departures; 0 for none.
     leave_together: int = 3
     notice_s: float = 1.8
-    # Time after which a daemon tells the others of a start by itself; zero if it
-    # does not.
+    # Time after which a daemon tells the others of a start by itself; zero if
+    # it does not.
     start_notice_s: float = 0.0
 
 
