--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -237,10 +237,10 @@
     Requests that wait at peers are placed as soon as a target has room.
     """
     expected = 0.0
-    has_notices = now_s - view.noticed_s <= _NOTICES_EXPIRY_S
+    is_noticed = has_notices(view, now_s)
     for peer in view.peers.values():
-        unseen_s = _NOTICE_DELAY_S if has_notices else _DIGEST_DELAY_S
-        if peer.is_sum and not has_notices:
+        unseen_s = _NOTICE_DELAY_S if is_noticed else _DIGEST_DELAY_S
+        if peer.is_sum and not is_noticed:
             unseen_s += min(_PEER_EXPIRY_S, now_s - peer.last_received_s)
         for demand in peer.demands:
             if demand.service == service:
@@ -263,6 +263,11 @@
                       ((now_s - event.age_s, event.prefill_tokens),)))
 
 
+def has_notices(view: View, now_s: float) -> bool:
+    """Returns whether peers tell each start at once."""
+    return now_s - view.noticed_s <= _NOTICES_EXPIRY_S
+
+
 def noticed_tokens(item: TargetView, now_s: float) -> int:
     """Returns the prompt tokens of starts that no digest tells yet."""
     return sum(tokens for at_s, tokens in item.notices
