Measure the speed of engines and share it between daemons

With 75 daemons and engines that are replaced all the time, a daemon hardly sees an engine twice, so that it cannot tell the fast engines of a service from the slow ones. Long streams on slow engines were late for pauses above 180 ms.

Each daemon now keeps the shortest recent time per token of each engine. Digests carry it with the incarnation, the hub sends the minimum over all daemons. A service whose engines clearly have two speeds gets classes. Long requests prefer fast targets, then those not measured yet, then slow ones; short requests prefer slow ones while the prompts that wait there leave their latency objective reachable. Dispatches are counted by class, and a change of a class is logged.

The fakes of two tests return the new field.

--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -47,6 +47,7 @@
 from persimmonspan.process import load_view
 from persimmonspan.process import quarantine_reports
 from persimmonspan.process import stale_entries
+from persimmonspan.process import target_speeds
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 
@@ -119,6 +120,7 @@
     # What a reader that has just started does not know.
     stale: stale_entries.StaleEntries | None = None
     counted_age_s: float = 0.0  # Since the receiver's digest arrived.
+    speeds: tuple[events.TargetSpeed, ...] = ()  # As the daemon measured them.
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -141,6 +143,7 @@
     sent_s: float = -math.inf  # When that version was sent.
     asked_s: float = -math.inf  # When it was asked for its configuration.
     sums_received_s: float = -math.inf  # Last digest that it sent as the hub.
+    speeds: tuple[events.TargetSpeed, ...] = ()
 
 
 class State(typing.NamedTuple):
@@ -216,6 +219,7 @@
         can_read=digest.can_read,
         loads=loads,
         demands=() if digest.is_sum else digest.demands,
+        speeds=() if digest.is_sum else digest.speeds,
         number=digest.number,
         entries_id=digest.entries_id,
         version=digest.version,
@@ -389,15 +393,26 @@
                      if peer.entries_id != entries_id)
 
 
-def sum_loads(state: State, loads: typing.Iterable[events.TargetLoad],
-              demands: typing.Iterable[events.Demand],
-              now_s: float) -> load_totals.Totals:
-    """Sums loads and demands over this daemon and the peers not silent."""
+def sum_loads(
+    state: State,
+    loads: typing.Iterable[events.TargetLoad],
+    demands: typing.Iterable[events.Demand],
+    now_s: float,
+    speeds: tuple[events.TargetSpeed, ...] = ()
+) -> load_totals.Totals:
+    """Sums loads and demands over this daemon and the peers not silent.
+
+    The speeds are the least times per token of all.
+    """
+    present = [
+        peer for peer in state.peers.values()
+        if now_s - peer.last_received_s <= PEER_SILENCE_TIMEOUT_S
+    ]
     sums = load_totals.Totals({load.target: load for load in loads},
-                              {demand.service: demand for demand in demands})
-    for peer in state.peers.values():
-        if now_s - peer.last_received_s > PEER_SILENCE_TIMEOUT_S:
-            continue
+                              {demand.service: demand for demand in demands},
+                              target_speeds.merge_speeds(
+                                  [speeds, *(peer.speeds for peer in present)]))
+    for peer in present:
         for load in peer.loads:
             before = sums.loads.get(load.target)
             sums.loads[load.target] = (load if before is None else
@@ -466,10 +481,13 @@
         zlib.error: The totals of a hub cannot be decompressed.
     """
     if not digest.is_sum:
-        return events.PeerLoad(digest.name, digest.loads, digest.demands)
+        return events.PeerLoad(digest.name,
+                               digest.loads,
+                               digest.demands,
+                               speeds=digest.speeds)
     # A digest that is not remembered was sent before a restart of this daemon:
     # its work ended with the process.
     own_loads, own_demands = own_parts.get(digest.counted_number, ((), ()))
-    loads, demands = load_totals.without_part(load_totals.decode(digest.totals),
-                                              own_loads, own_demands)
-    return events.PeerLoad(OTHERS, loads, demands, True)
+    totals = load_totals.decode(digest.totals)
+    loads, demands = load_totals.without_part(totals, own_loads, own_demands)
+    return events.PeerLoad(OTHERS, loads, demands, True, totals.speeds)
--- a/persimmonspan/process/load_totals.py
+++ b/persimmonspan/process/load_totals.py
@@ -24,6 +24,7 @@
 
     loads: dict[str, events.TargetLoad]
     demands: dict[str, events.Demand]
+    speeds: tuple[events.TargetSpeed, ...] = ()  # Least times per token.
 
 
 def without_part(
@@ -50,6 +51,7 @@
 class _EncodedTotals(msgspec.Struct, array_like=True):
     loads: tuple[events.TargetLoad, ...]
     demands: tuple[events.Demand, ...]
+    speeds: tuple[events.TargetSpeed, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -59,8 +61,8 @@
 def encode(sums: Totals) -> bytes:
     """Returns sums as a hub sends them to all daemons."""
     data = _encoder.encode(
-        _EncodedTotals(tuple(sums.loads.values()),
-                       tuple(sums.demands.values())))
+        _EncodedTotals(tuple(sums.loads.values()), tuple(sums.demands.values()),
+                       sums.speeds))
     return zlib.compress(data, _COMPRESSION_LEVEL)
 
 
@@ -74,4 +76,5 @@
     totals = _decoder.decode(zlib.decompressobj().decompress(
         data, _MAX_TOTALS_BYTES))
     return Totals({load.target: load for load in totals.loads},
-                  {demand.service: demand for demand in totals.demands})
+                  {demand.service: demand for demand in totals.demands},
+                  totals.speeds)
--- a/persimmonspan/process/peering.py
+++ b/persimmonspan/process/peering.py
@@ -31,6 +31,7 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import stale_entries
+from persimmonspan.process import target_speeds
 from persimmonspan.request import events
 from persimmonspan.request import quarantine
 from persimmonspan.request import rate_limits
@@ -50,10 +51,11 @@
 
 _logger = logging.getLogger(__name__)
 
-# Loads, demands, refusals in force and rates that targets named.
+# Loads, demands, refusals in force, rates that targets named, and speeds.
 _SharedState = tuple[tuple[events.TargetLoad, ...], tuple[events.Demand, ...],
                      tuple[events.QuarantineShared,
-                           ...], tuple[rate_limits.Answer, ...]]
+                           ...], tuple[rate_limits.Answer,
+                                       ...], tuple[events.TargetSpeed, ...]]
 
 
 class Tracker(typing.Protocol):
@@ -388,7 +390,7 @@
         self._links.set_peers(receivers.values())
         if not receivers:
             return {}
-        loads, demands, refusals, rates = self._scheduler.ask(
+        loads, demands, refusals, rates, speeds = self._scheduler.ask(
             scheduler_actor.Evaluate(_shared_state))
         reports = self._select_reports(refusals, now_s)
         snapshot = self._store_snapshot(state, now_s)
@@ -402,16 +404,17 @@
             (loads, state.can_read, self._own_version, self._own_read.version,
              self._entries_id, snapshot and self._own_read.entries_s, [
                  (number, report.fingerprint) for number, report in reports
-             ], [answer[:2] for answer in rates], requests,
+             ], [answer[:2] for answer in rates
+                ], [speed.target for speed in speeds], requests,
              [item[:2] for item in departing], stale and stale.entries), is_hub,
                 now_s):
             return {}
         totals = b""
         if is_hub:
             totals = load_totals.encode(
-                edge_peers.sum_loads(state, loads, demands, now_s))
+                edge_peers.sum_loads(state, loads, demands, now_s, speeds))
             # No other hub can count them: they are in these sums only.
-            loads, demands = (), ()
+            loads, demands, speeds = (), (), ()
         digest = edge_peers.Digest(self._name,
                                    self._address,
                                    self._state.can_read,
@@ -427,11 +430,11 @@
                                    reports=reports,
                                    rates=rates,
                                    leaving=departing,
-                                   stale=stale)
+                                   stale=stale,
+                                   speeds=speeds)
         if (not is_hub and snapshot is None and stale is None and
                 not any(requests)):
-            data = edge_peers.encode(digest)
-            return {address: data for address in receivers.values()}
+            return dict.fromkeys(receivers.values(), edge_peers.encode(digest))
         return self._encode_for_peers(digest, state, receivers, requests, now_s)
 
     def _encode_for_peers(self, digest: edge_peers.Digest,
@@ -588,4 +591,5 @@
 def _shared_state(state: scheduler.State, now_s: float) -> _SharedState:
     return (scheduler.own_loads(state), scheduler.own_demands(state, now_s),
             quarantine.list_refusals(state.suspects, now_s),
-            rate_limits.list_answers(state.rates, now_s))
+            rate_limits.list_answers(state.rates, now_s),
+            target_speeds.own_speeds(state.speeds, now_s))
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -166,6 +166,9 @@
         elif isinstance(command, events.AssignBackup):
             if command.request_id in self._queues:
                 self._queues[command.request_id].put(command)
+        elif isinstance(command, events.TargetClassified):
+            _logger.info("speed class of a target", extra=command._asdict())
+            self._metrics.count(f"target_classified_{command.speed_class}")
         elif isinstance(command, events.ShareQuarantine):
             _logger.info("quarantine", extra=command._asdict())
             self._share_quarantine(command)
--- a/persimmonspan/process/tests/test_peering.py
+++ b/persimmonspan/process/tests/test_peering.py
@@ -33,12 +33,13 @@
     def __init__(self, name):
         self.loads = (events.TargetLoad("common", 1, 10),
                       events.TargetLoad(f"target-{name}", 1, 10))
+        self.speeds = ()
         self.told = []
 
     def ask(self, message):
-        """Returns the load, and no demands, refusals and rates."""
+        """Returns the load and speeds, and no demands, refusals and rates."""
         del message
-        return self.loads, (), (), ()
+        return self.loads, (), (), (), self.speeds
 
     def tell(self, event):
         """Records an event."""
--- a/persimmonspan/request/arrival.py
+++ b/persimmonspan/request/arrival.py
@@ -1,6 +1,7 @@
 """Describes a forwarded request to the scheduler."""
 
 import hashlib
+import math
 
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
@@ -39,7 +40,8 @@
         wants_backup=(engine is not None and engine.can_back_up and
                       not route.is_resumable),
         priority=_reported_priority(routed_call),
-        software_version=routed_call.software_version)
+        software_version=routed_call.software_version,
+        latency_objective_s=route.latency_objective_s or math.inf)
 
 
 def _reported_priority(routed_call: forwarded.RoutedCall) -> int:
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -20,15 +20,18 @@
 
 import collections
 import hashlib
+import math
 import random
 import typing
 
 from persimmonspan.process import health
 from persimmonspan.process import load_view
+from persimmonspan.process import target_speeds
 from persimmonspan.request import admission
 from persimmonspan.request import events
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import speed_preference
 from persimmonspan.request import target_backoff
 
 MAX_SUBSET_TARGETS = 24
@@ -123,6 +126,7 @@
     excluded: tuple[str, ...] = ()
     allowed: tuple[str, ...] = ()
     software_version: str = ""  # Empty if any may run it.
+    first_event_by_s: float = math.inf
 
     def accepts(self, target: events.Target) -> bool:
         """Returns whether a target has the software version, if one matters.
@@ -145,6 +149,7 @@
     budget: retry.State = retry.State()
     rates: rate_limits.State = rate_limits.State()
     backoff: target_backoff.State = target_backoff.State()
+    speeds: target_speeds.State = target_speeds.State()
 
 
 def choose_target(view: load_view.View, query: TargetQuery,
@@ -161,6 +166,24 @@
     ranked, probe = _rank_by_use(view, names, query, rules, now_s)
     if probe is not None or not ranked:
         return probe
+    wanted = _wanted(query)
+    for group in speed_preference.split_by_preference(ranked, view, wanted,
+                                                      rules.speeds, now_s):
+        name = _draw_target(view, query, group, now_s, rng)
+        if name is not None:
+            return name
+    return None
+
+
+def _wanted(query: TargetQuery) -> speed_preference.Wanted:
+    return speed_preference.Wanted(query.is_long, query.profile.mean[0],
+                                   query.first_event_by_s)
+
+
+def _draw_target(view: load_view.View, query: TargetQuery,
+                 ranked: typing.Sequence[tuple[float, str]], now_s: float,
+                 rng: random.Random) -> str | None:
+    """Returns one of the ranked targets that admits a request, or None."""
     peers = len(view.peers)
     expected_starts = load_view.expected_peer_starts(view, query.service, now_s)
     least_used = view.targets[ranked[0][1]]
@@ -252,7 +275,8 @@
     the backup target can admit as much again.
     """
     peers = len(view.peers)
-    best: tuple[float, str] | None = None
+    wanted = _wanted(query)
+    best: tuple[int, float, str] | None = None
     for name in view.groups.get(query.service, ()):
         if (name in rules.leaving or name == target or name in query.excluded or
                 rate_limits.is_limited(rules.rates, name) or
@@ -266,9 +290,10 @@
             continue
         use = admission.estimate_use(
             item, True, peers, now_s) + _BACKUP_RANK_JITTER * rng.random()
-        if best is None or use < best[0]:
-            best = (use, name)
-    return best[1] if best is not None else None
+        rank = speed_preference.backup_rank(wanted, rules.speeds, name)
+        if best is None or (rank, use) < best[:2]:
+            best = (rank, use, name)
+    return best[2] if best is not None else None
 
 
 def choose_evacuation_target(view: load_view.View, query: TargetQuery,
@@ -283,6 +308,7 @@
     is certainly lost.
     """
     peers = len(view.peers)
+    wanted = _wanted(query)
     domain = view.targets[source].target.failure_domain
     uses: list[tuple[float, str]] = []
     candidates: list[tuple[float, str]] = []
@@ -298,6 +324,7 @@
         if free_share > 0 and not rate_limits.is_limited(rules.rates, name):
             weight = (_SAME_DOMAIN_WEIGHT
                       if item.target.failure_domain == domain else 1.0)
+            weight *= speed_preference.move_weight(wanted, rules.speeds, name)
             candidates.append((weight * free_share * free_share, name))
     if candidates:
         return rng.choices([name for _, name in candidates],
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -84,6 +84,8 @@
     priority: int | None = None  # For the target; None: by its class.
     latest_start_s: float = math.inf  # Refused if not started by then.
     software_version: str = ""  # Of the targets that may run it, if not empty.
+    # From the arrival to the first event; infinite if there is no objective.
+    latency_objective_s: float = math.inf
 
 
 class FirstToken(typing.NamedTuple):
@@ -167,6 +169,14 @@
     waiting: int
 
 
+class TargetSpeed(typing.NamedTuple):
+    """Shortest recent time per token of an incarnation of a target."""
+
+    target: str
+    interval_us: int
+    incarnation: int = 0
+
+
 class PeerLoad(typing.NamedTuple):
     """A peer daemon reported its outstanding requests."""
 
@@ -174,6 +184,7 @@
     loads: tuple[TargetLoad, ...]
     demands: tuple[Demand, ...] = ()
     is_sum: bool = False  # Sum of several daemons, sent periodically.
+    speeds: tuple[TargetSpeed, ...] = ()  # Measured by the peers.
 
 
 class TargetsChanged(typing.NamedTuple):
@@ -338,6 +349,14 @@
     is_refused: bool = False
 
 
+class TargetClassified(typing.NamedTuple):
+    """The speed class of a target changed; operators see it in the log."""
+
+    target: str
+    speed_class: str
+    interval_us: int  # Time per token; 0 if it is not known any more.
+
+
 class Count(typing.NamedTuple):
     """Increment the counter of a refusal, retry or health reason."""
 
@@ -351,4 +370,4 @@
          DaemonsChanged | CacheEvent | QuarantineShared | QuarantineLifted |
          RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
-           ShareQuarantine | Count)
+           ShareQuarantine | TargetClassified | Count)
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -18,6 +18,7 @@
 from persimmonspan import errors
 from persimmonspan.process import health
 from persimmonspan.process import load_view
+from persimmonspan.process import target_speeds
 from persimmonspan.request import admission
 from persimmonspan.request import choice
 from persimmonspan.request import crash_evidence
@@ -27,6 +28,7 @@
 from persimmonspan.request import queueing
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import speed_preference
 from persimmonspan.request import target_backoff
 
 # A request of a short kind that generated more tokens joins the long class.
@@ -94,6 +96,7 @@
     suspects: quarantine.State = quarantine.State()
     rates: rate_limits.State = rate_limits.State()
     backoff: target_backoff.State = target_backoff.State()
+    speeds: target_speeds.State = target_speeds.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -165,7 +168,8 @@
         return state, []
     query = choice.TargetQuery(arrived.service, item.profile, item.is_long,
                                arrived.is_idempotent, item.tried_targets,
-                               allowed, arrived.software_version)
+                               allowed, arrived.software_version,
+                               item.arrived_s + arrived.latency_objective_s)
     rules = target_constraints(state)
     target = choice.choose_target(state.view, query, rules, now_s, rng)
     if target is None:
@@ -209,7 +213,10 @@
                                             now_s),
         rates=rate_limits.record_dispatch(state.rates, target, now_s),
         backoff=target_backoff.record_dispatch(state.backoff, target, now_s))
-    return state, [dispatch]
+    return state, [
+        dispatch,
+        *speed_preference.count_dispatch(state.speeds, target, item.is_long)
+    ]
 
 
 def fingerprints(arrived: events.Arrived) -> crash_evidence.Fingerprints:
@@ -338,7 +345,8 @@
 def target_constraints(state: State) -> choice.TargetConstraints:
     """Returns the constraints on targets other than load."""
     return choice.TargetConstraints(state.leaving, state.health_state,
-                                    state.budget, state.rates, state.backoff)
+                                    state.budget, state.rates, state.backoff,
+                                    state.speeds)
 
 
 def retry_or_refuse(state: State, running: RunningRequest,
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -23,6 +23,7 @@
 from persimmonspan import errors
 from persimmonspan.process import health
 from persimmonspan.process import load_view
+from persimmonspan.process import target_speeds
 from persimmonspan.request import choice
 from persimmonspan.request import evacuation
 from persimmonspan.request import events
@@ -41,10 +42,12 @@
 # Minimum time between two ticks at which the quarantine scans all its records
 # to drop old ones.
 _SWEEP_INTERVAL_S = 1.0
-# Events that update the health of targets, and those that update the
-# quarantine.
+# Events that update the health of targets, their speeds and the quarantine.
 _HEALTH_EVENTS = (events.FirstToken, events.Progressed, events.AttemptEnded,
                   events.TargetDied, events.Tick)
+_SPEED_EVENTS = (events.FirstToken, events.Progressed, events.AttemptEnded,
+                 events.RequestMoved, events.PeerLoad, events.TargetsChanged,
+                 events.TargetDied, events.Tick)
 _QUARANTINE_EVENTS = (events.AttemptEnded, events.Progressed,
                       events.RequestMoved, events.TargetDied,
                       events.TargetAlive, events.LoadReported, events.PeerLoad,
@@ -60,6 +63,10 @@
         health_state, observer_commands = health.step(state.health_state, event,
                                                       now_s)
         state = state._replace(health_state=health_state)
+    if isinstance(event, _SPEED_EVENTS):
+        speeds, classified = target_speeds.step(state.speeds, event, now_s)
+        state = state._replace(speeds=speeds)
+        observer_commands = observer_commands + classified
     is_before_sweep = (isinstance(event, events.Tick) and
                        now_s - state.last_sweep_s < _SWEEP_INTERVAL_S)
     # A target that leaves cuts what still runs there when it ends.
--- a/testbed/digest_world.py
+++ b/testbed/digest_world.py
@@ -134,10 +134,11 @@
         self._rng = rng
 
     def ask(self, question: object) -> tuple[tuple[typing.Any, ...], ...]:
-        """Returns loads, but no demands, refusals or rates."""
+        """Returns loads, but no demands, refusals, rates or speeds."""
         del question
         loads = (self._draw_load() for _ in range(_LOADS_PER_DAEMON))
-        return tuple({load.target: load for load in loads}.values()), (), (), ()
+        return (tuple({load.target: load for load in loads}.values()), (), (),
+                (), ())
 
     def _draw_load(self) -> events.TargetLoad:
         draw = self._rng.randrange
