Merge shared engine speeds and the selection of targets by them

The latency objective of a request comes with it (Arrived), also for late requests; conflicts were unions.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -627,7 +627,7 @@
 def _to_kind_policy(name: str, route: routes.Route) -> events.KindPolicy:
     return events.KindPolicy(name, route.splits[0].service, 1.0, route.timeout_s
                              < _SHORT_TIMEOUT_S, route.is_idempotent,
-                             route.timeout_s, route.latency_objective_s)
+                             route.timeout_s)
 
 
 def run(platform: Platform) -> int:
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -18,6 +18,7 @@
 from persimmonspan import errors
 from persimmonspan.process import health
 from persimmonspan.process import load_view
+from persimmonspan.process import target_speeds
 from persimmonspan.request import admission
 from persimmonspan.request import choice
 from persimmonspan.request import cold_targets
@@ -28,6 +29,7 @@
 from persimmonspan.request import queueing
 from persimmonspan.request import rate_limits
 from persimmonspan.request import retry
+from persimmonspan.request import speed_preference
 from persimmonspan.request import target_backoff
 
 # A request of a short kind that generated more tokens joins the long class.
@@ -101,6 +103,7 @@
     backoff: target_backoff.State = target_backoff.State()
     evacuated: frozenset[str] = frozenset()  # Failure domains.
     cold: cold_targets.State = cold_targets.State()
+    speeds: target_speeds.State = target_speeds.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -135,14 +138,11 @@
         forecast.work + arrived.prompt_tokens *
         (1 + forecast.work_per_prompt_token),
         worth,
-        timely_start_s=_timely_start_s(kind, arrived, now_s))
+        timely_start_s=_timely_start_s(arrived, now_s))
 
 
-def _timely_start_s(kind: events.KindPolicy | None, arrived: events.Arrived,
-                    now_s: float) -> float:
-    if kind is None or not kind.latency_objective_s:
-        return math.inf
-    return (now_s + kind.latency_objective_s - _PREFILL_MARGIN_S -
+def _timely_start_s(arrived: events.Arrived, now_s: float) -> float:
+    return (now_s + arrived.latency_objective_s - _PREFILL_MARGIN_S -
             arrived.prompt_tokens / _PREFILL_TOKENS_PER_S)
 
 
@@ -188,6 +188,8 @@
                                item.tried_targets,
                                allowed,
                                arrived.software_version,
+                               first_event_by_s=item.arrived_s +
+                               arrived.latency_objective_s,
                                is_late=item.is_late)
     rules = target_constraints(state)
     target = choice.choose_target(state.view, query, rules, now_s, rng)
@@ -232,12 +234,15 @@
                                             now_s),
         rates=rate_limits.record_dispatch(state.rates, target, now_s),
         backoff=target_backoff.record_dispatch(state.backoff, target, now_s))
-    if not cold_targets.is_cold(state.cold, target, now_s):
-        return state, [dispatch]
-    return state._replace(
-        cold=cold_targets.record_dispatch(state.cold, target, now_s)), [
-            dispatch, events.Count("cold_target_used")
-        ]
+    commands: list[events.Command] = [
+        dispatch,
+        *speed_preference.count_dispatch(state.speeds, target, item.is_long)
+    ]
+    if cold_targets.is_cold(state.cold, target, now_s):
+        state = state._replace(
+            cold=cold_targets.record_dispatch(state.cold, target, now_s))
+        commands.append(events.Count("cold_target_used"))
+    return state, commands
 
 
 def fingerprints(arrived: events.Arrived) -> crash_evidence.Fingerprints:
@@ -367,7 +372,7 @@
     """Returns the constraints on targets other than load."""
     return choice.TargetConstraints(state.leaving, state.health_state,
                                     state.budget, state.rates, state.backoff,
-                                    state.cold)
+                                    state.cold, state.speeds)
 
 
 def retry_or_refuse(state: State, running: RunningRequest,
