Hold what callers send and receive within one memory budget

Cause: each caller could hold several copies of a body, a chunk or chunk line of any size and a body of negative length were read without limit, responses that callers did not read were not counted, the relay's timers kept finished requests for seconds, and the C allocator kept freed bodies in several heaps. Callers that paused held worker threads, and connections had no limit by descriptors: cheroot told all callers above ten idle connections to close. Change: a budget in connection/memory_budget.py, with the decision who gives up his bytes as a pure function; request_bodies.py reads bodies into one buffer; at most half of the worker threads wait for callers; connection_limit.py derives a limit of connections from maxFds and memoryMb. A head must arrive within headerTimeoutMs in total, not for each read.

--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -30,6 +30,7 @@
 # Responses to calls between this system and a target are small.
 _MAX_CALL_BODY_BYTES = 64 * 1024
 _READ_BYTES = 16 * 1024
+_MAX_JOINED_BYTES = 16 * 1024
 _MIN_SOCKET_TIMEOUT_S = 0.001  # A socket timeout of zero would not wait at all.
 # Time to read what arrived before the end, if this process was paused then.
 _OVERDUE_READ_S = 0.5
@@ -44,7 +45,7 @@
     method: str
     path: str  # With the query.
     headers: Headers
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
 
 class RawResponseHead(typing.NamedTuple):
@@ -156,6 +157,15 @@
     >>> encode(Request("GET", "/a", ((b"Host", b"h"),)))
     b'GET /a HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n'
 
+    Raises:
+        errors.RefusalError: A header cannot be sent.
+    """
+    return encode_head(request) + request.body
+
+
+def encode_head(request: Request) -> bytes:
+    """Returns the bytes of a request before its body.
+
     Raises:
         errors.RefusalError: A header cannot be sent.
     """
@@ -167,13 +177,10 @@
         request_head = h11.Request(method=request.method,
                                    target=request.path,
                                    headers=headers)
-        data = encoder.send(request_head)
-        if request.body:
-            data += encoder.send(h11.Data(data=request.body))
+        return encoder.send(request_head)
     except h11.LocalProtocolError as error:
         raise errors.RefusalError(errors.Code.BAD_REQUEST,
                                   str(error)) from error
-    return data
 
 
 @contextlib.contextmanager
@@ -280,9 +287,19 @@
     return reader, bytes(body)
 
 
-def send(sock: socket.socket, data: bytes, timeout_s: float) -> None:
+def send(sock: socket.socket,
+         data: bytes,
+         timeout_s: float,
+         body: bytes | bytearray = b"") -> None:
     """Sends a request; stops early if a response arrives meanwhile.
 
+    Args:
+        sock: Connection to the target.
+        data: The request, or its head.
+        timeout_s: Time in which all must be sent.
+        body: The body, if it is not a part of the data. A small one is joined
+            with the head; a copy of a large one would double its memory.
+
     Raises:
         BrokenResponseError: The target may have received a part of the request.
     """
@@ -290,11 +307,15 @@
     sock.setblocking(False)
     poll = select.poll()
     poll.register(sock, select.POLLOUT | select.POLLIN)
-    rest = memoryview(data)
+    if len(body) <= _MAX_JOINED_BYTES:
+        data, body = data + body, b""
+    parts = [memoryview(part) for part in (data, body) if part]
     try:
-        while rest:
+        while parts:
             with contextlib.suppress(BlockingIOError):
-                rest = rest[sock.send(rest):]
+                parts[0] = parts[0][sock.send(parts[0]):]
+                if not parts[0]:
+                    del parts[0]
                 continue
             wait_ms = (end_s - time.monotonic()) * _MS_PER_S
             ready = poll.poll(wait_ms) if wait_ms > 0 else []
--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -12,12 +12,14 @@
 import time
 import typing
 
-from cheroot import errors as cheroot_errors
 from cheroot import server
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.connection import connection_limit
 from persimmonspan.connection import idle_connections
+from persimmonspan.connection import memory_budget
+from persimmonspan.connection import request_bodies
 from persimmonspan.connection import timed_input
 from persimmonspan.connection import unread_body
 from persimmonspan.process import logs
@@ -31,7 +33,11 @@
 _MIN_THREADS = 10
 _MAX_THREADS = 170
 _SPARE_THREADS = 2
+# Threads that wait for callers leave the other half to ordinary requests.
+MAX_WAITING_THREADS = _MAX_THREADS // 2
 _THREADS_PER_GROWTH = 8
+_DEFAULT_MEMORY_MB = 150.0
+_DEFAULT_MAX_FDS = 1024
 _METRICS_PATH = "/metrics"
 # Callers reuse connections until shortly before the idle timeout.
 _IDLE_SLACK_S = 5.0
@@ -71,7 +77,7 @@
         """Increments a counter."""
 
 
-ReadBody = typing.Callable[[int, float], bytes]
+ReadBody = typing.Callable[[int, float], bytes | bytearray]
 
 
 class _Responder:
@@ -82,10 +88,11 @@
         self._request = request
         self._application = application
         self.caller: socket.socket = request.conn.socket
+        self.account: memory_budget.Account = request.conn.account
         self.arrived_s = time.monotonic() - request.conn.waited_s
 
     def whole(self, status: int, headers: exchange.Headers,
-              body: bytes) -> None:
+              body: bytes | bytearray) -> None:
         """Sends a complete response."""
         request = self._request
         request.status = _status_line(status)
@@ -94,9 +101,11 @@
             request.close_connection = True
         if status >= 200 and status not in (204, 304):
             request.outheaders.append((b"Content-Length", b"%d" % len(body)))
+        self.account.begin_sending()
+        output = request.conn.wfile
+        output.hold()
         request.ensure_headers_sent()
-        if request.method != b"HEAD":
-            request.write(body)
+        output.release(b"" if request.method == b"HEAD" else body)
 
     def stream_head(self, status: int, headers: exchange.Headers) -> bytes:
         """Returns the head of a streamed response and marks it as sent."""
@@ -138,19 +147,36 @@
     is_reset = False
     readable_s = 0.0  # When its last request began to wait for a thread.
     waited_s = 0.0  # How long it waited.
+    has_served = False
+    account: memory_budget.Account | None = None  # Of its present request.
 
     def communicate(self) -> bool:
         """Serves one request; returns whether the connection stays open."""
         self.waited_s = time.monotonic() - self.readable_s
-        return super().communicate()
+        self.has_served = True
+        try:
+            with self.server.budget.account(self.socket) as account:
+                self.account = self.wfile.account = account
+                with self.rfile.reading_head(account,
+                                             self.server.head_timeout_s):
+                    return super().communicate()
+        except errors.RefusalError as error:
+            _logger.info("request rejected before it was read",
+                         extra={"reason": str(error)})
+            self.server.connection_limit.reject(self.socket.dup())
+            return False
+        finally:
+            self.account = self.wfile.account = None
 
     def __init__(self, http_server: server.HTTPServer, sock: socket.socket,
                  makefile: typing.Any) -> None:
         del makefile
-        super().__init__(http_server, sock, timed_input.make_file)
+        super().__init__(http_server, sock,
+                         timed_input.make_file_without_buffer)
 
     def close(self) -> None:
         """Closes the connection."""
+        self.server.connection_limit.discard(self)
         if not self.is_reset:
             super().close()
             return
@@ -166,6 +192,13 @@
     """A server whose new connections use no thread until they send bytes."""
 
     ConnectionClass = _Connection
+    budget: memory_budget.Budget
+
+    def limit_connections(self, memory_mb: float, max_fds: int) -> None:
+        """Sets how many connections of callers may be open."""
+        self.connection_limit.limit = connection_limit.max_connections(
+            memory_mb, max_fds)
+        self.keep_alive_conn_limit = self.connection_limit.kept
 
     def process_conn(self, conn: server.HTTPConnection) -> None:
         """Processes a connection, or lets a new one wait in the selector."""
@@ -180,8 +213,19 @@
 
 
 def make_server(address: tuple[str, int],
-                application: Application) -> idle_connections.Server:
-    """Returns a server for callers, not started yet."""
+                application: Application,
+                budget: memory_budget.Budget | None = None,
+                memory_mb: float = _DEFAULT_MEMORY_MB,
+                max_fds: int = _DEFAULT_MAX_FDS) -> _Server:
+    """Returns a server for callers, not started yet.
+
+    Args:
+        address: Host and port.
+        application: The daemon.
+        budget: Of the memory of all requests; None for one of its own.
+        memory_mb: Memory of the machine for this process.
+        max_fds: Number of descriptors that this process may open.
+    """
 
     class _Gateway(server.Gateway):
 
@@ -194,6 +238,9 @@
                           _SERVER_NAME, _IDLE_SLACK_S)
     http_server.request_queue_size = _BACKLOG
     http_server.max_request_header_size = _MAX_HEADER_BYTES
+    http_server.budget = budget or memory_budget.Budget(
+        memory_mb, application.count, MAX_WAITING_THREADS)
+    http_server.limit_connections(memory_mb, max_fds)
     return http_server
 
 
@@ -227,8 +274,13 @@
             self.req.ensure_headers_sent()
             self.req.write(body)
 
-    return _Server(address, _Gateway, application.count, _READINESS_TIMEOUT_S,
-                   (_READINESS_THREADS, _READINESS_THREADS), _SERVER_NAME)
+    http_server = _Server(address, _Gateway, application.count,
+                          _READINESS_TIMEOUT_S,
+                          (_READINESS_THREADS, _READINESS_THREADS),
+                          _SERVER_NAME)
+    # Its two threads hold little, and must not depend on callers.
+    http_server.budget = memory_budget.Budget(0.0, application.count)
+    return http_server
 
 
 def _status_line(status: int) -> bytes:
@@ -240,31 +292,39 @@
 
 
 def _respond(request: server.HTTPRequest, application: Application) -> None:
+    connection = request.conn
+    connection.rfile.end_head()
     headers = {name.lower(): value for name, value in request.inheaders.items()}
     call = application.wire.decode_call(request.method.decode("latin-1"),
                                         request.uri.decode("latin-1"), headers)
     responder = _Responder(request, application)
     token = logs.request_id.set(call.request_id)
+    length = _body_length(request, headers)
+    body = request.rfile = request_bodies.Body(
+        connection.rfile, length or 0 if not request.chunked_read else None,
+        connection.account)
     try:
-        if b"transfer-encoding" in headers and b"content-length" in headers:
-            # Two lengths allow request smuggling.
+        if length is None:
             request.close_connection = True
             raise errors.RefusalError(
                 errors.Code.BAD_REQUEST,
-                "the request has both a Content-Length and a Transfer-Encoding")
+                "the length of the body is malformed or given twice")
 
-        def read_body(max_bytes: int, limit_s: float) -> bytes:
-            return _read_body(request, max_bytes, limit_s)
+        def read_body(max_bytes: int, limit_s: float) -> bytes | bytearray:
+            data = body.read(max_bytes, limit_s)
+            connection.account.begin_running()
+            return data
 
         answer = application.forward(call, read_body, responder)
         if answer is not None:
             responder.whole(answer.status, answer.headers, answer.body)
     except errors.PersimmonspanError as error:
-        is_body_read = unread_body.discard(request)
+        is_body_read = body.discard() and not connection.account.is_evicted
         request.close_connection |= not is_body_read
         _respond_refusal(error, call, application, responder)
         if not is_body_read:
-            unread_body.linger(request.conn.socket)
+            with connection.account.waiting():
+                unread_body.linger(connection.socket)
     except OSError as error:
         application.count("caller_left")
         _logger.info("caller left", extra={"reason": str(error)})
@@ -273,36 +333,19 @@
         logs.request_id.reset(token)
 
 
-def _read_body(request: server.HTTPRequest, max_bytes: int,
-               limit_s: float) -> bytes:
-    """Returns the body of a request.
+def _body_length(request: server.HTTPRequest,
+                 headers: dict[bytes, bytes]) -> int | None:
+    """Returns the length that the head states, or None if it is not valid.
 
-    Raises:
-        errors.RefusalError: The body is too large, late or malformed.
+    Two lengths, and ones that others parse in another way, allow request
+    smuggling. A negative one would be read without limit.
     """
-    length = (None if request.chunked_read else int(
-        request.inheaders.get(b"Content-Length", 0)))
-    if length == 0:
-        return b""
-    body, problem = b"", None
-    with request.conn.rfile.limit(limit_s):
-        try:
-            if (length or 0) <= max_bytes:
-                body = request.rfile.read(max_bytes + 1)
-        except TimeoutError:
-            problem = f"incomplete after {limit_s} s"
-        except (ValueError, cheroot_errors.MaxSizeExceeded, OSError) as error:
-            problem = str(error)
-    if (length or 0) > max_bytes or len(body) > max_bytes:
-        # The rest of the body is not read, so the connection cannot be reused.
-        request.close_connection = True
-        raise errors.RefusalError(errors.Code.BODY_TOO_LARGE,
-                                  f"the body has more than {max_bytes} bytes")
-    if problem is not None or (length is not None and len(body) != length):
-        request.close_connection = True
-        raise errors.RefusalError(errors.Code.BAD_REQUEST,
-                                  f"the body is incomplete: {problem}")
-    return body
+    length = headers.get(b"content-length")
+    if b"transfer-encoding" in headers:
+        return (0 if length is None and request.chunked_read else None)
+    if length is None:
+        return 0
+    return int(length) if length.isdigit() else None
 
 
 def _respond_refusal(error: errors.PersimmonspanError, call: forwarded.Call,
--- a/persimmonspan/connection/idle_connections.py
+++ b/persimmonspan/connection/idle_connections.py
@@ -20,6 +20,7 @@
 from cheroot import server
 from cheroot.workers import threadpool
 
+from persimmonspan.connection import connection_limit
 from persimmonspan.connection import idle_limits
 
 _MIN_TOLD_S = 1
@@ -61,11 +62,14 @@
         self.count = count
         self.limits: idle_limits.Limits = ()
         self.read_timeout_s = 0.0
+        self.head_timeout_s = 0.0
+        self.connection_limit = connection_limit.Tracker()
         self.limit_idle_time(idle_s, slack_s)
 
     def prepare(self) -> None:
         """Opens the listening socket and starts the worker threads."""
         super().prepare()
+        self.connection_limit.limit_buffers(self.socket)
         unused = self._connections
         self._connections = _IdleConnections(self)
         unused.close()
@@ -91,6 +95,7 @@
         # limits TLS handshakes.
         self.timeout = max(_MIN_TOLD_S, int(idle_s))
         self.read_timeout_s = max(idle_s + slack_s, head_s)
+        self.head_timeout_s = head_s or self.read_timeout_s
         self.limits = idle_limits.replace(self.limits, idle_s + slack_s,
                                           time.monotonic())
 
@@ -131,11 +136,36 @@
 
     def _from_server_socket(
             self, server_socket: socket.socket) -> server.HTTPConnection | None:
+        limit = self.server.connection_limit
+        if limit.is_reached() and not self._close_unused():
+            if limit.refuse(server_socket):
+                self.server.count("connection_refused")
+            return None
         conn = super()._from_server_socket(server_socket)
         if conn is not None:
+            limit.add(conn)
             conn.socket.settimeout(self.server.read_timeout_s)
         return conn
 
+    def _close_unused(self) -> bool:
+        """Closes some of the connections that are least needed."""
+        candidates = {
+            fd: connection_limit.Waiting(fd, conn.has_served, conn.last_used)
+            for fd, conn in [*self._selector.connections]
+            if conn is not self.server
+        }
+        by_fd = dict(self._selector.connections)
+        chosen = [
+            fd for fd in connection_limit.choose_unused(candidates.values(),
+                                                        time.monotonic())
+            if not _is_readable(fd)
+        ]
+        for fd in chosen:
+            self._selector.unregister(fd)
+            by_fd[fd].close()
+            self.server.count("unused_connection_closed")
+        return bool(chosen)
+
     def stop(self) -> None:
         """Ends the loop, then processes what had arrived before its end."""
         super().stop()
@@ -160,6 +190,7 @@
                 closed += 1
                 conn.close()
         self._selector.close()
+        self.server.connection_limit.close_refused(is_stopping=True)
         if closed or kept:
             _logger.info("connections closed by the stop",
                          extra={
@@ -180,6 +211,7 @@
         while not self._stop_requested:
             self._process_ready(expiration_interval)
             if time.monotonic() >= check_s:
+                self.server.connection_limit.close_refused()
                 self._close_expired()
                 check_s = time.monotonic() + expiration_interval
 
--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -27,6 +27,8 @@
 import time
 import typing
 
+from persimmonspan.connection import memory_budget
+
 _READ_BYTES = 16 * 1024
 _MAX_PENDING_BYTES = 256 * 1024
 # Also the resolution of timeouts. Each wake-up costs about 10 us.
@@ -81,8 +83,12 @@
     relay thread does not starve the workers.
     """
 
-    def __init__(self, caller: socket.socket, notify: NoticeCallback,
-                 caller_write_timeout_s: float) -> None:
+    def __init__(self,
+                 caller: socket.socket,
+                 notify: NoticeCallback,
+                 caller_write_timeout_s: float,
+                 account: memory_budget.Account | None = None) -> None:
+        self.account = account
         self.lock = threading.Lock()
         self.caller = caller
         self.caller_fd = caller.fileno()
@@ -152,8 +158,11 @@
 
     @contextlib.contextmanager
     def watch_caller(
-            self, caller: socket.socket, notify: NoticeCallback,
-            caller_write_timeout_s: float
+        self,
+        caller: socket.socket,
+        notify: NoticeCallback,
+        caller_write_timeout_s: float,
+        account: memory_budget.Account | None = None
     ) -> collections.abc.Iterator[Transfer]:
         """Watches until the end of the block whether a caller leaves.
 
@@ -162,13 +171,14 @@
             notify: Called on the relay thread with each notice.
             caller_write_timeout_s: How long a caller may accept none of the
                 pending bytes.
+            account: Counts the pending bytes, if given.
 
         Yields:
             The transfer, which has no engine connection yet.
         """
         timeout_s = caller.gettimeout()
         caller.setblocking(False)
-        transfer = Transfer(caller, notify, caller_write_timeout_s)
+        transfer = Transfer(caller, notify, caller_write_timeout_s, account)
         self._transfers[transfer.caller_fd] = transfer
         self._is_active.set()
         self._epoll.register(transfer.caller_fd, select.EPOLLRDHUP)
@@ -298,6 +308,8 @@
         elif transfer.pending:
             transfer.pending = b""
             transfer.blocked_at_s = None
+            if transfer.account is not None:
+                transfer.account.keep_pending(0, sent)
             self._epoll.modify(transfer.caller_fd, select.EPOLLRDHUP)
             if transfer.engine is not None:
                 self._epoll.modify(transfer.engine_fd, select.EPOLLIN)
@@ -312,8 +324,12 @@
                                select.EPOLLRDHUP | select.EPOLLOUT)
         if has_sent or transfer.blocked_at_s is None:
             transfer.blocked_at_s = now_s
+        sent_bytes = max(0, len(transfer.pending) - len(rest))
         transfer.pending = rest
-        if len(rest) > _MAX_PENDING_BYTES and transfer.engine is not None:
+        has_room = (transfer.account is None or
+                    transfer.account.keep_pending(len(rest), sent_bytes))
+        if transfer.engine is not None and (len(rest) > _MAX_PENDING_BYTES or
+                                            not has_room):
             self._epoll.modify(transfer.engine_fd, 0)
 
     def _handle_caller_event(self, transfer: Transfer, mask: int,
@@ -342,6 +358,9 @@
             self._transfers.pop(transfer.engine_fd, None)
             transfer.engine = None
             transfer.engine_fd = -1
+            # A timer refers to the transfer until its timeout, for seconds; the
+            # consumer holds the bodies of the request and of its response.
+            transfer.consume = None
 
     def _drop_caller(self, transfer: Transfer) -> None:
         if self._transfers.pop(transfer.caller_fd, None) is not None:
--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -34,6 +34,7 @@
 
 class _Limits(msgspec.Struct):
     memoryMb: float = 150.0
+    maxFds: int = 1024
     linkMbps: float | None = None
 
 
@@ -85,6 +86,7 @@
                                         window_s=bounds.retryWindowS,
                                         burst=bounds.retryBurst),
         memory_mb=document.limits.memoryMb,
+        max_fds=document.limits.maxFds,
         drain_s=bounds.drainMs / _MS_PER_S,
         configuration_apply_s=bounds.configApplyMs / _MS_PER_S,
         **_link_settings(document.limits.linkMbps))
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -24,7 +24,9 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import forwarding_listener
+from persimmonspan.connection import memory_budget
 from persimmonspan.connection import relay
+from persimmonspan.process import allocator
 from persimmonspan.process import clock
 from persimmonspan.process import death_probe
 from persimmonspan.process import departure_tracker
@@ -47,7 +49,6 @@
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import forwarding
-from persimmonspan.request import response_body
 from persimmonspan.request import resumption
 from persimmonspan.request import retry
 from persimmonspan.version import routes
@@ -127,7 +128,10 @@
         self._lock = threading.Lock()
         self._targets_lock = threading.Lock()
         self._in_flight = 0
-        self._response_budget = response_body.Budget(options.memory_mb)
+        self._budget = memory_budget.Budget(
+            options.memory_mb, self.metrics.count,
+            forwarding_listener.MAX_WAITING_THREADS)
+        self.metrics.observe_memory(self._budget)
         self._call_numbers = itertools.count()
         self._stop_s: float | None = None
         self._rng = random.Random()
@@ -181,8 +185,7 @@
             configuration, self._find_target, self._record_moved_target,
             self._death_probe.check, self._named_rates.record, self._pauses,
             self.scheduler, self.metrics, self._relay, self.wire,
-            self._response_budget, self._departures.record_answer,
-            self._origins)
+            self._departures.record_answer, self._origins)
         return forwarding.serve(routed_call, context, responder)
 
     def _place_take_up(
@@ -441,6 +444,8 @@
             if getattr(self._options, name) != getattr(options, name)
         }
         self._options = options._replace(**kept)
+        self._budget.resize(options.memory_mb)
+        self._server.limit_connections(options.memory_mb, options.max_fds)
         self._send_retry_limits()
         _logger.info("settings reloaded",
                      extra={
@@ -483,7 +488,8 @@
             self._relay.start()
             stack.callback(self._relay.stop)
             self._server = forwarding_listener.make_server(
-                address(self._options.listen_address), self)
+                address(self._options.listen_address), self, self._budget,
+                self._options.memory_mb, self._options.max_fds)
             readiness = forwarding_listener.make_readiness_server(
                 address(self._options.readiness_address), self)
             for server in (self._server, readiness):
@@ -577,6 +583,7 @@
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     options = platform.read_settings()
     logs.configure("INFO", options.name)
+    allocator.limit_retained_memory()
     gc.collect()
     gc.freeze()
     stopping = threading.Event()
--- a/persimmonspan/process/edge_settings.py
+++ b/persimmonspan/process/edge_settings.py
@@ -28,6 +28,7 @@
     stability_s: float = 3.0
     retry: RetryBudget = RetryBudget()
     memory_mb: float = 150.0
+    max_fds: int = 1024  # Descriptors that this process may open.
     # Times in which changes in the store must take effect.
     drain_s: float = 2.0
     configuration_apply_s: float = 2.0
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -12,6 +12,8 @@
 from hdrh import histogram
 from prometheus_client import core
 
+from persimmonspan.connection import memory_budget
+
 _QUANTILES = (0.5, 0.95, 0.99)
 _MAX_LATENCY_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 2
@@ -80,6 +82,17 @@
         self.registry.register(self.first_token)
         self.registry.register(self.between_tokens)
 
+    def observe_memory(self, budget: memory_budget.Budget) -> None:
+        """Exposes the bytes that requests hold, and their limit."""
+        for name, documentation, read in (
+            ("reserved", "Bytes reserved for requests in progress",
+             lambda: budget.reserved_bytes),
+            ("reservable", "Most bytes that requests may reserve",
+             lambda: budget.max_bytes)):
+            prometheus_client.Gauge(f"persimmonspan_memory_{name}_bytes",
+                                    documentation,
+                                    registry=self.registry).set_function(read)
+
     def count(self, reason: str) -> None:
         """Increments the counter of a reason."""
         self._reason_counter.labels(reason).inc()
--- a/persimmonspan/request/arrival.py
+++ b/persimmonspan/request/arrival.py
@@ -18,8 +18,8 @@
     call, route = routed_call.call, routed_call.route
     service = configuration.services.get(routed_call.service)
     engine = service.engine if service is not None else None
-    digest = hashlib.sha256(f"{call.target}\n{call.key}\n".encode() +
-                            call.body).hexdigest()[:_FINGERPRINT_DIGITS]
+    digest = hashlib.sha256(f"{call.target}\n{call.key}\n".encode())
+    digest.update(call.body)
     return events.Arrived(
         request_id=routed_call.request_id,
         workspace=routed_call.workspace.name if routed_call.workspace else "",
@@ -28,7 +28,7 @@
         prompt_tokens=call.prompt_tokens,
         max_output_tokens=call.max_output_tokens,
         deadline_s=routed_call.end_s,
-        fingerprint=digest,
+        fingerprint=digest.hexdigest()[:_FINGERPRINT_DIGITS],
         # The last part belongs to the request itself or to its session.
         part_fingerprints=tuple(
             f"part:{name}" for name, _ in call.prefix_parts[:-1][:_MAX_PARTS]),
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -11,6 +11,7 @@
 import typing
 
 from persimmonspan.connection import exchange
+from persimmonspan.connection import memory_budget
 from persimmonspan.version import routes
 
 # Time reserved for the response to reach the caller before its deadline.
@@ -33,7 +34,7 @@
     expected_output_tokens: int = 0
     prefix_parts: tuple[tuple[str, int], ...] = ()
     last_event_id: int | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
     resumes: str | None = None  # Id of the call that brought the first event.
 
     @property
@@ -102,7 +103,7 @@
 
     status: int
     headers: exchange.Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 class Wire(typing.Protocol):
@@ -157,6 +158,7 @@
     """Writes the response to the caller."""
 
     caller: socket.socket
+    account: memory_budget.Account  # Of the memory of this request.
     arrived_s: float  # When the request arrived, on the monotonic clock.
 
     def stream_head(self, status: int, headers: exchange.Headers) -> bytes:
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -68,7 +68,6 @@
     metrics: metrics.Metrics
     relay: relay.Relay
     wire: forwarded.Wire
-    response_budget: response_body.Budget
     report_leaving: collections.abc.Callable[[events.Target], None]
     origins: stream_origins.StreamOrigins
 
@@ -85,7 +84,8 @@
     request_session = session.Session(routed_call, context, routed_call.end_s)
     watching = context.relay.watch_caller(responder.caller,
                                           request_session.messages.put,
-                                          CALLER_WRITE_TIMEOUT_S)
+                                          CALLER_WRITE_TIMEOUT_S,
+                                          responder.account)
     with contextlib.ExitStack() as stack, watching as transfer:
         forwarding = _ForwardedRequest(request_session, routed_call, context,
                                        responder, transfer)
@@ -143,7 +143,7 @@
             last_id=routed_call.call.last_event_id)
         self._reader = exchange.ResponseReader(routed_call.call.method)
         self._head: forwarded.ResponseHead | None = None
-        self._body = response_body.HeldBody(context.response_budget)
+        self._body = response_body.HeldBody(responder.account)
         self._events_before_attempt = 0
         self._target_error: errors.TargetError | None = None
         self._is_connection_lost = False  # It ended before the response.
@@ -204,7 +204,11 @@
             self._copies.drop_unused_copy(self._target)
 
     def drop_body(self) -> None:
-        """Releases the memory of the held response."""
+        """Drops a response that was not taken.
+
+        The traceback of an error refers to this object until the next run of
+        the garbage collector.
+        """
         self._body.clear()
 
     def attempt(self, dispatch: events.Dispatch, target: events.Target) -> bool:
@@ -343,14 +347,14 @@
                 target.name, time_left_s, self._routed_call.workspace and
                 self._routed_call.workspace.name, priority, last_id,
                 copy.address if copy else None, resume_from))
-        data = exchange.encode(order)
+        head = exchange.encode_head(order)
         try:
             with exchange.open_socket(target.address,
                                       min(_CONNECT_TIMEOUT_S,
                                           time_left_s)) as sock:
                 self._may_have_run_before = self._session.may_have_run
                 self._session.may_have_run = True
-                exchange.send(sock, data, _SEND_TIMEOUT_S)
+                exchange.send(sock, head, _SEND_TIMEOUT_S, order.body)
                 self._record_origin(target)
                 self._relay_response(target, copy, sock)
         except exchange.NotSentError as error:
@@ -540,7 +544,7 @@
             if head.is_other_target:
                 self._context.report_wrong_target(self._target.name)
         answer = forwarded.Response(head.status, head.headers,
-                                    self._body.join())
+                                    self._body.take())
         if verdict.use is classification.Use.RESPONSE:
             self.answer = answer
         elif verdict.use is classification.Use.ERROR:
--- a/persimmonspan/request/response_body.py
+++ b/persimmonspan/request/response_body.py
@@ -3,54 +3,26 @@
 A target in trouble may send a body without end, or announce one that is larger
 than the memory of this VM. Without a bound, one such response would end the
 process, and with it all other requests.
-"""
 
-import threading
+See Also:
+    `persimmonspan.connection.memory_budget`: the budget of the process.
+"""
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.connection import memory_budget
 
-_BYTES_PER_MB = 1024 * 1024
-# Shares of the memory limit that one held response and all of them may use.
-_MAX_RESPONSE_SHARE = 1 / 16
-_MAX_HELD_SHARE = 1 / 4
-
-
-class Budget:
-    """Bytes that all responses of the process hold together.
-
-    Args:
-        memory_mb: Memory limit of the process.
-    """
-
-    def __init__(self, memory_mb: float) -> None:
-        self.max_response_bytes = int(memory_mb * _BYTES_PER_MB *
-                                      _MAX_RESPONSE_SHARE)
-        self._max_held_bytes = int(memory_mb * _BYTES_PER_MB * _MAX_HELD_SHARE)
-        self._held_bytes = 0
-        self._lock = threading.Lock()
-
-    def take(self, count: int) -> bool:
-        """Reserves bytes; returns whether they were available."""
-        with self._lock:
-            if self._held_bytes + count > self._max_held_bytes:
-                return False
-            self._held_bytes += count
-            return True
-
-    def release(self, count: int) -> None:
-        """Returns bytes that were reserved."""
-        with self._lock:
-            self._held_bytes -= count
+# A buffer that grows has this much more memory than bytes.
+_GROWTH = (9, 8)
 
 
 class HeldBody:
     """The body of one response as it arrives."""
 
-    def __init__(self, budget: Budget) -> None:
-        self._budget = budget
-        self._parts: list[bytes] = []
-        self._size = 0
+    def __init__(self, account: memory_budget.Account) -> None:
+        self._account = account
+        self._body = bytearray()
+        self._reserved = 0
 
     def append(self, data: bytes) -> None:
         """Adds received bytes.
@@ -58,24 +30,27 @@
         Raises:
             BrokenResponseError: The response is larger than the limit.
         """
-        size = self._size + len(data)
-        if size > self._budget.max_response_bytes:
+        max_bytes = self._account.max_response_bytes
+        if len(self._body) + len(data) > max_bytes:
             raise exchange.BrokenResponseError(
-                errors.Code.TARGET_FAILED, "the response is larger than "
-                f"{self._budget.max_response_bytes} bytes")
-        if not self._budget.take(len(data)):
+                errors.Code.TARGET_FAILED,
+                f"the response is larger than {max_bytes} bytes")
+        count = len(data) * _GROWTH[0] // _GROWTH[1]
+        if not self._account.try_reserve(count):
             raise exchange.BrokenResponseError(
                 errors.Code.TARGET_FAILED,
-                "responses in progress use all memory that is reserved for them"
-            )
-        self._size = size
-        self._parts.append(data)
+                "the memory for responses is used up")
+        self._reserved += count
+        self._body += data
 
-    def join(self) -> bytes:
-        """Returns all bytes."""
-        return b"".join(self._parts)
+    def take(self) -> bytearray:
+        """Returns all bytes; they stay reserved until the account ends."""
+        body, self._body, self._reserved = self._body, bytearray(), 0
+        return body
 
     def clear(self) -> None:
         """Drops the bytes and releases their memory."""
-        self._budget.release(self._size)
-        self._parts, self._size = [], 0
+        if self._reserved:
+            self._body = bytearray()
+            self._account.release(self._reserved)
+            self._reserved = 0
