--- a/persimmonspan/connection/request_bodies.py
+++ b/persimmonspan/connection/request_bodies.py
@@ -40,8 +40,8 @@
     """Decodes a chunked body as its bytes arrive; trailers are dropped.
 
     >>> decoder, body = ChunkDecoder(100), bytearray()
-    >>> decoder.feed(b"3;x=y\\r\\nabc\\r\\n0\\r\\nX-Sum: 1\\r\\n\\r\\nGET", body)
-    27
+    >>> decoder.feed(b"3;x\\r\\nabc\\r\\n0\\r\\nX-Sum: 1\\r\\n\\r\\nGET", body)
+    25
     >>> body, decoder.is_complete
     (bytearray(b'abc'), True)
     """
--- a/persimmonspan/platform/tests/test_formats.py
+++ b/persimmonspan/platform/tests/test_formats.py
@@ -138,11 +138,15 @@
             "graceS": 6,
             "retryBurst": 54
         },
+        "limits": {
+            "maxFds": 4100
+        },
         "fieldOfTomorrow": 1
     }
     decoded = settings.decode(json.dumps(document).encode())
     assert decoded.peer_address == "10.0.0.1:7200"
     assert decoded.grace_s == 6 and decoded.retry.burst == 54
+    assert decoded.max_fds == 4100
 
 
 _CALL = wire.decode_call(
