--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -38,6 +38,7 @@
 
 class _Limits(msgspec.Struct):
     memoryMb: float = 150.0
+    maxFds: int = 1024
     linkMbps: float | None = None
 
 
@@ -89,6 +90,7 @@
                                         window_s=bounds.retryWindowS,
                                         burst=bounds.retryBurst),
         memory_mb=document.limits.memoryMb,
+        max_fds=document.limits.maxFds,
         drain_s=bounds.drainMs / _MS_PER_S,
         configuration_apply_s=bounds.configApplyMs / _MS_PER_S,
         evacuation_s=bounds.evacuationMs / _MS_PER_S,
