Decide and place a second attempt beside a slow first one

Cause: a few slow responses dominate the tail latency. `retry.may_hedge` had no caller, measured first tokens only, and left a reserve of 3 tokens, which a balance of 1.5 (0.6 of the burst divided by 75 daemons) can never hold. Change: `request/hedging.py` decides: the 0.95 quantile of the latencies of first attempts by service and kind, a credit from the operators' share that starts empty, is bounded and decays, and a budget from the deposits that the full retry balance cannot hold. `request/hedge_placement.py` accounts the load of both attempts. `retry.may_hedge` and its histogram are removed; its tests are replaced by those of the new modules. With a share of 0 nothing is recorded and no command carries a delay. Measured: 42 tests of the two modules and of the retry budget pass, among them a state machine of hedged requests (60 examples). With lower bounds of lost attempts the delay stays above 0.6 of the slow mode and 5.5% of 20,000 samples are hedged at most.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -21,6 +21,7 @@
 from persimmonspan.process import prefix_index
 from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
+from persimmonspan.request import hedging
 from persimmonspan.request import quarantine
 from persimmonspan.request import retry
 
@@ -82,7 +83,14 @@
     for i in range(count * _STREAMS):
         state, _ = retry.admit_request(state, retry.Request("drafts", f"k{i}"),
                                        0.0)
-        state = retry.record_first_token(state, "drafts", 0.1)
+    return state
+
+
+def _hedge_state() -> hedging.State:
+    state = hedging.set_limits(hedging.State(), 1.0, 2.0)
+    for _ in range(_STREAMS * 4):
+        state = hedging.record_latency(state, "drafts", "k", 0.1)
+        state = hedging.record_success(state, "drafts", 0.1, 1.0)
     return state
 
 
@@ -112,15 +120,17 @@
     new = crash_evidence.Fingerprints("new", ("part:a", "part:b"))
     attempt = retry.Attempt("drafts", ("e1",), True, True)
     request = retry.Request("drafts", "new")
+    hedges = _hedge_state()
+    hedged = hedging.Request("drafts", "k", 1.0)
     return {
         "retry.arrived":
             lambda: retry.admit_request(spent, request, 1.0),
         "retry.may_retry":
             lambda: retry.may_retry(spent, attempt, events.Outcome.REFUSED),
-        "retry.may_hedge":
-            lambda: retry.may_hedge(spent, attempt, 1.0),
-        "retry.first_token":
-            lambda: retry.record_first_token(spent, "drafts", 0.1),
+        "hedging.decide":
+            lambda: hedging.decide(hedges, hedged, 1.0),
+        "hedging.record_latency":
+            lambda: hedging.record_latency(hedges, "drafts", "k", 0.1),
         "health.step Progressed":
             lambda: health.step(sick, events.Progressed("r1", "e1", 20), 99.0),
         "health.step Tick (evaluation)":
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -84,6 +84,7 @@
     priority: int | None = None  # For the target; None: by its class.
     latest_start_s: float = math.inf  # Refused if not started by then.
     software_version: str = ""  # Of the targets that may run it, if not empty.
+    may_hedge: bool = False  # It may run at two targets at the same time.
 
 
 class FirstToken(typing.NamedTuple):
@@ -110,6 +111,20 @@
     tokens: int = 0
 
 
+class HedgeDue(typing.NamedTuple):
+    """The first attempt has run for the delay named in its dispatch."""
+
+    request_id: str
+    target: str  # Of the first attempt.
+
+
+class HedgeLimitsChanged(typing.NamedTuple):
+    """The limits of hedged requests changed; see `hedging.set_limits`."""
+
+    share: float
+    max_budget: float
+
+
 class RequestMoved(typing.NamedTuple):
     """A running request continues on the target that holds its copy."""
 
@@ -294,6 +309,8 @@
     attempt: int
     is_hedge: bool = False
     backup: str | None = None  # Target that keeps a copy of its memory.
+    # Time after which `HedgeDue` is to be sent; None: never.
+    hedge_after_s: float | None = None
 
 
 class Evacuate(typing.NamedTuple):
@@ -344,11 +361,11 @@
     reason: str
 
 
-Event = (Arrived | FirstToken | Progressed | AttemptEnded | RequestMoved |
-         MoveFailed | RequestAbandoned | LoadReported | PeerLoad |
-         TargetsChanged | TargetLeaving | TargetReturned | TargetDied |
-         TargetAlive | RateNamed | TargetClosed | TargetOpened |
-         DaemonsChanged | CacheEvent | QuarantineShared | QuarantineLifted |
-         RetryLimitsChanged | Tick)
+Event = (Arrived | FirstToken | Progressed | AttemptEnded | HedgeDue |
+         HedgeLimitsChanged | RequestMoved | MoveFailed | RequestAbandoned |
+         LoadReported | PeerLoad | TargetsChanged | TargetLeaving |
+         TargetReturned | TargetDied | TargetAlive | RateNamed | TargetClosed |
+         TargetOpened | DaemonsChanged | CacheEvent | QuarantineShared |
+         QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | Count)
--- a/persimmonspan/request/eviction.py
+++ b/persimmonspan/request/eviction.py
@@ -14,6 +14,7 @@
 from persimmonspan import errors
 from persimmonspan.request import choice
 from persimmonspan.request import events
+from persimmonspan.request import hedge_placement
 from persimmonspan.request import placement
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
@@ -40,6 +41,7 @@
             state.suspects, placement.fingerprints(running.item.arrived), now_s)
         if fingerprint is None or running.tokens:
             continue
+        state, running = hedge_placement.drop_other(state, running, now_s)
         state, cancel = placement.cancel_attempt(state, request_id, running,
                                                  now_s)
         commands += [
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -22,6 +22,7 @@
 from persimmonspan.request import choice
 from persimmonspan.request import crash_evidence
 from persimmonspan.request import events
+from persimmonspan.request import hedging
 from persimmonspan.request import length
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
@@ -56,7 +57,11 @@
 
 
 class RunningRequest(typing.NamedTuple):
-    """A request with an attempt on a target."""
+    """A request with an attempt on a target.
+
+    `is_hedge` is set if this attempt was sent beside the first one, and
+    `is_hedged` if the request had two attempts at the same time.
+    """
 
     item: queueing.QueuedRequest
     target: str
@@ -73,6 +78,9 @@
     rejected_evacuation_targets: tuple[str, ...] = ()
     copy_ordered_s: float = math.inf  # When its evacuation was ordered.
     software_version: str = ""  # Of its target.
+    other: hedging.OtherAttempt | None = None
+    is_hedge: bool = False
+    is_hedged: bool = False
 
 
 class State(typing.NamedTuple):
@@ -94,6 +102,7 @@
     suspects: quarantine.State = quarantine.State()
     rates: rate_limits.State = rate_limits.State()
     backoff: target_backoff.State = target_backoff.State()
+    hedges: hedging.State = hedging.State()
 
 
 Result = tuple[State, list[events.Command]]
@@ -187,14 +196,16 @@
                              backup=backup,
                              backup_profile=item.profile,
                              software_version=version)
-    priority = arrived.priority
-    if priority is None:
-        priority = _LONG_PRIORITY if item.is_long else _SHORT_PRIORITY
+    hedge_after_s = None
+    if arrived.may_hedge and len(item.tried_targets) == 1:
+        hedge_after_s = hedging.delay_s(state.hedges, arrived.service,
+                                        arrived.kind)
     dispatch = events.Dispatch(arrived.request_id,
                                target,
-                               priority,
+                               target_priority(item),
                                len(item.tried_targets),
-                               backup=backup)
+                               backup=backup,
+                               hedge_after_s=hedge_after_s)
     view = load_view.add_attempt(state.view, target, item.profile, item.is_long,
                                  now_s)
     if backup is not None:
@@ -212,6 +223,14 @@
     return state, [dispatch]
 
 
+def target_priority(item: queueing.QueuedRequest) -> int:
+    """Returns the priority of a request at its targets."""
+    priority = item.arrived.priority
+    if priority is None:
+        priority = _LONG_PRIORITY if item.is_long else _SHORT_PRIORITY
+    return priority
+
+
 def fingerprints(arrived: events.Arrived) -> crash_evidence.Fingerprints:
     """Returns by what the quarantine knows a request."""
     return crash_evidence.Fingerprints(arrived.fingerprint,
@@ -281,8 +300,11 @@
     """Records a completed attempt in the retry budget and the lengths."""
     arrived = running.item.arrived
     state = record_request_end(state, arrived, True, now_s)
-    state = state._replace(
-        budget=retry.record_success(state.budget, arrived.service))
+    state = state._replace(hedges=hedging.record_success(
+        state.hedges, arrived.service,
+        retry.surplus(state.budget, arrived.service), now_s),
+                           budget=retry.record_success(state.budget,
+                                                       arrived.service))
     if not is_engine(state, running.target):
         return state
     kind = state.kinds.get(arrived.kind)
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -109,6 +109,14 @@
     return 0.0 if record is None else max(0.0, record.refused_until_s - now_s)
 
 
+def is_suspect(state: State, fingerprints: crash_evidence.Fingerprints,
+               now_s: float) -> bool:
+    """Returns whether a crash counts against a request or a part of it."""
+    return bool(state.records) and any(
+        _crashes(state, fingerprint, now_s)
+        for fingerprint in (fingerprints.request, *fingerprints.parts))
+
+
 def must_wait(state: State, request_id: str, fingerprint: str,
               now_s: float) -> bool:
     """Returns whether a request waits until deaths of its targets are known."""
--- a/persimmonspan/request/retry.py
+++ b/persimmonspan/request/retry.py
@@ -1,10 +1,11 @@
-"""Retry budget per target group, and the decision to retry or to hedge.
+"""Retry budget per target group, and the decision to retry.
 
 Retries at several layers multiply: three layers with three attempts each send
 27 requests. Here each daemon keeps one budget per target group (the targets of
-one service). A success deposits a fraction of a token; a retry, a hedge and a
-caller's own repeat each spend a whole token. Extra load thus stays below that
-fraction of the successful load plus a fixed reserve.
+one service). A success deposits a fraction of a token; a retry and a caller's
+own repeat each spend a whole token. Extra load thus stays below that fraction
+of the successful load plus a fixed reserve. What a full budget cannot hold of
+the deposits (`surplus`) pays for hedged requests.
 
 A refusal by a target halves its send weight, which then recovers linearly with
 time (additive increase, multiplicative decrease). Refusals within
@@ -12,9 +13,8 @@
 that this daemon sent before it received the first refusal.
 
 The caller runs `admit_request` for each request, `may_retry` after a failed
-attempt, `may_hedge` at the hedge delay, `record_success`, `record_refusal` and
-`record_first_token` for events of targets, `record_end` at the end of a request
-and `tick` about once a second.
+attempt, `record_success` and `record_refusal` for events of targets,
+`record_end` at the end of a request and `tick` about once a second.
 Each decision carries a reason to be counted with `events.Count(reason)`.
 
 >>> state = State()
@@ -32,13 +32,12 @@
 
 See Also:
     `persimmonspan.request.quarantine`: where a suspect request may be retried.
+    `persimmonspan.request.hedging`: second attempts beside the first.
 
 References:
     Google, Site Reliability Engineering, chapter 21: retry budgets.
-    Dean and Barroso, The Tail at Scale, 2013: hedged requests.
 """
 
-import bisect
 import enum
 import typing
 
@@ -49,17 +48,11 @@
 DEPOSIT_PER_SUCCESS = 0.1  # Limits extra load to 10% of successful load.
 MAX_BALANCE = 20.0
 INITIAL_BALANCE = 5.0  # Allows retries of the first failures after a start.
-HEDGE_RESERVE = 3.0  # Tokens that hedges leave for retries.
 REPEAT_WINDOW_S = 10.0  # How long a failure makes an equal request a repeat.
 MIN_SEND_WEIGHT = 0.05  # Enough requests to detect that a target accepts again.
 WEIGHT_RECOVERY_PER_S = 0.1
 _WEIGHT_DECREASE_FACTOR = 0.5
 _WEIGHT_DECREASE_INTERVAL_S = 0.1
-_HEDGE_QUANTILE = 0.95
-_MIN_HEDGE_SAMPLES = 50
-_MAX_HEDGE_SAMPLES = 1000  # Halves the counts here, to forget old ones.
-# Upper edges of the buckets: 1 ms to 56 s, each 1.2 times the one before.
-_FIRST_TOKEN_EDGES_S = tuple(0.001 * 1.2**i for i in range(61))
 
 
 class Reason(enum.StrEnum):
@@ -79,11 +72,6 @@
     DENIED_OUTCOME = "retry_denied_outcome"
     DENIED_REPEAT = "retry_denied_repeat"
     DENIED_BUDGET = "retry_denied_budget"
-    HEDGE = "hedge"
-    HEDGE_DENIED_KIND = "hedge_denied_kind"
-    HEDGE_DENIED_STARTED = "hedge_denied_started"
-    HEDGE_DENIED_EARLY = "hedge_denied_early"
-    HEDGE_DENIED_BUDGET = "hedge_denied_budget"
 
 
 _RETRY_REASONS = {
@@ -152,12 +140,11 @@
 
 
 class State(typing.NamedTuple):
-    """Budgets, recent requests, send weights and first-token histograms."""
+    """Budgets, recent requests and send weights."""
 
     balances: immutables.Map[str, float] = immutables.Map()
     requests: immutables.Map[tuple[str, str], _RecentRequest] = immutables.Map()
     send_weights: immutables.Map[str, _SendWeight] = immutables.Map()
-    first_token_counts: immutables.Map[str, tuple[int, ...]] = immutables.Map()
     limits: Limits = Limits()
 
 
@@ -245,24 +232,9 @@
     return charged, Decision(True, reason)
 
 
-def may_hedge(state: State, attempt: Attempt, waited_s: float) -> Result:
-    """Decides whether to hedge a request that has no first token yet."""
-    if not (attempt.is_idempotent and attempt.is_short) or attempt.is_repeat:
-        return state, Decision(False, Reason.HEDGE_DENIED_KIND)
-    if attempt.has_started:
-        return state, Decision(False, Reason.HEDGE_DENIED_STARTED)
-    delay_s = hedge_delay_s(state, attempt.group)
-    if delay_s is None or waited_s < delay_s:
-        return state, Decision(False, Reason.HEDGE_DENIED_EARLY)
-    charged = _spend(state, attempt.group, HEDGE_RESERVE)
-    if charged is None:
-        return state, Decision(False, Reason.HEDGE_DENIED_BUDGET)
-    return charged, Decision(True, Reason.HEDGE)
-
-
 def select_untried_targets(attempt: Attempt,
                            targets: typing.Iterable[str]) -> list[str]:
-    """Returns the targets that a retry or a hedge may use.
+    """Returns the targets that a retry may use.
 
     >>> select_untried_targets(Attempt("drafts", ("e1",), True), ["e1", "e2"])
     ['e2']
@@ -270,6 +242,17 @@
     return [target for target in targets if target not in attempt.tried]
 
 
+def surplus(state: State, group: str) -> float:
+    """Returns what the budget cannot hold of the next deposit.
+
+    >>> state = State(limits=Limits(0.25, 1.0, 0.875))
+    >>> surplus(state, "g"), surplus(record_success(state, "g"), "g")
+    (0.125, 0.25)
+    """
+    limits = state.limits
+    return max(0.0, balance(state, group) + limits.deposit - limits.cap)
+
+
 def record_success(state: State, group: str) -> State:
     """Deposits a fraction of a token for a successful attempt."""
     value = balance(state, group)
@@ -306,36 +289,6 @@
     return min(1.0, weight.value + recovered)
 
 
-def record_first_token(state: State, group: str, delay_s: float) -> State:
-    """Adds a time from dispatch to first token to the histogram of a group."""
-    counts = state.first_token_counts.get(
-        group) or (0,) * (len(_FIRST_TOKEN_EDGES_S) + 2)
-    bucket = bisect.bisect_left(_FIRST_TOKEN_EDGES_S, delay_s)
-    counts = counts[:bucket] + (counts[bucket] +
-                                1,) + counts[bucket + 1:-1] + (counts[-1] + 1,)
-    if counts[-1] >= _MAX_HEDGE_SAMPLES:
-        halved = tuple(count // 2 for count in counts[:-1])
-        counts = halved + (sum(halved),)
-    return state._replace(
-        first_token_counts=state.first_token_counts.set(group, counts))
-
-
-def hedge_delay_s(state: State, group: str) -> float | None:
-    """Returns the p95 of the first-token time, at most 20% too high.
-
-    Returns None while fewer than `_MIN_HEDGE_SAMPLES` were observed.
-    """
-    counts = state.first_token_counts.get(group)
-    if counts is None or counts[-1] < _MIN_HEDGE_SAMPLES:
-        return None
-    remaining = counts[-1] * _HEDGE_QUANTILE
-    for edge_s, count in zip(_FIRST_TOKEN_EDGES_S, counts):
-        remaining -= count
-        if remaining <= 0:
-            return edge_s
-    return None  # Beyond the last edge, a hedge comes too late to help.
-
-
 def tick(state: State, now_s: float) -> State:
     """Removes expired failures and send weights that have fully recovered."""
     expired = [
@@ -354,9 +307,9 @@
                                                     recovered))
 
 
-def _spend(state: State, group: str, reserve: float = 0.0) -> State | None:
+def _spend(state: State, group: str) -> State | None:
     value = balance(state, group)
-    if value < 1.0 + reserve:
+    if value < 1.0:
         return None
     return state._replace(balances=state.balances.set(group, value - 1.0))
 
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -27,6 +27,8 @@
 from persimmonspan.request import evacuation
 from persimmonspan.request import events
 from persimmonspan.request import eviction
+from persimmonspan.request import hedge_placement
+from persimmonspan.request import hedging
 from persimmonspan.request import placement
 from persimmonspan.request import quarantine
 from persimmonspan.request import queueing
@@ -138,18 +140,16 @@
 @_handle_event.register
 def _(event: events.FirstToken, state: State, now_s: float,
       rng: random.Random) -> Result:
-    running = state.running.get(event.request_id)
+    running = hedge_placement.find(state, event.request_id, event.target)
     if running is None or running.target != event.target or running.tokens:
         return state, []
+    state = hedge_placement.record_latency(state, running, now_s)
     view = load_view.record_progress(state.view, event.target, 0, 0.0,
                                      running.profile.mean[0])
     running = running._replace(tokens=1,
                                last_progress_s=now_s,
                                first_token_s=now_s)
     state = state._replace(view=view,
-                           budget=retry.record_first_token(
-                               state.budget, running.item.arrived.service,
-                               now_s - running.sent_s),
                            running=state.running.set(event.request_id, running))
     if running.target in state.leaving:
         return evacuation.evacuate(state, running, now_s, rng)
@@ -159,7 +159,7 @@
 @_handle_event.register
 def _(event: events.Progressed, state: State, now_s: float,
       rng: random.Random) -> Result:
-    running = state.running.get(event.request_id)
+    running = hedge_placement.find(state, event.request_id, event.target)
     if (running is None or running.target != event.target or
             event.tokens <= running.tokens or
         (running.tokens and event.tokens < running.refresh_at_tokens)):
@@ -181,22 +181,26 @@
 @_handle_event.register
 def _(event: events.AttemptEnded, state: State, now_s: float,
       rng: random.Random) -> Result:
-    running = state.running.get(event.request_id)
+    running = hedge_placement.find(state, event.request_id, event.target)
     if running is None or running.target != event.target:
         return state, []
+    outcome = event.outcome
+    if running.other is not None and outcome is not events.Outcome.COMPLETED:
+        state = hedge_placement.end_one(state, running, outcome, now_s)
+        return placement.dispatch_waiting(_record_failure(state, event, now_s),
+                                          running.item.arrived.service,
+                                          (event.target,), now_s, rng)
+    state, running = hedge_placement.drop_other(state, running, now_s)
     state = placement.release_attempt(state, event.request_id, running,
                                       event.tokens, now_s)
+    if outcome is events.Outcome.COMPLETED and not running.tokens:
+        state = hedge_placement.record_latency(state, running, now_s)
     running = running._replace(tokens=max(running.tokens, event.tokens))
-    outcome = event.outcome
     commands: list[events.Command] = []
     if outcome is events.Outcome.COMPLETED:
         state = placement.record_completion(state, running, event.tokens, now_s)
     elif outcome in placement.RETRYABLE:
-        if outcome is events.Outcome.REFUSED:
-            state = state._replace(
-                budget=retry.record_refusal(state.budget, event.target, now_s))
-        elif outcome is not events.Outcome.ANSWERED_ERROR:
-            state = placement.avoid_target(state, event.target, now_s)
+        state = _record_failure(state, event, now_s)
         state, commands = placement.retry_or_refuse(state, running, outcome,
                                                     now_s, rng)
     elif outcome is events.Outcome.TARGET_CLOSED:
@@ -210,6 +214,32 @@
     return state, commands + more
 
 
+def _record_failure(state: State, event: events.AttemptEnded,
+                    now_s: float) -> State:
+    """Records in the choice of targets how an attempt failed."""
+    if event.outcome is events.Outcome.REFUSED:
+        return state._replace(
+            budget=retry.record_refusal(state.budget, event.target, now_s))
+    if (event.outcome in placement.RETRYABLE and
+            event.outcome is not events.Outcome.ANSWERED_ERROR):
+        return placement.avoid_target(state, event.target, now_s)
+    return state
+
+
+@_handle_event.register
+def _(event: events.HedgeDue, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    return hedge_placement.start(state, event, now_s, rng)
+
+
+@_handle_event.register
+def _(event: events.HedgeLimitsChanged, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del now_s, rng
+    return state._replace(hedges=hedging.set_limits(state.hedges, event.share,
+                                                    event.max_budget)), []
+
+
 @_handle_event.register
 def _(event: events.RequestMoved, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -244,9 +274,12 @@
         return state._replace(
             queue=queueing.remove(state.queue, event.request_id)), []
     running = state.running.get(event.request_id)
-    if running is None or not placement.is_engine(state, running.target):
+    if running is None or not (running.is_hedged or
+                               placement.is_engine(state, running.target)):
         # A call to a plain service is not cancelled: its outcome is recorded.
+        # That of a hedged one is told before this event.
         return state, []
+    state, running = hedge_placement.drop_other(state, running, now_s)
     state, cancel = placement.cancel_attempt(state, event.request_id, running,
                                              now_s)
     state, commands = placement.dispatch_waiting(state,
--- a/persimmonspan/request/tests/test_retry.py
+++ b/persimmonspan/request/tests/test_retry.py
@@ -50,20 +50,3 @@
                        [_REASONS.REPEAT_OVER_BUDGET] * 2)
     _, decision = retry.may_retry(state, _attempt(), _OUTCOMES.REFUSED)
     assert decision.reason is _REASONS.DENIED_BUDGET
-
-
-def test_hedge_is_denied_before_p95_and_below_the_reserve():
-    state = retry.State()
-    attempt = _attempt(is_short=True)
-    for i in range(100):
-        state = retry.record_first_token(state, "drafts",
-                                         0.05 if i < 94 else 2.0)
-    assert 2.0 <= retry.hedge_delay_s(state, "drafts") <= 2.4
-    _, decision = retry.may_hedge(state, attempt, 1.0)
-    assert decision.reason is _REASONS.HEDGE_DENIED_EARLY
-    reasons = []
-    for _ in range(3):
-        state, decision = retry.may_hedge(state, attempt, 3.0)
-        reasons.append(decision.reason)
-    assert reasons == [_REASONS.HEDGE] * 2 + [_REASONS.HEDGE_DENIED_BUDGET]
-    assert retry.may_retry(state, attempt, _OUTCOMES.REFUSED)[1].is_allowed
--- a/persimmonspan/request/tests/test_retry_machine.py
+++ b/persimmonspan/request/tests/test_retry_machine.py
@@ -27,7 +27,7 @@
 
 
 class RetryMachine(stateful.RuleBasedStateMachine):
-    """Spends from one budget by repeats, retries and hedges."""
+    """Spends from one budget by repeats and retries."""
 
     ignores_spending = False
 
@@ -37,8 +37,6 @@
         self.balance_tenths = 50
         self.now_s = 0.0
         self.running = []
-        for _ in range(50):
-            self.state = retry.record_first_token(self.state, "g", 0.1)
 
     def _apply(self, result, spends=True):
         state, decision = result
@@ -72,9 +70,14 @@
 
     @stateful.rule(count=strategies.integers(1, 300))
     def succeed(self, count):
+        before, surplus = retry.balance(self.state, "g"), 0.0
         for _ in range(count):
+            surplus += retry.surplus(self.state, "g")
             self.state = retry.record_success(self.state, "g")
         self.balance_tenths = min(200, self.balance_tenths + count)
+        # Each deposit goes to the balance or to the surplus.
+        assert (retry.balance(self.state, "g") - before +
+                surplus) * 10 == pytest.approx(count, abs=1e-6)
 
     @stateful.rule(outcome=strategies.sampled_from(events.Outcome),
                    is_idempotent=strategies.booleans(),
@@ -91,13 +94,6 @@
             assert is_idempotent or outcome in _NOT_RUN_OUTCOMES
         assert tried.isdisjoint(retry.select_untried_targets(attempt, "xyz"))
 
-    @stateful.rule(is_short=strategies.booleans(),
-                   waited_s=strategies.sampled_from((0.05, 1.0)))
-    def hedge(self, is_short, waited_s):
-        attempt = retry.Attempt("g", ("x",), True, is_short)
-        decision = self._apply(retry.may_hedge(self.state, attempt, waited_s))
-        assert not decision.is_allowed or (is_short and waited_s == 1.0)
-
     @stateful.rule(seconds=strategies.sampled_from((0.1, 3.0, 20.0)))
     def wait(self, seconds):
         self.now_s += seconds
