Send a second attempt of slow requests beside the first

Cause: the decision on hedged requests has no exchange and no setting. Change: `request/hedged_exchange.py` sends the second attempt from the worker thread of the request; the relay reads it on a transfer without a caller, and its bytes are kept until the whole response or the first event has arrived. Then, or if the first attempt fails, it becomes the only attempt and its bytes are decoded like those of a first one, so that a caller gets the bytes of one target only. `PERSIMMONSPAN_HEDGE_SHARE` (0 to 1, default 0: off) sets the share. Reports on the head of a response move to `request/head_reports.py`.

--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -77,15 +77,16 @@
 class Transfer:
     """A caller's connection and the engine connection that it is fed from.
 
-    The lock guards all fields. Each transfer has its own lock, so that a busy
+    Without a caller, the consumer of the engine's bytes must return none. The
+    lock guards all fields. Each transfer has its own lock, so that a busy
     relay thread does not starve the workers.
     """
 
-    def __init__(self, caller: socket.socket, notify: NoticeCallback,
+    def __init__(self, caller: socket.socket | None, notify: NoticeCallback,
                  caller_write_timeout_s: float) -> None:
         self.lock = threading.Lock()
         self.caller = caller
-        self.caller_fd = caller.fileno()
+        self.caller_fd = -1 if caller is None else caller.fileno()
         self.notify = notify
         self.caller_write_timeout_s = caller_write_timeout_s
         self.pending = b""
@@ -217,6 +218,13 @@
         with transfer.lock:
             self._drop_engine(transfer)
 
+    def write(self, transfer: Transfer, data: bytes) -> None:
+        """Writes bytes to the caller while no engine is attached."""
+        with transfer.lock:
+            # A caller that has left is no longer registered.
+            if transfer.caller_fd in self._transfers:
+                self._write_caller(transfer, data, time.monotonic())
+
     def take_pending(self, transfer: Transfer) -> bytes:
         """Returns and removes the bytes that are not sent to the caller yet."""
         with transfer.lock:
--- a/persimmonspan/platform/settings.py
+++ b/persimmonspan/platform/settings.py
@@ -1,13 +1,20 @@
-"""Decoder of the platform's settings file."""
+"""Decoder of the platform's settings file and of the product's own setting.
 
+The settings file belongs to the platform. What operators set for this product
+is an environment variable, named as those of `persimmonspan.process.settings`.
+"""
+
+import math
 import os
 
 import msgspec
 
 from persimmonspan import decoding
 from persimmonspan.process import edge_settings
+from persimmonspan.process import settings as own_settings
 
 _PATH_VARIABLE = "PERSIMMONSPAN_CONFIG"
+_HEDGE_SHARE_VARIABLE = own_settings.variable_name("--hedge-share")
 _MS_PER_S = 1000.0
 _BITS_PER_MBIT = 1e6
 
@@ -58,14 +65,38 @@
 
 
 def read(file: str) -> edge_settings.EdgeSettings:
-    """Reads a settings file.
+    """Reads a settings file and the environment.
 
     Raises:
         OSError: The file cannot be read.
         msgspec.ValidationError: A setting is missing or has the wrong type.
+        ValueError: The environment variable is not valid.
     """
     with open(file, "rb") as stream:
-        return decode(stream.read())
+        options = decode(stream.read())
+    return options._replace(
+        hedge_share=decode_hedge_share(os.environ.get(_HEDGE_SHARE_VARIABLE)))
+
+
+def decode_hedge_share(text: str | None) -> float:
+    """Returns the share of extra attempts; 0 if the variable is not set.
+
+    >>> decode_hedge_share("0.05"), decode_hedge_share(None)
+    (0.05, 0.0)
+
+    Raises:
+        ValueError: It is not a number from 0 to 1.
+    """
+    if not text:
+        return 0.0
+    try:
+        share = float(text)
+    except ValueError:
+        share = math.nan
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(f"{_HEDGE_SHARE_VARIABLE}: expected a number from 0 "
+                         f'to 1, got "{text}"')
+    return share
 
 
 def decode(data: bytes) -> edge_settings.EdgeSettings:
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -47,6 +47,7 @@
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import forwarding
+from persimmonspan.request import hedging
 from persimmonspan.request import response_body
 from persimmonspan.request import resumption
 from persimmonspan.request import retry
@@ -119,6 +120,7 @@
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
         self._retry_daemons = _MIN_RETRY_DAEMONS
+        self._hedge_share = 0.0  # As told to the scheduler.
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
@@ -470,6 +472,23 @@
                      })
         self.scheduler.tell(
             events.RetryLimitsChanged(limits.deposit, limits.cap))
+        self._send_hedge_limits()
+
+    def _send_hedge_limits(self) -> None:
+        share = 0.0 if self.is_stopping() else self._options.hedge_share
+        if not share and not self._hedge_share:
+            return
+        self._hedge_share = share
+        retries = self._options.retry
+        max_budget = hedging.limit_budget(
+            retries.burst / self._retry_daemons,
+            retry_limits(retries, self._retry_daemons).cap)
+        _logger.info("hedge limits",
+                     extra={
+                         "share": share,
+                         "max_budget": max_budget
+                     })
+        self.scheduler.tell(events.HedgeLimitsChanged(share, max_budget))
 
     # Methods that start and stop the process.
 
@@ -480,6 +499,7 @@
         address = own_settings.split_address
         with contextlib.ExitStack() as stack:
             stack.callback(self.scheduler.stop)
+            self._send_hedge_limits()
             self._relay.start()
             stack.callback(self._relay.stop)
             self._server = forwarding_listener.make_server(
@@ -524,6 +544,7 @@
     def stop(self) -> None:
         """Begins a planned stop and waits until the process may end."""
         self._stop_s = time.monotonic()
+        self._send_hedge_limits()
         _logger.info("stopping", extra={"in_flight": self._in_flight})
         end_s = self._stop_s + self._options.grace_s - _STOP_MARGIN_S
         while time.monotonic() < end_s:
--- a/persimmonspan/process/edge_settings.py
+++ b/persimmonspan/process/edge_settings.py
@@ -32,3 +32,6 @@
     drain_s: float = 2.0
     configuration_apply_s: float = 2.0
     link_bits_per_s: float = 1e12  # More than any link: no limit.
+    # Extra attempts at targets that operators accept to shorten slow responses,
+    # as a share of the requests of a service; 0: none.
+    hedge_share: float = 0.0
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -71,6 +71,10 @@
         self.tokens = prometheus_client.Counter("persimmonspan_tokens",
                                                 "Tokens relayed to callers",
                                                 registry=self.registry)
+        self.hedge_lost_seconds = prometheus_client.Counter(
+            "persimmonspan_hedge_lost_seconds",
+            "Time for which attempts ran that lost to another of their request",
+            registry=self.registry)
         self.first_token = LatencySummary(
             "persimmonspan_first_token_seconds",
             "Time from arrival to the first token")
--- a/persimmonspan/process/scheduler_actor.py
+++ b/persimmonspan/process/scheduler_actor.py
@@ -127,6 +127,19 @@
             self._queues[message.arrived.request_id] = message.commands
             message = message.arrived
         commands = self._step(message)
+        if isinstance(message, events.HedgeDue):
+            _logger.info("hedge decision",
+                         extra={
+                             "request_id":
+                                 message.request_id,
+                             "target":
+                                 message.target,
+                             "decision": [
+                                 command.reason
+                                 for command in commands
+                                 if isinstance(command, events.Count)
+                             ]
+                         })
         if self._state.running or self._state.queue.requests:
             self._has_work.set()
         else:
@@ -213,5 +226,7 @@
     }[type(command)]
     fields = command._asdict()
     del fields["request_id"]
+    if fields.get("hedge_after_s") is None:
+        fields.pop("hedge_after_s", None)
     return " ".join(
         [name, *(f"{key}={value}" for key, value in fields.items())])
--- a/persimmonspan/request/arrival.py
+++ b/persimmonspan/request/arrival.py
@@ -8,6 +8,8 @@
 
 _MAX_REPORTED_PRIORITY = 9
 _FINGERPRINT_DIGITS = 32
+# A larger body may take so long to send twice that the first response waits.
+_MAX_HEDGED_BODY_BYTES = 64 * 1024
 # Parts of a prompt against which evidence is kept; the first ones are shared.
 _MAX_PARTS = 16
 
@@ -39,7 +41,20 @@
         wants_backup=(engine is not None and engine.can_back_up and
                       not route.is_resumable),
         priority=_reported_priority(routed_call),
-        software_version=routed_call.software_version)
+        software_version=routed_call.software_version,
+        may_hedge=_may_hedge(routed_call))
+
+
+def _may_hedge(routed_call: forwarded.RoutedCall) -> bool:
+    """Returns whether a call may run at two targets at the same time.
+
+    A stream that a caller takes up is that caller's retry.
+    """
+    call, route = routed_call.call, routed_call.route
+    may_run_twice = (route.kind is routes.Kind.IDEMPOTENT or
+                     route.kind is routes.Kind.STREAMING and route.is_resumable)
+    return (may_run_twice and route.max_attempts > 1 and not call.is_take_up and
+            len(call.body) <= _MAX_HEDGED_BODY_BYTES)
 
 
 def _reported_priority(routed_call: forwarded.RoutedCall) -> int:
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -35,6 +35,8 @@
 from persimmonspan.request import event_stream
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
+from persimmonspan.request import head_reports
+from persimmonspan.request import hedged_exchange
 from persimmonspan.request import pauses
 from persimmonspan.request import response_body
 from persimmonspan.request import resumption
@@ -91,6 +93,7 @@
                                        responder, transfer)
         stack.callback(forwarding.drop_copy)
         stack.callback(forwarding.drop_body)
+        stack.callback(forwarding.drop_hedge)
         try:
             session.run_attempts(
                 request_session,
@@ -107,10 +110,11 @@
                                 })
                 responder.abort()
                 return None
-            if forwarding.error_response is None:
+            error_response = forwarding.find_error_response()
+            if error_response is None:
                 raise
             # The target's own error is more specific than this error.
-            return forwarding.error_response
+            return error_response
         forwarding.log_completion()
         forwarding.end_origin()
         pending = context.relay.take_pending(transfer)
@@ -132,7 +136,7 @@
                  responder: forwarded.Responder,
                  transfer: relay.Transfer) -> None:
         self.answer: forwarded.Response | None = None
-        self.error_response: forwarded.Response | None = None
+        self._error_response: forwarded.Response | None = None
         self._session = request_session
         self._routed_call = routed_call
         self._context = context
@@ -149,7 +153,7 @@
         self._is_connection_lost = False  # It ended before the response.
         self._target: events.Target | None = None
         self._may_have_run_before = False
-        self._has_attempts_left = False
+        self._attempt_number = 0  # Of the last attempt that was commanded.
         route = routed_call.route
         self._silence = pauses.limit_silence(route.latency_objective_s,
                                              route.token_pause_s,
@@ -165,6 +169,8 @@
         # Versions of which the store may have a row for this stream.
         self._recorded_versions: set[str] = set()
         self._attempts = 0
+        self._hedge = hedged_exchange.SecondAttempt(routed_call, context,
+                                                    request_session)
 
     @property
     def has_response_begun(self) -> bool:
@@ -176,6 +182,10 @@
         """Number of events relayed to the caller so far."""
         return self._stream.event_count
 
+    def find_error_response(self) -> forwarded.Response | None:
+        """Returns the error response of a target, if one sent any."""
+        return self._error_response or self._hedge.error_response
+
     def log_completion(self) -> None:
         """Logs the status, target and timing of a served request."""
         arrived_s = self._routed_call.arrived_s
@@ -207,6 +217,10 @@
         """Releases the memory of the held response."""
         self._body.clear()
 
+    def drop_hedge(self) -> None:
+        """Ends a second attempt that still runs."""
+        self._hedge.cancel()
+
     def attempt(self, dispatch: events.Dispatch, target: events.Target) -> bool:
         """Runs one attempt; returns whether the request is finished."""
         self._target = target
@@ -215,6 +229,7 @@
         except (session.CallerLeftError, errors.PersimmonspanError) as error:
             # The closed connection makes the target stop its work. The
             # scheduler ignores this report if the attempt has already ended.
+            self._hedge.cancel()
             self._report_end(events.Outcome.CANCELLED)
             _logger.info("request ended early",
                          extra={
@@ -228,8 +243,7 @@
                      target: events.Target) -> bool:
         backup = dispatch.backup
         resume_from = None
-        self._has_attempts_left = (dispatch.attempt
-                                   < self._routed_call.route.max_attempts)
+        self._attempt_number = dispatch.attempt
         while True:
             self._target = target
             _logger.info("attempt",
@@ -241,26 +255,16 @@
                              "events": self.event_count
                          })
             before = self.event_count
+            self._hedge.arm(dispatch)
             outcome = self._try_target(target, dispatch.priority, backup,
                                        resume_from)
+            if self._hedge.is_running:
+                target, outcome = self._settle_hedge(target, outcome)
             has_progressed = self.event_count > before
             if outcome is events.Outcome.COMPLETED:
                 self._report_end(outcome)
                 return True
-            if self._is_connection_lost:
-                self._context.report_broken_target(target)
-            if isinstance(self._target_error,
-                          classification.RejectedResponseError):
-                self._context.metrics.count(
-                    f"response_{self._target_error.reason}")
-            _logger.info("attempt ended",
-                         extra={
-                             "target": target.name,
-                             "outcome": outcome,
-                             "reason": str(self._target_error),
-                             "events": self.event_count,
-                             "prompt_parts": self._prompt_part_names()
-                         })
+            self._record_failure(target, outcome)
             handover = None
             if has_progressed and outcome is events.Outcome.INTERRUPTED:
                 handover = self._copies.select_handover(
@@ -274,6 +278,60 @@
             backup = self._wait_for_backup()
         return self._end_failed_attempt(outcome)
 
+    def _record_failure(self, target: events.Target,
+                        outcome: events.Outcome) -> None:
+        if self._is_connection_lost:
+            self._context.report_broken_target(target)
+        if isinstance(self._target_error, classification.RejectedResponseError):
+            self._context.metrics.count(f"response_{self._target_error.reason}")
+        _logger.info("attempt ended",
+                     extra={
+                         "target": target.name,
+                         "outcome": outcome,
+                         "reason": str(self._target_error),
+                         "events": self.event_count,
+                         "prompt_parts": self._prompt_part_names()
+                     })
+
+    def _settle_hedge(
+            self, target: events.Target,
+            outcome: events.Outcome) -> tuple[events.Target, events.Outcome]:
+        """Chooses between the ended first attempt and the second one.
+
+        Returns:
+            The target of the remaining attempt, and how that ended.
+        """
+        if outcome is events.Outcome.COMPLETED or self.event_count:
+            self._hedge.lose()
+            return target, outcome
+        if self._hedge.has_succeeded:
+            outcome = events.Outcome.CANCELLED
+        else:
+            self._record_failure(target, outcome)
+        self._report_end(outcome)
+        taken = self._hedge.take()
+        self._target = taken.target
+        if outcome is not events.Outcome.REFUSED:
+            self._may_have_run_before = True
+        self._session.may_have_run = True
+        try:
+            return taken.target, self._finish_hedge(taken)
+        finally:
+            self._hedge.release()
+
+    def _finish_hedge(self, taken: hedged_exchange.Taken) -> events.Outcome:
+        self._begin_response()
+        # No bytes would stand for the end of the connection.
+        if taken.data:
+            output, _, _ = self._consume(taken.data, time.monotonic())
+            if output:
+                self._context.relay.write(self._transfer, output)
+        if taken.signal in _LOST_CONNECTION_SIGNALS:
+            self._handle_connection_end(taken.signal)
+        elif not self._is_response_ended():
+            self._relay_response(taken.target, None, taken.sock)
+        return self._classify_response()
+
     def _prompt_part_names(self) -> list[str]:
         return [name for name, _ in self._routed_call.call.prefix_parts]
 
@@ -297,8 +355,8 @@
             self._report_end(outcome)
             return False
         self._report_end(events.Outcome.FAILED_AFTER_FIRST_TOKEN)
-        if self.error_response is not None and not self.has_response_begun:
-            self.answer = self.error_response
+        if self._error_response is not None and not self.has_response_begun:
+            self.answer = self._error_response
             return True
         raise self._target_error or errors.TargetError(
             errors.Code.TARGET_FAILED, "the target sent no complete response")
@@ -314,14 +372,7 @@
     def _try_target(self, target: events.Target, priority: int,
                     backup: str | None,
                     resume_from: str | None) -> events.Outcome:
-        self._reader = exchange.ResponseReader(self._routed_call.call.method)
-        self._head = None
-        self._target_error = None
-        self._is_connection_lost = False
-        self._events_before_attempt = self.event_count
-        self._copies.reset()
-        self._body.clear()
-        self._stream = event_stream.prepare_resume(self._stream)
+        self._begin_response()
         time_left_s = self._session.remaining_s()
         if time_left_s < _MIN_TIME_LEFT_S:
             raise errors.PersimmonspanError(
@@ -361,6 +412,17 @@
             self._target_error = error
         return self._classify_response()
 
+    def _begin_response(self) -> None:
+        """Drops what an earlier attempt left of its response."""
+        self._reader = exchange.ResponseReader(self._routed_call.call.method)
+        self._head = None
+        self._target_error = None
+        self._is_connection_lost = False
+        self._events_before_attempt = self.event_count
+        self._copies.reset()
+        self._body.clear()
+        self._stream = event_stream.prepare_resume(self._stream)
+
     def _may_continue_at(self, target: events.Target) -> bool:
         """Returns whether the target has the version of the stream, if any."""
         return (target.software_version == self._software_version or
@@ -403,15 +465,25 @@
         # A plain response counts no events: only its deadline bounds it.
         silence_timeout_s = (self._silence.move_s if self._is_stream else
                              self._session.remaining_s() + 1)
-        serial = self._context.relay.attach_engine(
-            self._transfer, sock, self._consume,
-            self._session.remaining_s() + 1, silence_timeout_s)
+        attach = functools.partial(self._context.relay.attach_engine,
+                                   self._transfer, sock, self._consume)
+        # A second attempt may have brought its first event already.
+        has_begun = self.event_count > self._events_before_attempt
+        serial = attach(
+            silence_timeout_s if has_begun else self._session.remaining_s() + 1,
+            silence_timeout_s)
         silent_at_count = None
-        has_input = functools.partial(exchange.has_input, sock)
+
+        def has_input() -> bool:
+            return exchange.has_input(sock) or self._hedge.has_input()
+
         try:
             while True:
-                message = self._session.next_message(has_input)
-                if isinstance(message, relay.Notice):
+                message = self._session.next_message(has_input,
+                                                     self._hedge.due_s)
+                if message is None:
+                    self._hedge.ask(target.name)
+                elif isinstance(message, relay.Notice):
                     if message.serial != serial:
                         continue
                     if (message.signal is not relay.Signal.SILENT or
@@ -421,23 +493,45 @@
                         return
                     silent_at_count = self.event_count
                     self._record_silence(target)
-                    serial = self._context.relay.attach_engine(
-                        self._transfer, sock, self._consume,
-                        self._silence.end_s - self._silence.move_s,
-                        silence_timeout_s)
-                elif isinstance(message, events.Evacuate):
-                    if self._is_streaming():
-                        self._copies.copy(target, message.target)
-                elif isinstance(message, events.Dispatch):
-                    self._session.end_attempt(message.target,
-                                              events.Outcome.CANCELLED)
+                    serial = attach(self._silence.end_s - self._silence.move_s,
+                                    silence_timeout_s)
+                elif isinstance(message, hedged_exchange.Message):
+                    if not self._hedge.check(message):
+                        continue
+                    self._context.relay.release_engine(self._transfer)
+                    if not self.event_count or self._is_response_ended():
+                        return
+                    # The first event of the first attempt was a bit faster.
+                    self._hedge.lose()
+                    serial = attach(silence_timeout_s, silence_timeout_s)
+                else:
+                    self._execute(message, target)
         finally:
             self._context.relay.release_engine(self._transfer)
 
+    def _execute(self, command: events.Command, target: events.Target) -> None:
+        """Executes a command of the scheduler about the running attempt."""
+        if isinstance(command, events.Evacuate):
+            if self._is_streaming():
+                self._copies.copy(target, command.target)
+        elif isinstance(command, events.Dispatch):
+            if command.is_hedge:
+                self._hedge.start(command, self._has_response_bytes)
+            else:
+                self._session.end_attempt(command.target,
+                                          events.Outcome.CANCELLED)
+
+    def _has_response_bytes(self) -> bool:
+        return self.event_count > 0 or self._is_response_ended()
+
+    def _is_response_ended(self) -> bool:
+        return self._target_error is not None or self._reader.is_complete
+
     def _can_continue_elsewhere(self, backup: events.Target | None) -> bool:
         """Returns whether another target may continue a silent stream."""
         if self._routed_call.route.is_idempotent:
-            return self._has_attempts_left
+            return (self._attempt_number + self._hedge.was_sent
+                    < self._routed_call.route.max_attempts)
         return (self.event_count > self._events_before_attempt and
                 (backup is not None or self._copies.has_copy))
 
@@ -450,7 +544,7 @@
                      })
 
     def _handle_connection_end(self, signal: relay.Signal) -> None:
-        if self._target_error is not None or self._reader.is_complete:
+        if self._is_response_ended():
             return
         self._is_connection_lost = signal in _LOST_CONNECTION_SIGNALS
         if signal is relay.Signal.CLOSED:
@@ -468,17 +562,9 @@
             if self._head is None and self._reader.head is not None:
                 self._head = self._context.wire.decode_response_head(
                     self._reader.head)
-                self._report_pause(self._head)
-                classification.check_head(self._head,
-                                          self._routed_call.call.request_id,
-                                          self._begun_head)
-                self._context.relay.call_soon(
-                    self._context.report_rate,
-                    events.RateNamed(self._target.name,
-                                     self._head.max_requests_per_s))
-                if self._head.is_leaving:
-                    self._context.relay.call_soon(self._context.report_leaving,
-                                                  self._target)
+                head_reports.report(self._context,
+                                    self._routed_call.call.request_id,
+                                    self._target, self._head, self._begun_head)
             if self._is_streaming():
                 if body:
                     output, count = self._encode_events(body, now_s)
@@ -489,16 +575,7 @@
         except event_stream.MalformedStreamError as error:
             self._target_error = exchange.BrokenResponseError(
                 errors.Code.TARGET_FAILED, str(error))
-        return output, count, (self._target_error is not None or
-                               self._reader.is_complete)
-
-    def _report_pause(self, head: forwarded.ResponseHead) -> None:
-        # An answer to another request may be an old one.
-        if head.retry_after_s and head.request_id in (
-                None, self._routed_call.call.request_id):
-            self._context.relay.call_soon(self._context.pauses.record,
-                                          self._target.name, head.retry_after_s,
-                                          "request")
+        return output, count, self._is_response_ended()
 
     def _is_streaming(self) -> bool:
         return (self._is_stream and self._head is not None and
@@ -515,6 +592,8 @@
             self._software_version = self._target.software_version
             output = self._responder.stream_head(self._head.status,
                                                  self._head.headers) + output
+        if is_first:
+            self._hedge.note_first_event()
         self._timing = self._timing.after(now_s)
         self._session.report_tokens(self._target.name, is_first,
                                     self.event_count * _TOKENS_PER_EVENT, now_s,
@@ -536,7 +615,8 @@
         if verdict.outcome is events.Outcome.INTERRUPTED:
             return verdict.outcome
         if head.is_not_run:
-            self._session.may_have_run = self._may_have_run_before
+            self._session.may_have_run = (self._may_have_run_before or
+                                          self._hedge.may_have_run)
             if head.is_other_target:
                 self._context.report_wrong_target(self._target.name)
         answer = forwarded.Response(head.status, head.headers,
@@ -544,5 +624,5 @@
         if verdict.use is classification.Use.RESPONSE:
             self.answer = answer
         elif verdict.use is classification.Use.ERROR:
-            self.error_response = answer
+            self._error_response = answer
         return verdict.outcome
--- a/persimmonspan/request/hedging.py
+++ b/persimmonspan/request/hedging.py
@@ -50,6 +50,8 @@
 _QUANTILE = 0.95
 # A shorter delay would hedge requests that are about to end.
 _MIN_DELAY_S = 0.005
+# Differences of times are not exact; a request that is due is not early.
+_DELAY_TOLERANCE_S = 0.001
 _MIN_SAMPLES = 50
 _MAX_SAMPLES = 1000  # Halves the counts here, to forget old ones.
 # Upper edges of the buckets: 1 ms to 56 s, each 1.2 times the one before.
@@ -205,7 +207,7 @@
         return Reason.DENIED_STARTED
     # The usual latency may have grown since the request was sent.
     after_s = delay_s(state, request.service, request.kind)
-    if after_s is None or request.waited_s < after_s:
+    if after_s is None or request.waited_s < after_s - _DELAY_TOLERANCE_S:
         return Reason.DENIED_EARLY
     if request.is_suspect:
         return Reason.DENIED_SUSPECT
--- a/persimmonspan/request/session.py
+++ b/persimmonspan/request/session.py
@@ -133,20 +133,28 @@
         return max(0.0, self._end_s - time.monotonic())
 
     def next_message(
-        self,
-        has_input: collections.abc.Callable[[], bool] | None = None
-    ) -> events.Command | relay.Notice:
+            self,
+            has_input: collections.abc.Callable[[], bool] | None = None,
+            until_s: float | None = None
+    ) -> events.Command | relay.Notice | None:
         """Waits for the next command or notice.
 
         Args:
             has_input: Returns whether bytes of a target wait to be read.
+            until_s: Monotonic time at which to return None; None: never.
 
         Raises:
             CallerLeftError: The caller left or is too slow.
             errors.PersimmonspanError: The deadline passed, or the scheduler
                 refused the request.
         """
-        message = self._wait(self.remaining_s())
+        wait_s = self.remaining_s()
+        if until_s is not None and until_s - time.monotonic() < wait_s:
+            message = self._wait(max(0.0, until_s - time.monotonic()))
+            if message is None:
+                return None
+        else:
+            message = self._wait(wait_s)
         late_until_s = time.monotonic() + _MAX_LATE_S
         # If this process was paused until after the deadline, the response may
         # have arrived in time, and is not read yet.
--- a/testbed/edge_world.py
+++ b/testbed/edge_world.py
@@ -197,11 +197,16 @@
             wait_until(self.edge.is_ready)
             yield self
 
-    def send_request(self, path, method="POST", body=b"x", **headers):
+    def send_request(self,
+                     path,
+                     method="POST",
+                     body=b"x",
+                     timeout_s=TIMEOUT_S,
+                     **headers):
         """Sends a request; returns status, headers and body."""
         connection = http.client.HTTPConnection(*split_address(
             self.options.listen_address),
-                                                timeout=TIMEOUT_S)
+                                                timeout=timeout_s)
         values = {
             "Host": HOST,
             "X-Attempt-Id": "r1",
