Merge hedged requests, off by default

Cause: a few slow responses dominate the tail, and retry.may_hedge had no caller. A reload before the listener exists leaves the limit of connections alone.

--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -54,6 +54,7 @@
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import forwarding
+from persimmonspan.request import hedging
 from persimmonspan.request import resumption
 from persimmonspan.request import retry
 from persimmonspan.version import routes
@@ -135,6 +136,7 @@
         self._follower: followers.Followers | None = None
         self._notices: start_notices.StartNotices | None = None
         self._retry_daemons = _MIN_RETRY_DAEMONS
+        self._hedge_share = 0.0  # As told to the scheduler.
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
@@ -489,7 +491,8 @@
         }
         self._options = options._replace(**kept)
         self._budget.resize(options.memory_mb)
-        self._server.limit_connections(options.memory_mb, options.max_fds)
+        if self._server is not None:
+            self._server.limit_connections(options.memory_mb, options.max_fds)
         self._send_retry_limits()
         _logger.info("settings reloaded",
                      extra={
@@ -529,6 +532,23 @@
                      })
         self.scheduler.tell(
             events.RetryLimitsChanged(limits.deposit, limits.cap))
+        self._send_hedge_limits()
+
+    def _send_hedge_limits(self) -> None:
+        share = 0.0 if self.is_stopping() else self._options.hedge_share
+        if not share and not self._hedge_share:
+            return
+        self._hedge_share = share
+        retries = self._options.retry
+        max_budget = hedging.limit_budget(
+            retries.burst / self._retry_daemons,
+            retry_limits(retries, self._retry_daemons).cap)
+        _logger.info("hedge limits",
+                     extra={
+                         "share": share,
+                         "max_budget": max_budget
+                     })
+        self.scheduler.tell(events.HedgeLimitsChanged(share, max_budget))
 
     # Methods that start and stop the process.
 
@@ -539,6 +559,7 @@
         address = own_settings.split_address
         with contextlib.ExitStack() as stack:
             stack.callback(self.scheduler.stop)
+            self._send_hedge_limits()
             self._relay.start()
             stack.callback(self._relay.stop)
             self._server = forwarding_listener.make_server(
@@ -598,6 +619,7 @@
             end_process: Called shortly before the end of the grace period.
         """
         self._stop_s = time.monotonic()
+        self._send_hedge_limits()
         planned_stop.run(planned_stop.plan(self._stop_s, self._options.grace_s),
                          self._stop_s + _MIN_STOP_S, self._server,
                          lambda: self._in_flight, self.metrics.count,
--- a/persimmonspan/process/edge_settings.py
+++ b/persimmonspan/process/edge_settings.py
@@ -38,3 +38,6 @@
     # plus the tolerance.
     cold_overrun: float = 1.5
     cold_tolerance: float = 5.0
+    # Extra attempts at targets that operators accept to shorten slow responses,
+    # as a share of the requests of a service; 0: none.
+    hedge_share: float = 0.0
--- a/persimmonspan/process/metrics.py
+++ b/persimmonspan/process/metrics.py
@@ -81,6 +81,10 @@
             "persimmonspan_cold_targets",
             "Targets that get few requests because they have started",
             registry=self.registry)
+        self.hedge_lost_seconds = prometheus_client.Counter(
+            "persimmonspan_hedge_lost_seconds",
+            "Time for which attempts ran that lost to another of their request",
+            registry=self.registry)
         self.first_token = LatencySummary(
             "persimmonspan_first_token_seconds",
             "Time from arrival to the first token")
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -86,6 +86,7 @@
     software_version: str = ""  # Of the targets that may run it, if not empty.
     # From the arrival to the first event; infinite if there is no objective.
     latency_objective_s: float = math.inf
+    may_hedge: bool = False  # It may run at two targets at the same time.
 
 
 class FirstToken(typing.NamedTuple):
@@ -112,6 +113,20 @@
     tokens: int = 0
 
 
+class HedgeDue(typing.NamedTuple):
+    """The first attempt has run for the delay named in its dispatch."""
+
+    request_id: str
+    target: str  # Of the first attempt.
+
+
+class HedgeLimitsChanged(typing.NamedTuple):
+    """The limits of hedged requests changed; see `hedging.set_limits`."""
+
+    share: float
+    max_budget: float
+
+
 class RequestMoved(typing.NamedTuple):
     """A running request continues on the target that holds its copy."""
 
@@ -328,6 +343,8 @@
     attempt: int
     is_hedge: bool = False
     backup: str | None = None  # Target that keeps a copy of its memory.
+    # Time after which `HedgeDue` is to be sent; None: never.
+    hedge_after_s: float | None = None
 
 
 class Evacuate(typing.NamedTuple):
@@ -387,10 +404,11 @@
 
 
 Event = (Arrived | PeerStarted | FirstToken | Progressed | AttemptEnded |
-         RequestMoved | MoveFailed | RequestAbandoned | LoadReported |
-         PeerLoad | TargetsChanged | TargetLeaving | TargetReturned |
-         TargetDied | TargetAlive | RateNamed | TargetClosed | TargetOpened |
-         TargetCold | ColdSharesChanged | DaemonsChanged | QuarantineShared |
-         QuarantineLifted | RetryLimitsChanged | Tick)
+         HedgeDue | HedgeLimitsChanged | RequestMoved | MoveFailed |
+         RequestAbandoned | LoadReported | PeerLoad | TargetsChanged |
+         TargetLeaving | TargetReturned | TargetDied | TargetAlive | RateNamed |
+         TargetClosed | TargetOpened | TargetCold | ColdSharesChanged |
+         DaemonsChanged | QuarantineShared | QuarantineLifted |
+         RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | TargetClassified | Count)
