Reject answers whose status is none of HTTP

Cause: an answer with status 600, 700 or 999 reached callers as an answer, on all three kinds of route; 000 and 099 were rejected by the decoder only. Change: exchange.ResponseReader takes a status above 599 for a broken response. Result: 9 of 21 cases of test_statuses.py failed before (600, 700 and 999 on three routes), none after.

--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -25,6 +25,8 @@
 
 # A response with a larger head is rejected.
 _MAX_HEAD_BYTES = 64 * 1024
+# Above all classes of RFC 9110, section 15. The decoder rejects statuses below.
+_MAX_STATUS = 599
 # Targets may send interim responses (RFC 9110, section 15.2); more are garbage.
 _MAX_INTERIM_RESPONSES = 16
 # Responses to calls between this system and a target are small.
@@ -133,6 +135,10 @@
 
     def _apply_event(self, event: object, parts: list[bytes]) -> None:
         if isinstance(event, h11.Response):
+            if event.status_code > _MAX_STATUS:
+                raise BrokenResponseError(
+                    errors.Code.TARGET_FAILED,
+                    f"status {event.status_code} is none of HTTP")
             self.head = RawResponseHead(
                 event.status_code,
                 tuple((name, value) for name, value in event.headers))
