Add a command that explains where a request would go now

Cause: operators want to know where a request goes and why, without sending it. Change: the readiness server answers /explain by applying the arrival to the scheduler's present state and dropping the result; the command prints it. Result: 4 tests and a doctest; the request reaches no target in them.

--- a/persimmonspan/connection/forwarding_listener.py
+++ b/persimmonspan/connection/forwarding_listener.py
@@ -22,6 +22,7 @@
 from persimmonspan.connection import request_bodies
 from persimmonspan.connection import timed_input
 from persimmonspan.connection import unread_body
+from persimmonspan.process import explain_call
 from persimmonspan.process import logs
 from persimmonspan.request import forwarded
 
@@ -73,6 +74,9 @@
     def exposition(self) -> bytes:
         """Returns the metrics as text."""
 
+    def explain(self, target: str) -> bytes:
+        """Returns where the request of a question would go, as JSON."""
+
     def count(self, reason: str) -> None:
         """Increments a counter."""
 
@@ -264,8 +268,11 @@
         def respond(self) -> None:
             """Responds with the readiness or the metrics of the daemon."""
             status, body = 200, b""
+            target = self.req.uri.decode("latin-1")
             if self.req.path == _METRICS_PATH.encode():
                 body = application.exposition()
+            elif explain_call.is_question(target):
+                status, body = _explain(target, application)
             elif not application.is_ready():
                 status = 503
             self.req.status = _status_line(status)
@@ -283,6 +290,13 @@
     return http_server
 
 
+def _explain(target: str, application: Application) -> tuple[int, bytes]:
+    try:
+        return 200, application.explain(target)
+    except (errors.PersimmonspanError, ValueError) as error:
+        return 400, str(error).encode()
+
+
 def _status_line(status: int) -> bytes:
     try:
         phrase = http.HTTPStatus(status).phrase
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -36,6 +36,7 @@
 from persimmonspan.process import edge_peers
 from persimmonspan.process import edge_settings
 from persimmonspan.process import evacuation_tracker
+from persimmonspan.process import explain_call
 from persimmonspan.process import followers
 from persimmonspan.process import logs
 from persimmonspan.process import metrics
@@ -307,6 +308,11 @@
         """Returns the metrics in the Prometheus text format."""
         return self.metrics.exposition()
 
+    def explain(self, target: str) -> bytes:
+        """Returns where the request of a question would go, as JSON."""
+        return explain_call.answer(target, self._configuration, self.scheduler,
+                                   self._rng)
+
     def count(self, reason: str) -> None:
         """Increments the event counter of a reason."""
         self.metrics.count(reason)
