--- a/persimmonspan/connection/start_notices.py
+++ b/persimmonspan/connection/start_notices.py
@@ -104,7 +104,7 @@
             try:
                 data, source = self._socket.recvfrom(_MAX_DATAGRAM_BYTES)
             except TimeoutError:
-                continue
+                continue  # Time to check whether to stop.
             except OSError as error:
                 _logger.warning("start notices not received",
                                 extra={"reason": str(error)})
--- a/persimmonspan/platform/tests/test_edge.py
+++ b/persimmonspan/platform/tests/test_edge.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
 from persimmonspan.process import scheduler_actor
+from persimmonspan.process import shared_limits
 from testbed import edge_world
 from testbed import replica
 
@@ -325,8 +325,8 @@
             del now_s
             return state.budget.limits
 
-        assert world.edge.scheduler.ask(
-            scheduler_actor.Evaluate(limits)) == edge.retry_limits(retry)
+        assert world.edge.scheduler.ask(scheduler_actor.Evaluate(
+            limits)) == shared_limits.retry_limits(retry)
         assert world.send_request("/other/1")[0] == 404  # At the old address.
 
 
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -49,15 +49,14 @@
 from persimmonspan.process import row_store
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
+from persimmonspan.process import shared_limits
 from persimmonspan.process import stream_origins
 from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import forwarding
-from persimmonspan.request import hedging
 from persimmonspan.request import resumption
-from persimmonspan.request import retry
 from persimmonspan.version import routes
 
 _SEED_BITS = 64
@@ -73,13 +72,6 @@
                    "readiness_address", "peer_address", "store_address")
 # Daemons that joined or left count for shared limits after this time.
 _SHARE_LIMITS_INTERVAL_S = 2.0
-# Number of daemons that share the retry budget until their rows were read.
-_MIN_RETRY_DAEMONS = 8
-# A daemon keeps at least this many tokens: with less it would never retry.
-_MIN_RETRY_CAP = 1.0
-# The daemons together use this part of the budget, so that an uneven spread of
-# requests over them does not exceed it.
-_RETRY_BUDGET_SHARE = 0.6
 # How long a request waits for a daemon that was paused to read the store again.
 _CONFIRMATION_TIMEOUT_S = 2.0
 _CONFIRMATION_CHECK_INTERVAL_S = 0.02
@@ -109,7 +101,7 @@
             self.metrics,
             secrets.randbits(_SEED_BITS),
             share=self._share_quarantine,
-            limits=retry_limits(options.retry),
+            limits=shared_limits.retry_limits(options.retry),
             notify_peers=self._notify_peers,
             announce_start=self._announce_start)
         self._pauses = target_pauses.TargetPauses(self.scheduler.tell,
@@ -131,13 +123,12 @@
                                                      options.store_address)
         self._refusals = refusal_store.RefusalStore(
             platform.open_store, options.store_address, options.name,
-            lambda: self._daemons, self.scheduler.tell, self.metrics.count)
-        self._daemons: tuple[str, ...] = ()
+            lambda: self._limits.daemons, self.scheduler.tell,
+            self.metrics.count)
+        self._limits = shared_limits.SharedLimits(self.scheduler.tell)
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
         self._notices: start_notices.StartNotices | None = None
-        self._retry_daemons = _MIN_RETRY_DAEMONS
-        self._hedge_share = 0.0  # As told to the scheduler.
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
@@ -499,7 +490,7 @@
         self._budget.resize(options.memory_mb)
         if self._server is not None:
             self._server.limit_connections(options.memory_mb, options.max_fds)
-        self._send_retry_limits()
+        self._limits.send(self._options, self.is_stopping())
         _logger.info("settings reloaded",
                      extra={
                          "settings": self._options._asdict(),
@@ -519,42 +510,7 @@
                                      self._peers.address_reads > 1,
                                      self._options.cold_overrun,
                                      self._options.cold_tolerance))
-        if len(daemons) > 1 and daemons != self._daemons:
-            self._daemons = daemons
-            self.scheduler.tell(
-                events.DaemonsChanged(self._options.name, daemons))
-        count = max(_MIN_RETRY_DAEMONS, len(daemons))
-        if count != self._retry_daemons:
-            self._retry_daemons = count
-            self._send_retry_limits()
-
-    def _send_retry_limits(self) -> None:
-        limits = retry_limits(self._options.retry, self._retry_daemons)
-        _logger.info("retry limits",
-                     extra={
-                         "daemons": self._retry_daemons,
-                         "deposit": limits.deposit,
-                         "cap": limits.cap
-                     })
-        self.scheduler.tell(
-            events.RetryLimitsChanged(limits.deposit, limits.cap))
-        self._send_hedge_limits()
-
-    def _send_hedge_limits(self) -> None:
-        share = 0.0 if self.is_stopping() else self._options.hedge_share
-        if not share and not self._hedge_share:
-            return
-        self._hedge_share = share
-        retries = self._options.retry
-        max_budget = hedging.limit_budget(
-            retries.burst / self._retry_daemons,
-            retry_limits(retries, self._retry_daemons).cap)
-        _logger.info("hedge limits",
-                     extra={
-                         "share": share,
-                         "max_budget": max_budget
-                     })
-        self.scheduler.tell(events.HedgeLimitsChanged(share, max_budget))
+        self._limits.set_daemons(daemons, self._options, self.is_stopping())
 
     # Methods that start and stop the process.
 
@@ -565,7 +521,7 @@
         address = own_settings.split_address
         with contextlib.ExitStack() as stack:
             stack.callback(self.scheduler.stop)
-            self._send_hedge_limits()
+            self._limits.send_hedge_limits(self._options, self.is_stopping())
             self._relay.start()
             stack.callback(self._relay.stop)
             self._server = forwarding_listener.make_server(
@@ -625,26 +581,13 @@
             end_process: Called shortly before the end of the grace period.
         """
         self._stop_s = time.monotonic()
-        self._send_hedge_limits()
+        self._limits.send_hedge_limits(self._options, self.is_stopping())
         planned_stop.run(planned_stop.plan(self._stop_s, self._options.grace_s),
                          self._stop_s + _MIN_STOP_S, self._server,
                          lambda: self._in_flight, self.metrics.count,
                          end_process)
 
 
-def retry_limits(budget: edge_settings.RetryBudget,
-                 daemons: int = _MIN_RETRY_DAEMONS) -> retry.Limits:
-    """Returns this daemon's share of the retry budget of all daemons.
-
-    >>> retry_limits(edge_settings.RetryBudget(0.2, 10.0, 80.0))
-    Limits(deposit=0.12, cap=6.0, initial=6.0)
-    >>> retry_limits(edge_settings.RetryBudget(0.2, 10.0, 430.0), 195).cap
-    1.323076923076923
-    """
-    cap = max(_MIN_RETRY_CAP, _RETRY_BUDGET_SHARE * budget.burst / daemons)
-    return retry.Limits(_RETRY_BUDGET_SHARE * budget.ratio, cap, cap)
-
-
 def _to_target(entry: directory.Registration,
                service: routes.Service) -> events.Target:
     engine = service.engine
--- a/persimmonspan/process/tests/test_retry_share.py
+++ b/persimmonspan/process/tests/test_retry_share.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
+from persimmonspan.process import shared_limits
 from persimmonspan.request import events
 from persimmonspan.request import retry
 from persimmonspan.request import scheduler
@@ -16,8 +16,8 @@
 @pytest.mark.parametrize("daemons", [8, 67, 195, 331])
 def test_first_failures_at_all_daemons_stay_within_the_burst(daemons):
     # Each of 195 daemons took an eighth of the burst for its own.
-    limits = edge.retry_limits(edge_settings.RetryBudget(0.2, 10.0, _BURST),
-                               daemons)
+    limits = shared_limits.retry_limits(
+        edge_settings.RetryBudget(0.2, 10.0, _BURST), daemons)
     state = retry.State(limits=limits)
     retries = 0
     while True:
--- a/persimmonspan/request/tests/test_evacuated_domains.py
+++ b/persimmonspan/request/tests/test_evacuated_domains.py
@@ -14,8 +14,8 @@
     events.Target(f"e{number:02}", "engines", f"10.0.0.{number}:80", "abc"[
         number % 3], 27_000, 24) for number in range(36))
 _DESKS = tuple(
-    events.Target(f"p{zone}", "desk", f"10.0.1.{number}:80", zone, 0, 6)
-    for number, zone in enumerate("abc"))
+    events.Target(f"p{domain}", "desk", f"10.0.1.{number}:80", domain, 0, 6)
+    for number, domain in enumerate("abc"))
 _DOMAINS = {item.name: item.failure_domain for item in _ENGINES + _DESKS}
 _KINDS = (events.KindPolicy("long", "engines", 1.0, False, True, 39.0),
           events.KindPolicy("call", "desk", 1.0, True, False, 3.0),
--- a/persimmonspan/request/tests/test_hedging.py
+++ b/persimmonspan/request/tests/test_hedging.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies
 import pytest
 
-from persimmonspan.process import edge
 from persimmonspan.process import edge_settings
+from persimmonspan.process import shared_limits
 from persimmonspan.request import events
 from persimmonspan.request import hedging
 from persimmonspan.request import scheduler
@@ -187,7 +187,7 @@
 def test_retries_and_hedges_of_all_daemons_stay_within_the_burst(
         burst, daemons):
     budget = edge_settings.RetryBudget(0.2, 10.0, burst)
-    cap = edge.retry_limits(budget, daemons).cap
+    cap = shared_limits.retry_limits(budget, daemons).cap
     extra = hedging.limit_budget(burst / daemons, cap)
     assert (cap + extra) * daemons <= burst + 1e-9
 
