--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -180,12 +180,8 @@
     return tokens / target.kv_capacity_tokens
 
 
-def fits(item: load_view.TargetView,
-         profile: load_view.Profile,
-         is_long: bool,
-         peers: int,
-         now_s: float,
-         is_late: bool = False) -> bool:
+def fits(item: load_view.TargetView, profile: load_view.Profile, is_long: bool,
+         peers: int, now_s: float) -> bool:
     """Returns whether a target has room for a request.
 
     Args:
@@ -194,7 +190,6 @@
         is_long: Whether it belongs to the long class.
         peers: Number of peers that send to the same targets.
         now_s: Current time.
-        is_late: Whether it misses its latency objective in any case.
     """
     target = item.target
     # A daemon may always use an equal part of the slots, and the slots that its
@@ -206,15 +201,13 @@
     if not target.kv_capacity_tokens:
         return True
     prefill = unread_tokens(item, now_s)
-    if is_late and prefill > 0:
-        return False
     if (prefill > 0 and prefill + profile.mean[0]
             > _MAX_PREFILL_SHARE * target.kv_capacity_tokens):
         return False
     if is_long and not _has_free_long_slot(item, target, now_s):
         return False
     limit = _USABLE_SHARE * target.kv_capacity_tokens
-    if is_long or is_late:
+    if is_long:
         limit -= _SHORT_RESERVE_SHARE * target.kv_capacity_tokens
     age_s = min(_MAX_REPORT_AGE_S, now_s - item.reported_s)
     if peers and age_s > _MAX_TRUSTED_REPORT_AGE_S:
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -127,7 +127,6 @@
     excluded: tuple[str, ...] = ()
     allowed: tuple[str, ...] = ()
     software_version: str = ""  # Empty if any may run it.
-    is_late: bool = False  # It gets only what requests in time leave.
     first_event_by_s: float = math.inf
 
     def accepts(self, target: events.Target) -> bool:
@@ -196,8 +195,7 @@
         demand *= _ENGINE_DEMAND_FACTOR
     for position, name in enumerate(spread(ranked, demand, rng)):
         item = view.targets[name]
-        if not admission.fits(item, query.profile, query.is_long, peers, now_s,
-                              query.is_late):
+        if not admission.fits(item, query.profile, query.is_long, peers, now_s):
             continue
         if position and expected_starts and item.target.kv_capacity_tokens:
             # Few targets have room, and all daemons see the same ones.
--- a/persimmonspan/request/explanation.py
+++ b/persimmonspan/request/explanation.py
@@ -95,6 +95,6 @@
         ("cold", not cold_targets.may_send(state.cold, target.name, now_s)),
         ("hung", health.weight(state.health_state, target.name) == 0.0),
         ("no_room", not admission.fits(target_view, item.profile, item.is_long,
-                                       peers, now_s, item.is_late)),
+                                       peers, now_s)),
     )
     return next((name for name, holds in checks if holds), "")
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -47,10 +47,6 @@
 _MAX_AVOID_S = 8.0
 _PLAIN_SERVICE_WORK = 1.0
 _EXPECTED_FIRST_TOKEN_S = 0.5
-# Prompt tokens that an engine reads a second between the tokens of others, and
-# time that the first token takes beside that.
-_PREFILL_TOKENS_PER_S = 7000.0
-_PREFILL_MARGIN_S = 0.1
 _SHORT_PRIORITY = 0
 _LONG_PRIORITY = 1
 _DEFAULT_WORTH = 1.0
@@ -138,21 +134,13 @@
         arrived.deadline_s - _EXPECTED_FIRST_TOKEN_S -
         token_interval_s * tokens, now_s + _MIN_WAIT_SHARE * time_s)
     return queueing.QueuedRequest(
-        arrived,
-        now_s,
-        min(latest_start_s, arrived.deadline_s, arrived.latest_start_s),
-        not is_short,
+        arrived, now_s,
+        min(latest_start_s, arrived.deadline_s,
+            arrived.latest_start_s), not is_short,
         admission.build_initial_profile(forecast, arrived.prompt_tokens,
                                         arrived.max_output_tokens),
         forecast.work + arrived.prompt_tokens *
-        (1 + forecast.work_per_prompt_token),
-        worth,
-        timely_start_s=_timely_start_s(arrived, now_s))
-
-
-def _timely_start_s(arrived: events.Arrived, now_s: float) -> float:
-    return (now_s + arrived.latency_objective_s - _PREFILL_MARGIN_S -
-            arrived.prompt_tokens / _PREFILL_TOKENS_PER_S)
+        (1 + forecast.work_per_prompt_token), worth)
 
 
 def _lane_forecast(state: State, arrived: events.Arrived,
@@ -198,8 +186,7 @@
                                allowed,
                                arrived.software_version,
                                first_event_by_s=item.arrived_s +
-                               arrived.latency_objective_s,
-                               is_late=item.is_late)
+                               arrived.latency_objective_s)
     rules = target_constraints(state)
     target = choice.choose_target(state.view, query, rules, now_s, rng)
     if target is None:
--- a/persimmonspan/request/queueing.py
+++ b/persimmonspan/request/queueing.py
@@ -40,7 +40,6 @@
 
     SHORT = 0
     LONG = 1
-    LATE = 2  # They miss their latency objective in any case.
 
 
 OrderKey = tuple[str, Group]
@@ -60,7 +59,6 @@
 _AGEING_FACTOR = 1.0
 _RETRY_AFTER_RANGE_S = (1.0, 60.0)
 _RETRY_JITTER = 0.25
-_LATE_SUFFIX = "/late"  # Of the lanes of late requests.
 
 
 class QueuedRequest(typing.NamedTuple):
@@ -77,22 +75,16 @@
     is_not_run: bool = True  # No attempt can have run.
     slot: int = 0
     is_repeat: bool = False  # The caller repeats a failed request.
-    # Start after which the response cannot be within its latency objective.
-    timely_start_s: float = math.inf
-    is_late: bool = False  # It did not start by then.
 
     @property
     def lane_key(self) -> LaneKey:
         """Returns the lane of the request."""
         arrived = self.arrived
-        kind = arrived.kind + _LATE_SUFFIX if self.is_late else arrived.kind
-        return arrived.service, arrived.workspace, kind
+        return arrived.service, arrived.workspace, arrived.kind
 
     @property
     def order_key(self) -> OrderKey:
         """Returns the service and group in which its lane is ordered."""
-        if self.is_late:
-            return self.arrived.service, Group.LATE
         return (self.arrived.service,
                 Group.LONG if self.is_long else Group.SHORT)
 
@@ -177,31 +169,6 @@
                                                 Lane(items, head, lane.tail)))
 
 
-def defer_late(queue: Queue, now_s: float) -> Queue:
-    """Moves requests that miss their latency objective to lanes of their own.
-
-    The load: engines are too few for a crest. Requests that wait in arrival
-    order would then all start a little too late.
-    """
-    late = [
-        item for lane in queue.lanes.values()
-        for item in _late_heads(queue, lane, now_s)
-    ]
-    for item in late:
-        queue = remove_and_rescore(queue, item, now_s)
-        queue = push(queue, item._replace(is_late=True), now_s)
-    return queue
-
-
-def _late_heads(queue: Queue, lane: Lane,
-                now_s: float) -> typing.Iterator[QueuedRequest]:
-    for slot in sorted(lane.items):
-        item = queue.requests[lane.items[slot]]
-        if item.is_late or now_s <= item.timely_start_s:
-            return
-        yield item
-
-
 def find_next(queue: Queue, order: OrderKey, skip: int) -> QueuedRequest | None:
     """Returns the head of the best-scored lane after skipping `skip` lanes."""
     for _, key in queue.ranked_lanes.get(order, ()):
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -459,7 +459,6 @@
       rng: random.Random) -> Result:
     del event
     queue, expired = queueing.remove_expired(state.queue, now_s)
-    queue = queueing.defer_late(queue, now_s)
     services = state.view.groups
     state = state._replace(
         view=load_view.forget_silent_peers(state.view, now_s),
