--- a/persimmonspan/process/load_view.py
+++ b/persimmonspan/process/load_view.py
@@ -237,7 +237,7 @@
     Requests that wait at peers are placed as soon as a target has room.
     """
     expected = 0.0
-    is_noticed = has_notices(view, now_s)
+    is_noticed = now_s - view.noticed_s <= _NOTICES_EXPIRY_S
     for peer in view.peers.values():
         unseen_s = _NOTICE_DELAY_S if is_noticed else _DIGEST_DELAY_S
         if peer.is_sum and not is_noticed:
@@ -263,11 +263,6 @@
                       ((now_s - event.age_s, event.prefill_tokens),)))
 
 
-def has_notices(view: View, now_s: float) -> bool:
-    """Returns whether peers tell each start at once."""
-    return now_s - view.noticed_s <= _NOTICES_EXPIRY_S
-
-
 def noticed_tokens(item: TargetView, now_s: float) -> int:
     """Returns the prompt tokens of starts that no digest tells yet."""
     return sum(tokens for at_s, tokens in item.notices
--- a/persimmonspan/request/admission.py
+++ b/persimmonspan/request/admission.py
@@ -58,9 +58,6 @@
 # Weight of the tokens not yet prefilled: they delay short requests by more than
 # the memory that they use.
 _PREFILL_WEIGHT = 3.0
-# The same where peers tell each start at once. What waits is then known well
-# enough to be avoided, also at the price of memory.
-_NOTICED_PREFILL_WEIGHT = 8.0
 # An older load report does not show whether the engine has a queue now.
 _MAX_TRUSTED_REPORT_AGE_S = 2.0
 # Usable memory falls linearly with the age of the load report, at most by this
@@ -142,20 +139,9 @@
             load_view.noticed_tokens(item, now_s))
 
 
-def estimate_use(item: load_view.TargetView,
-                 is_long: bool,
-                 peers: int,
-                 now_s: float,
-                 has_notices: bool = False) -> float:
-    """Estimates which share of a target is in use, to rank targets.
-
-    Args:
-        item: The target.
-        is_long: Whether it is ranked for a request of the long class.
-        peers: Number of peers that send to the same targets.
-        now_s: Time.
-        has_notices: Whether peers tell each start at once.
-    """
+def estimate_use(item: load_view.TargetView, is_long: bool, peers: int,
+                 now_s: float) -> float:
+    """Estimates which share of a target is in use, to rank targets."""
     target = item.target
     if not target.kv_capacity_tokens:
         return (item.running + item.peers_running) / target.max_running
@@ -164,8 +150,7 @@
               peers * load_view.recent_tokens(item, now_s))
     prefill = unread_tokens(item, now_s)
     if not is_long or prefill:
-        weight = _NOTICED_PREFILL_WEIGHT if has_notices else _PREFILL_WEIGHT
-        tokens += weight * prefill
+        tokens += _PREFILL_WEIGHT * prefill
     return tokens / target.kv_capacity_tokens
 
 
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -213,7 +213,6 @@
     """Returns targets ordered by weighted use, and one to probe, if due."""
     ranked: list[tuple[float, str]] = []
     peers = len(view.peers)
-    has_notices = load_view.has_notices(view, now_s)
     may_probe = query.is_idempotent and not query.is_long
     for name in names:
         if name in rules.leaving or name in query.excluded:
@@ -237,8 +236,7 @@
                 continue
         if rules.budget.send_weights:
             weight *= retry.send_weight(rules.budget, name, now_s)
-        use = admission.estimate_use(item, query.is_long, peers, now_s,
-                                     has_notices)
+        use = admission.estimate_use(item, query.is_long, peers, now_s)
         ranked.append((use / weight, name))
     ranked.sort()
     return ranked, None
--- a/persimmonspan/request/explanation.py
+++ b/persimmonspan/request/explanation.py
@@ -69,10 +69,8 @@
     peers = len(state.view.peers)
     return TargetReport(
         target.name, target.failure_domain,
-        round(
-            admission.estimate_use(target_view, item.is_long, peers, now_s,
-                                   load_view.has_notices(state.view, now_s)),
-            3), str(target_speeds.class_of(state.speeds, target.name)),
+        round(admission.estimate_use(target_view, item.is_long, peers, now_s),
+              3), str(target_speeds.class_of(state.speeds, target.name)),
         round(health.weight(state.health_state, target.name), 2),
         _find_obstacle(state, target_view, item, now_s))
 
