--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A planned stop while a client that reads slowly takes the end of a stream."""
+"""Clients that read slowly take their streams after a change of the settings."""
 
 import asyncio
 import pathlib
@@ -12,9 +12,10 @@
 
 import world as stand_ins  # noqa: E402  pylint: disable=wrong-import-position
 
-GRACE_S = 8.0
+# The requests are sent within `configApplyMs` after the SIGHUP.
+SENT_AFTER_S = 0.5
 PIECE_BYTES = 1500
-EVENTS = 109
+EVENTS = 160
 BYTES_PER_S = 12_000
 STEP_S = 0.1
 
@@ -51,28 +52,27 @@
 
 
 async def case(world, trouble):
+    world.memory_mb = 300
     await world.start(engines=6, desks=3, daemons=3)
     world.piece_bytes = PIECE_BYTES
-    stopped = world.daemons[0]
+    daemon = world.daemons[0]
     names = [f"draft-{number:04}" for number in range(4)]
-    clients = [
-        asyncio.create_task(
-            read_slowly(world, stopped, name, BYTES_PER_S if trouble else 10**7))
-        for name in names
-    ]
-    while len(world.ends) < len(names):
-        await asyncio.sleep(0.02)
     if trouble:
-        stopped.process.send_signal(signal.SIGTERM)
-        world.record.add("SIGTERM to", stopped.name)
-    whole = await asyncio.gather(*clients)
+        world.record.add("settings of", daemon.name, "change; SIGHUP")
+        daemon.write_settings(seedNodes=["127.0.0.1:8748"])
+        daemon.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(SENT_AFTER_S)
+    whole = await asyncio.gather(*(
+        read_slowly(world, daemon, name, BYTES_PER_S if trouble else 10**7)
+        for name in names))
     cut = [name for name, is_whole in zip(names, whole) if not is_whole]
     world.record.add("cut:", cut)
     if cut and trouble:
         return [
-            f"LOST: {len(cut)} of {len(names)} requests of {stopped.name} ended "
-            "without a complete answer after its SIGTERM, although their "
-            "replica had ended and their clients went on reading"
+            f"LOST: {len(cut)} of {len(names)} requests of {daemon.name}, sent "
+            f"{SENT_AFTER_S:g} s after its SIGHUP, ended without a complete "
+            "answer, although their replicas had ended and their clients went "
+            "on reading"
         ]
     return ["requests were cut without a disruption"] if cut else []
 
