--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A request with two lengths, and what its body holds."""
+"""A draft that crashes each engine that runs it is handed on and on."""
 
 import asyncio
 import pathlib
@@ -9,64 +9,64 @@
 
 import world as stand_ins  # noqa: E402  pylint: disable=wrong-import-position
 
+POISON = "poison-0001"
+# An engine crashes so long after it has begun to run the request, and is back
+# so much later, under the same id.
+CRASH_AFTER_S = 2.5
+BACK_AFTER_S = 2.0
+STABILITY_S = 3.0
+MAX_RETRIES = 3
 
-async def send(world, daemon, data, wait_s=1.5):
-    """Sends bytes on a new connection; returns the statuses that come back."""
-    reader, writer = await asyncio.open_connection(stand_ins.IP, daemon.port)
-    writer.write(data)
-    received = b""
-    try:
-        async with asyncio.timeout(wait_s):
-            while part := await reader.read(65536):
-                received += part
-    except (TimeoutError, ConnectionError):
-        pass
-    writer.close()
-    statuses = [
-        int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]
-    ]
-    world.record.add("answers on this connection:", statuses)
-    return statuses
 
+async def case(world, trouble):
+    await world.start(engines=6, desks=3, daemons=3)
+    crashes = []
 
-def outer(name, lengths, body):
-    """Returns one request whose body holds another one as its data."""
-    data = stand_ins.encode_request(stand_ins.POST, name, body, 4000)
-    head, _, body = data.partition(b"\r\n\r\n")
-    lines = [
-        line for line in head.split(b"\r\n")
-        if not line.lower().startswith(b"content-length")
-    ]
-    lines += [b"Content-Length: %d" % length for length in lengths]
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    def began(replica, request_id, body):
+        if trouble and b"poison" in body:
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, crash, replica,
+                                                  request_id)
 
+    def crash(replica, request_id):
+        if request_id not in replica.runs:
+            return
+        replica.crash(f"it runs {request_id}")
+        crashes.append(world.record.now())
+        tasks.add(asyncio.create_task(replica.restart(BACK_AFTER_S)))
 
-async def case(world, trouble):
-    await world.start(engines=2, desks=3, daemons=3)
-    sent = []
-    for number in range(6):
-        hidden = f"hidden-{number:04}"
-        # A booking that a tenant passes on as a text.
-        body = stand_ins.encode_request(
-            stand_ins.POST if number % 2 else stand_ins.READ, hidden, b"", 4000)
-        name = f"outer-{number:04}"
-        sent.append(name)
-        lengths = (len(body), 0) if trouble else (len(body),)
-        world.record.add("client sends", name, "with the lengths", lengths,
-                         "and a body of", len(body), "bytes that holds", hidden)
-        await send(world, world.daemons[number % 3],
-                   outer(name, lengths, body))
-    run = sorted({
-        item[1] for item in world.arrivals if item[1].startswith("hidden")
-    })
-    world.record.add("requests that replicas ran and no client sent:", run)
+    tasks = set()
+    world.on_begin = began
+    request = asyncio.create_task(
+        stand_ins.ask(world, world.daemons[0], stand_ins.DRAFT, POISON,
+                      b"events=1000;poison", 39000))
+    sound = []
+    # Two a second, as on the sheet.
+    while not request.done():
+        number = len(sound)
+        sound.append(
+            asyncio.create_task(
+                stand_ins.ask(world, world.daemons[number % 3], stand_ins.DRAFT,
+                              f"sound-{number:04}", b"events=100;", 39000)))
+        await asyncio.wait([request], timeout=0.5)
+    others = await asyncio.gather(*sound)
+    arrivals = [item[0] for item in world.arrivals if item[1] == POISON]
+    world.record.add("the request reached replicas", len(arrivals),
+                     "times and crashed", len(crashes))
+    lost = [item for item in others if not item.is_complete]
+    world.record.add("sound drafts that were cut:", len(lost), "of",
+                     len(others))
     if not trouble:
-        whole = {item[1] for item in world.arrivals} == set(sent)
-        return [] if whole and not run else ["the requests did not run as sent"]
-    if run:
+        return ["a draft was cut without a disruption"] if lost else []
+    if len(crashes) < 3:
+        return []
+    late = [at_s for at_s in arrivals[1:] if at_s > crashes[2] + STABILITY_S]
+    world.record.add("retries later than 3 s after its third crash:", len(late))
+    if len(late) > MAX_RETRIES:
         return [
-            f"UNASKED: replicas ran {len(run)} requests that were smuggled "
-            f"inside {len(sent)} others"
+            f"BUDGET: {len(late)} retries of a request later than "
+            f"{STABILITY_S:g} s after it had crashed its third replica; "
+            f"{len(crashes)} crashes, {len(lost)} of {len(others)} sound "
+            "drafts cut"
         ]
     return []
 
