--- a/review/10/case.py
+++ b/review/10/case.py
@@ -27,7 +27,8 @@
             stand_ins.ask(world, stopped, stand_ins.CHECK, name,
                           f"events={EVENTS};".encode(), 6000)) for name in names
     ]
-    while sum(run.events >= 3 for engine in world.engines
+    while sum(run.events >= 3
+              for engine in world.engines
               for run in engine.runs.values()) < CHECKS:
         await asyncio.sleep(0.01)
     stop_s = world.record.now()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -43,7 +43,8 @@
     if not trouble:
         return [
             f"request {number} got no complete answer"
-            for number, answer in enumerate(answers) if not answer.is_complete
+            for number, answer in enumerate(answers)
+            if not answer.is_complete
         ]
     if len(crashes) < 3:
         return []
--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -142,8 +142,8 @@
             document = json.loads(body)
             async with self.changed:
                 for row in document["expectedRevision"]:
-                    held = self.tables.get(row["tableName"], {}).get(
-                        row["key"], (None, 0))
+                    held = self.tables.get(row["tableName"],
+                                           {}).get(row["key"], (None, 0))
                     if (held[1] if held[0] is not None else
                             0) != row["schemaVersion"]:
                         return 412, {"rows": []}
@@ -158,8 +158,9 @@
         since = int(query.get("sinceRevision", 0))
 
         def rows():
-            return [(key, data, version) for key, (data, version) in sorted(
-                self.tables.get(query["tableName"], {}).items())
+            return [(key, data, version)
+                    for key, (data, version) in sorted(
+                        self.tables.get(query["tableName"], {}).items())
                     if (version > since if is_feed else data is not None)]
 
         async with self.changed:
@@ -234,8 +235,7 @@
         return task
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, IP,
-                                                  self.port)
+        self._server = await asyncio.start_server(self._serve, IP, self.port)
         self.is_up = True
         self.spawn(self._beat())
 
@@ -376,8 +376,8 @@
         if target == "/healthz":
             writer.write(
                 response(200 if self.state == "ready" else 503,
-                         (("X-Instance-Id", self.id), ("X-Instance-Load",
-                                                       self._load()))))
+                         (("X-Instance-Id", self.id),
+                          ("X-Instance-Load", self._load()))))
             return True
         if target == "/kv-move":
             await self._move(json.loads(body), writer)
@@ -403,11 +403,12 @@
         handle = f"h-{self.number}-{run.request_id}"
         other.copies[f"{self.address}/{handle}"] = run.events
         writer.write(
-            response(200, (("Content-Type", "application/json"),),
-                     json.dumps({
-                         "session": handle,
-                         "created": run.events
-                     }).encode()))
+            response(
+                200, (("Content-Type", "application/json"),),
+                json.dumps({
+                    "session": handle,
+                    "created": run.events
+                }).encode()))
         self.record.add("replica", self.id, "has copied", document["id"])
 
     async def _run_request(self, method, target, headers, body, reader, writer):
@@ -421,8 +422,9 @@
             (self.record.now(), request_id, self.id, headers))
         if headers.get("x-expected-instance", self.id) != self.id:
             writer.write(
-                response(421, [*base, ("X-Instance-Id", self.id),
-                               ("X-Not-Executed", "1")]))
+                response(421, [
+                    *base, ("X-Instance-Id", self.id), ("X-Not-Executed", "1")
+                ]))
             return True
         kv_from = headers.get("kv-from")
         if kv_from is not None:
@@ -436,8 +438,9 @@
         if len(self.runs) >= self.slots:
             writer.write(response(503, [*base, ("X-Not-Executed", "1")]))
             return True
-        work = (self._stream if target.startswith((DRAFT, CHECK)) else
-                self._plain)(request_id, headers, body, writer, base)
+        work = (self._stream if target.startswith(
+            (DRAFT, CHECK)) else self._plain)(request_id, headers, body, writer,
+                                              base)
         task = self.spawn(work)
         run = self.runs[request_id] = Run(request_id, task, writer)
         if "x-kv-backup" in headers:
@@ -507,7 +510,8 @@
         self.world.began(self, request_id, body)
         await asyncio.sleep(0.09)
         writer.write(
-            response(200, [*base, ("X-Response-Signature", f"sig.{request_id}")],
+            response(200,
+                     [*base, ("X-Response-Signature", f"sig.{request_id}")],
                      request_id.encode() * 20))
         await writer.drain()
 
@@ -530,13 +534,27 @@
         } | more
 
     return {
-        "version":
-            version,
+        "version": version,
         "routes": [
-            route("r-draft", DRAFT, "streaming", 39000, 1800, ENGINES,
-                  sticky=True, resumable=False, interTokenMs=180),
-            route("r-check", CHECK, "streaming", 6000, 1500, ENGINES,
-                  sticky=True, resumable=True, interTokenMs=180, maxAttempts=2),
+            route("r-draft",
+                  DRAFT,
+                  "streaming",
+                  39000,
+                  1800,
+                  ENGINES,
+                  sticky=True,
+                  resumable=False,
+                  interTokenMs=180),
+            route("r-check",
+                  CHECK,
+                  "streaming",
+                  6000,
+                  1500,
+                  ENGINES,
+                  sticky=True,
+                  resumable=True,
+                  interTokenMs=180,
+                  maxAttempts=2),
             route("r-post", POST, "non_idempotent", 4000, 400, DESK),
             route("r-read", READ, "idempotent", 4000, 400, DESK, maxAttempts=2)
         ],
@@ -597,40 +615,80 @@
 
     def settings(self):
         bounds = {
-            "seedLagS": 3, "reuseAfterS": 2, "stabilityMs": 3000,
-            "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8,
-            "lossSlackMs": 200, "configApplyMs": 2000, "downgradeSlackMs": 250,
-            "outerMs": 5000, "strictRevocation": False, "revokeMs": 5000,
-            "retryBudgetRatio": 0.2, "retryWindowS": 10, "retryBurst": 54,
-            "recoveryS": 12, "iterationMs": 120, "reuseWindowS": 4.4
+            "seedLagS": 3,
+            "reuseAfterS": 2,
+            "stabilityMs": 3000,
+            "ackMs": 4000,
+            "catchUpS": 4,
+            "drainMs": 2000,
+            "graceS": 8,
+            "lossSlackMs": 200,
+            "configApplyMs": 2000,
+            "downgradeSlackMs": 250,
+            "outerMs": 5000,
+            "strictRevocation": False,
+            "revokeMs": 5000,
+            "retryBudgetRatio": 0.2,
+            "retryWindowS": 10,
+            "retryBurst": 54,
+            "recoveryS": 12,
+            "iterationMs": 120,
+            "reuseWindowS": 4.4
         }
         return {
-            "nodeName": self.name, "role": "edge", "machineClass": "edge",
-            "serves": ["edge"], "ip": IP, "zone": self.zone,
+            "nodeName": self.name,
+            "role": "edge",
+            "machineClass": "edge",
+            "serves": ["edge"],
+            "ip": IP,
+            "zone": self.zone,
             "region": "lima",
-            "zones": {f"lima-{item}": "lima" for item in "abc"},
+            "zones": {
+                f"lima-{item}": "lima" for item in "abc"
+            },
             "listenersMap": {
                 "frontend": f"{IP}:{self.port}",
                 "readiness": f"{IP}:{self.readiness_port}"
             },
             "portRange": [self.peer_port, self.peer_port],
-            "seedNodes": [], "bootstrap": True, "faultCounted": False,
+            "seedNodes": [],
+            "bootstrap": True,
+            "faultCounted": False,
             "limits": {
-                "cpuFraction": 0.537, "cpuCores": 2, "memoryMb": self.world.memory_mb,
-                "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0
+                "cpuFraction": 0.537,
+                "cpuCores": 2,
+                "memoryMb": self.world.memory_mb,
+                "maxFds": 4100,
+                "linkMbps": 1000.0,
+                "diskMb": 0
+            },
+            "dataDir": None,
+            "discovery": "platform",
+            "entryPoint": "virtual_ip",
+            "heartbeatMs": 1200,
+            "contracts": [
+                "base", "drain", "config", "cost", "retry", "recover", "engine",
+                "stream", "tenants", "platform"
+            ],
+            "faultTolerance": {
+                "machines": 2,
+                "zones": 0,
+                "regions": 0
             },
-            "dataDir": None, "discovery": "platform",
-            "entryPoint": "virtual_ip", "heartbeatMs": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover",
-                          "engine", "stream", "tenants", "platform"],
-            "faultTolerance": {"machines": 2, "zones": 0, "regions": 0},
             "bounds": bounds,
             "platform": {
-                "address": self.world.store.address, "form": "table",
-                "writesPerS": 400, "readsPerS": 2000, "txMs": 5.0,
-                "partitionWritesS": 200, "rowBytes": 65536,
-                "crossShard": False, "retentionS": 20, "blobBytes": 8388608,
-                "blobMs": 25.0, "blobBwS": 80.0
+                "address": self.world.store.address,
+                "form": "table",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "txMs": 5.0,
+                "partitionWritesS": 200,
+                "rowBytes": 65536,
+                "crossShard": False,
+                "retentionS": 20,
+                "blobBytes": 8388608,
+                "blobMs": 25.0,
+                "blobBwS": 80.0
             }
         }
 
@@ -653,8 +711,13 @@
         }
         with open(self.world.folder / f"{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "python3", "-m", "persimmonspan.platform", cwd=ROOT,
-                env=environment, stdout=log, stderr=log)
+                "python3",
+                "-m",
+                "persimmonspan.platform",
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log)
         end_s = time.monotonic() + 15
         while not await self.is_ready():
             if time.monotonic() > end_s or self.process.returncode is not None:
@@ -705,8 +768,8 @@
         self.on_begin(replica, request_id, body)
 
     def replica_at(self, address):
-        return next(
-            (item for item in self.replicas if item.address == address), None)
+        return next((item for item in self.replicas if item.address == address),
+                    None)
 
     def move_s(self, source, other):
         """A move takes twice as long between zones."""
@@ -749,13 +812,19 @@
     @property
     def event_ids(self):
         return [
-            int(line[3:]) for line in self.body.decode().split("\n")
+            int(line[3:])
+            for line in self.body.decode().split("\n")
             if line.startswith("id:")
         ]
 
 
-def encode_request(path, request_id, body, deadline_ms, prompt="1460,940",
-                   parts="5c1e07a2:800,e4402b7d:250", **more):
+def encode_request(path,
+                   request_id,
+                   body,
+                   deadline_ms,
+                   prompt="1460,940",
+                   parts="5c1e07a2:800,e4402b7d:250",
+                   **more):
     headers = {
         "Host": HOST,
         "X-Attempt-Id": request_id,
@@ -777,8 +846,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def ask(world, daemon, path, request_id, body=b"", deadline_ms=4000,
-              leave=None, **more):
+async def ask(world,
+              daemon,
+              path,
+              request_id,
+              body=b"",
+              deadline_ms=4000,
+              leave=None,
+              **more):
     """Sends a request on a new connection; returns what the client sees.
 
     `leave` is a future after which the client closes its connection.
@@ -790,17 +865,19 @@
     record.add("client sends", request_id, path, "to", daemon.name)
     work = asyncio.create_task(_read_answer(reader, answer))
     waits = {work} | ({leave} if leave is not None else set())
-    await asyncio.wait(waits, timeout=deadline_ms / 1000 + 1,
+    await asyncio.wait(waits,
+                       timeout=deadline_ms / 1000 + 1,
                        return_when=asyncio.FIRST_COMPLETED)
     if not work.done():
         answer.end = "client left"
         work.cancel()
     await asyncio.gather(work, return_exceptions=True)
     writer.close()
-    record.add("client of", request_id, "got", answer.status or "no status",
-               "complete" if answer.is_complete else "incomplete",
-               f"{len(answer.event_ids)} events" if answer.body.startswith(
-                   b"id:") else f"{len(answer.body)} bytes", answer.end)
+    record.add(
+        "client of", request_id, "got", answer.status or "no status",
+        "complete" if answer.is_complete else "incomplete",
+        f"{len(answer.event_ids)} events" if answer.body.startswith(b"id:") else
+        f"{len(answer.body)} bytes", answer.end)
     return answer
 
 
