--- a/persimmonspan/platform/wire.py
+++ b/persimmonspan/platform/wire.py
@@ -135,13 +135,25 @@
         request_id: Id of the request as its caller sent it.
         to_address: Address of the other replica.
     """
-    return exchange.Request(
-        "POST", "/kv-move",
-        ((b"Host", b"replica"), (b"Content-Type", b"application/json")),
-        msgspec.json.encode({
-            "id": request_id,
-            "to": to_address
-        }))
+    return _encode_move({"id": request_id, "to": to_address})
+
+
+def encode_stop(request_id: str, to_address: str) -> exchange.Request:
+    """Encodes a call that stops a run and then copies it to another replica.
+
+    Args:
+        request_id: Id of the request as its caller sent it.
+        to_address: Address of the other replica. The run stops also if this
+            one cannot take the copy; the handle then names the stopped run.
+    """
+    return _encode_move({"id": request_id, "to": to_address, "latest": True})
+
+
+def _encode_move(document: dict[str, str | bool]) -> exchange.Request:
+    return exchange.Request("POST", "/kv-move",
+                            ((b"Host", b"replica"),
+                             (b"Content-Type", b"application/json")),
+                            msgspec.json.encode(document))
 
 
 def decode_move(head: exchange.RawResponseHead,
@@ -165,7 +177,14 @@
     leaves_ms: float | None = None
 
 
+class _RunList(msgspec.Struct):
+    waiting: int = 0
+    # Each is an id, tokens in memory, events made, and a priority.
+    executions: list[tuple[str, float, int, float]] | None = None
+
+
 _report_decoder = decoding.JsonDecoder(_Report)
+_run_list_decoder = decoding.JsonDecoder(_RunList)
 _DRAINING = "draining"
 
 
@@ -185,6 +204,23 @@
     return report.state == _DRAINING or report.leaves_ms is not None
 
 
+def decode_run(head: exchange.RawResponseHead, body: bytes,
+               request_id: str) -> forwarded.RunReport | None:
+    """Decodes what a replica's report says of a run; None if it says nothing.
+    """
+    if head.status != http.HTTPStatus.OK:
+        return None
+    try:
+        runs = _run_list_decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    if runs.executions is None:
+        return None
+    made_events = (
+        made for name, _, made, _ in runs.executions if name == request_id)
+    return forwarded.RunReport(max(made_events, default=None), runs.waiting)
+
+
 def says_leaving(head: exchange.RawResponseHead) -> bool:
     """Returns whether the head of an answer says that its replica leaves.
 
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -64,6 +64,8 @@
         self._context = context
         self._handover: Handover | None = None
         self._copy_handle: str | None = None
+        # The run that stopped at its target, which keeps its memory.
+        self._stopped: Handover | None = None
 
     @property
     def has_copy(self) -> bool:
@@ -80,7 +82,7 @@
 
     def reset(self) -> None:
         """Forgets the copy, because the stream continues at another target."""
-        self._handover, self._copy_handle = None, None
+        self._handover, self._copy_handle, self._stopped = None, None, None
 
     def copy(self, source: events.Target, target_name: str) -> None:
         """Has the memory of the running stream copied to another target.
@@ -102,6 +104,54 @@
             target, self._context.wire.copy_location(source.address,
                                                      move.handle))
 
+    def stop(self, source: events.Target, backup_target: events.Target | None,
+             timeout_s: float) -> bool:
+        """Stops the run at a target whose connection brings nothing more.
+
+        The rest of its memory goes to the target at which the stream would
+        continue. Without one, the run still stops, and its target keeps it.
+
+        Args:
+            source: The target.
+            backup_target: Target with a backup kept from the stream's start.
+            timeout_s: Time for the answer.
+
+        Returns:
+            Whether the target confirms that the run has stopped.
+        """
+        if not self._may_call(source, "stop"):
+            return False
+        to = self._handover.target if self._handover else backup_target
+        order = self._context.wire.encode_stop(
+            self._routed_call.call.request_id,
+            source.address if to is None else to.address)
+        move, reason = None, ""
+        try:
+            head, body = exchange.call(source.address, order, timeout_s)
+            self._record_pause(source, head, "stop")
+            self._check_leaving(source, head)
+            move = self._context.wire.decode_move(head, body)
+        except errors.TargetError as error:
+            reason = str(error)
+        is_stopped = move is not None and move.handle is not None
+        if is_stopped:
+            location = self._context.wire.copy_location(source.address,
+                                                        move.handle)
+            self._stopped = Handover(source, location)
+            if move.is_done and to is not None:
+                self._handover = Handover(to, location)
+        self._context.metrics.count(
+            "silent_run_stopped" if is_stopped else "silent_run_not_stopped")
+        _logger.info("stop of a silent run",
+                     extra={
+                         "target": source.name,
+                         "refuge": to and to.name,
+                         "status": move and move.status,
+                         "is_stopped": is_stopped,
+                         "reason": reason
+                     })
+        return is_stopped
+
     def select_handover(self, backup_target: events.Target | None,
                         software_version: str) -> Handover | None:
         """Returns where an interrupted stream continues, or None.
@@ -123,13 +173,24 @@
             return self._handover
         if (backup_target is None or not self._may_continue_at(backup_target) or
                 not self._may_call(backup_target, "move")):
-            return None
+            return self._select_stopped(software_version)
         self._context.metrics.count("stream_moved_to_backup")
         return Handover(
             backup_target,
             self._context.wire.copy_location(backup_target.address,
                                              self._routed_call.call.request_id))
 
+    def _select_stopped(self, software_version: str) -> Handover | None:
+        """Returns the target that keeps the stopped run, if it may go on."""
+        stopped = self._stopped
+        if (stopped is None or
+                stopped.target.software_version != software_version or
+                not self._may_continue_at(stopped.target) or
+                not self._may_call(stopped.target, "move")):
+            return None
+        self._context.metrics.count("stream_moved_to_its_target")
+        return stopped
+
     def drop_unused_copy(self, source: events.Target) -> None:
         """Frees a copy that the ended stream did not use."""
         handle, self._copy_handle = self._copy_handle, None
--- a/persimmonspan/request/forwarded.py
+++ b/persimmonspan/request/forwarded.py
@@ -99,6 +99,18 @@
         return self.status == _OK
 
 
+class RunReport(typing.NamedTuple):
+    """What a target reports of one run, as of some hundred milliseconds ago.
+
+    Attributes:
+        made_events: Number of events made so far; None: it is not listed.
+        waiting: Number of requests that wait at the target.
+    """
+
+    made_events: int | None
+    waiting: int
+
+
 class Response(typing.NamedTuple):
     """A complete response."""
 
@@ -128,6 +140,13 @@
                     body: bytes) -> MoveResponse:
         """Decodes the response to a call that copies a run."""
 
+    def encode_stop(self, request_id: str, to_address: str) -> exchange.Request:
+        """Encodes a call that stops a run and then copies it elsewhere."""
+
+    def decode_run(self, head: exchange.RawResponseHead, body: bytes,
+                   request_id: str) -> RunReport | None:
+        """Decodes what a target reports of a run; None if it tells nothing."""
+
     def encode_drop(self, handle: str) -> exchange.Request:
         """Encodes a call that frees the memory that was copied."""
 
