--- a/persimmonspan/connection/listener.py
+++ b/persimmonspan/connection/listener.py
@@ -17,6 +17,7 @@
 from cheroot import server
 
 from persimmonspan import errors
+from persimmonspan.connection import caller_output
 from persimmonspan.connection import deadlines
 from persimmonspan.connection import idle_connections
 from persimmonspan.connection import timed_input
@@ -130,11 +131,14 @@
     def send(self, data: bytes, timeout_s: float) -> None:
         """Sends the output of `stream_head` and `frame`.
 
+        Args:
+            data: The output.
+            timeout_s: How long the caller may take nothing.
+
         Raises:
             OSError: The caller left or does not read.
         """
-        self.caller.settimeout(timeout_s)
-        self.caller.sendall(data)
+        caller_output.send(self.caller, data, timeout_s)
 
     def _is_chunked(self) -> bool:
         return self._request.response_protocol == "HTTP/1.1"
--- a/persimmonspan/connection/relay.py
+++ b/persimmonspan/connection/relay.py
@@ -27,6 +27,7 @@
 import time
 import typing
 
+from persimmonspan.connection import caller_output
 from persimmonspan.connection import memory_budget
 
 _READ_BYTES = 16 * 1024
@@ -97,6 +98,7 @@
         self.caller_write_timeout_s = caller_write_timeout_s
         self.pending = b""
         self.blocked_at_s: float | None = None  # Last progress, if blocked.
+        self.progress: caller_output.Progress | None = None  # If blocked.
         self.engine: socket.socket | None = None
         self.engine_fd = -1
         self.consume: Consumer | None = None
@@ -332,6 +334,7 @@
                                select.EPOLLRDHUP | select.EPOLLOUT)
         if has_sent or transfer.blocked_at_s is None:
             transfer.blocked_at_s = now_s
+            transfer.progress = caller_output.Progress(transfer.caller)
         sent_bytes = max(0, len(transfer.pending) - len(rest))
         transfer.pending = rest
         has_room = (transfer.account is None or
@@ -408,12 +411,15 @@
             return
         if transfer.blocked_at_s is not None:
             if transfer.blocked_at_s + transfer.caller_write_timeout_s <= now_s:
+                if transfer.progress.has_advanced():
+                    transfer.blocked_at_s = now_s
                 # If this process was paused, the caller may have read since.
-                if not _is_ready(transfer.caller_fd, select.POLLOUT):
+                elif _is_ready(transfer.caller_fd, select.POLLOUT):
+                    transfer.blocked_at_s = (now_s + _POLL_TIMEOUT_S -
+                                             transfer.caller_write_timeout_s)
+                else:
                     self._end_relaying(transfer, Signal.CALLER_SLOW)
                     return
-                transfer.blocked_at_s = (now_s + _POLL_TIMEOUT_S -
-                                         transfer.caller_write_timeout_s)
         elif transfer.next_token_due_s <= now_s:
             # If this process was paused, what has arrived is not read yet.
             if transfer.is_overdue or not _is_ready(transfer.engine_fd,
