--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -14,6 +14,7 @@
 
 import collections.abc
 import contextlib
+import enum
 import select
 import socket
 import time
@@ -223,16 +224,25 @@
     return bool(poll.poll(0))
 
 
-def is_refused(address: str, timeout_s: float) -> bool:
-    """Returns whether no process listens at an address.
+class Reachability(enum.StrEnum):
+    """How a new connection to an address ended."""
 
-    The result is false if the host does not answer in time.
-    """
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # No process listens there.
+    NO_ANSWER = "no answer"  # The host or the way to it is down.
+
+
+def probe(address: str, timeout_s: float) -> Reachability:
+    """Connects to an address and closes the connection."""
     try:
         with open_socket(address, timeout_s):
-            return False
+            return Reachability.ACCEPTED
     except NotSentError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            return Reachability.REFUSED
+        # Without a cause it was accepted, and bytes or its end came.
+        return (Reachability.NO_ANSWER
+                if error.__cause__ else Reachability.ACCEPTED)
 
 
 def call(address: str, request: Request,
--- a/persimmonspan/platform/tests/test_crashing_requests.py
+++ b/persimmonspan/platform/tests/test_crashing_requests.py
@@ -6,6 +6,7 @@
 
 import itertools
 import logging
+import threading
 import time
 
 import pytest
@@ -23,6 +24,8 @@
 _REQUESTS = 24
 _CALLER_ATTEMPTS = 5
 _CALLER_PAUSE_S = 0.2
+_DARK_S = 0.3
+_SILENT_REQUESTS = 10
 
 
 class _Engines:
@@ -110,3 +113,46 @@
         assert _send_until_run(daemon, f"sound-{number}", ("a0", "b0", "c0"),
                                b"sound%d" % number) == 200
     assert engines.crashes <= _MAX_CRASHES_BY_A_REQUEST
+
+
+def test_request_whose_engines_go_silent_is_refused_everywhere(daemons):
+    # Failure: an engine that ended without a reset was no evidence at all.
+    crashes = []
+
+    def make_script(name):
+
+        def answer(request):
+            if request.body != b"bad":
+                return [
+                    replica.stream_head(request) + replica.event_chunk(0),
+                    replica.STREAM_END
+                ]
+            crashes.append(name)
+            return go_silent()
+
+        def go_silent():
+            time.sleep(_DARK_S)
+            daemons[0].register_replica(name,
+                                        "engines",
+                                        engines[name].address,
+                                        born=1 + len(crashes))
+            over.wait(edge_world.TIMEOUT_S)
+            yield b""
+
+        return answer
+
+    over = threading.Event()
+    engines = {
+        name: daemons[0].add_replica(name, "engines", make_script(name))
+        for name in ("i-0", "i-1", "i-2")
+    }
+    for daemon in daemons:
+        assert _send_until_run(daemon, "first", ("a0",), b"sound") == 200
+    for number in range(_SILENT_REQUESTS):
+        daemons[number % 2].send_request("/draft/1",
+                                         body=b"bad",
+                                         X_Attempt_Id=f"bad-{number}",
+                                         X_Token_Usage="100,10",
+                                         X_Deadline_Ms="1000")
+    over.set()
+    assert 2 <= len(crashes) <= _MAX_CRASHES_BY_A_REQUEST
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -39,6 +39,7 @@
 from persimmonspan.process import explain_call
 from persimmonspan.process import followers
 from persimmonspan.process import logs
+from persimmonspan.process import lost_targets
 from persimmonspan.process import metrics
 from persimmonspan.process import named_rates
 from persimmonspan.process import notice_poller
@@ -388,6 +389,7 @@
                         change: directory.Change) -> None:
         """Logs changes of the registered targets and applies them."""
         is_first = self._registrations is None
+        self._report_lost(change)
         if is_first or not change.is_empty:
             self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
@@ -423,6 +425,20 @@
         if is_first or not change.is_empty:
             self._send_targets()
 
+    def _report_lost(self, change: directory.Change) -> None:
+        """Reports targets that ended without notice."""
+        lost = lost_targets.find_lost(self._registrations or (), change,
+                                      self._departures.is_leaving)
+        for name in lost.ended:
+            self.metrics.count("target_lost")
+            _logger.warning("target ended without notice",
+                            extra={"target": name})
+            self.scheduler.tell(events.TargetLost(name))
+        for entry in lost.missing:
+            target = self._targets.get(entry.name)
+            if target is not None:
+                self._death_probe.check_missing(target)
+
     def _apply_cold_entries(self) -> None:
         configuration, entries = self._configuration, self._registrations
         if configuration is not None and entries is not None:
--- a/persimmonspan/request/crash_evidence.py
+++ b/persimmonspan/request/crash_evidence.py
@@ -54,9 +54,21 @@
     return suspects
 
 
-def is_another_crash(record: Record, run: Run, now_s: float) -> bool:
-    """Returns whether a crash has another cause than the one counted last."""
-    return (run.started_s > record.crashed_s or
+def is_another_crash(record: Record,
+                     run: Run,
+                     now_s: float,
+                     is_late: bool = False) -> bool:
+    """Returns whether a crash has another cause than the one counted last.
+
+    Args:
+        record: The evidence so far.
+        run: The run that the crash ended.
+        now_s: Time at which the crash is known.
+        is_late: Whether the crash may have been long before.
+    """
+    if run.started_s > record.crashed_s:
+        return True
+    return (not is_late and
             _end_s(run, now_s) - record.crashed_s >= MIN_CRASH_INTERVAL_S)
 
 
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -243,6 +243,15 @@
     target: str
 
 
+class TargetLost(typing.NamedTuple):
+    """A target's process ended some time ago, as its entry tells.
+
+    What it ran was silent until then.
+    """
+
+    target: str
+
+
 class RateNamed(typing.NamedTuple):
     """A target named a rate of requests in an answer, or named none (None)."""
 
@@ -406,9 +415,9 @@
 Event = (Arrived | PeerStarted | FirstToken | Progressed | AttemptEnded |
          HedgeDue | HedgeLimitsChanged | RequestMoved | MoveFailed |
          RequestAbandoned | LoadReported | PeerLoad | TargetsChanged |
-         TargetLeaving | TargetReturned | TargetDied | TargetAlive | RateNamed |
-         TargetClosed | TargetOpened | TargetCold | ColdSharesChanged |
-         DaemonsChanged | QuarantineShared | QuarantineLifted |
-         RetryLimitsChanged | Tick)
+         TargetLeaving | TargetReturned | TargetDied | TargetLost |
+         TargetAlive | RateNamed | TargetClosed | TargetOpened | TargetCold |
+         ColdSharesChanged | DaemonsChanged | QuarantineShared |
+         QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | TargetClassified | Count)
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -20,6 +20,10 @@
 A condemned fingerprint is refused for `REFUSAL_TTL_S`. It then needs one more
 crash to be refused again.
 
+A target may also end without a reset, and its entry tells it later
+(`events.TargetLost`). It counts in the same way, but the moment of its end is
+not known: what ran at the time of an earlier crash may have ended with it.
+
 Connections break before a death is reported: a request whose attempt broke
 counts as in flight for `DEATH_GRACE_S`, or until the target is known to live. A
 request that might crash too many targets until then waits (`must_wait`). A
@@ -207,8 +211,11 @@
     return state, []
 
 
-@_step.register
-def _(event: events.TargetDied, state: State, now_s: float) -> Result:
+@_step.register(events.TargetDied)
+@_step.register(events.TargetLost)
+def _(event: events.TargetDied | events.TargetLost, state: State,
+      now_s: float) -> Result:
+    is_late = isinstance(event, events.TargetLost)
     in_flight = {
         key: run
         for key, run in state.runs.items()
@@ -224,9 +231,10 @@
     counted: dict[str, crash_evidence.Record] = {}
     for fingerprint, runs in sorted(suspects.items()):
         record = _find_record(state, fingerprint, now_s)
-        run = next((run for run in runs
-                    if crash_evidence.is_another_crash(record, run, now_s)),
-                   None)
+        run = next(
+            (run for run in runs
+             if crash_evidence.is_another_crash(record, run, now_s, is_late)),
+            None)
         if record.crashes == most and run is not None:
             counted[fingerprint] = crash_evidence.add_crash(
                 record, run, is_alone, now_s)
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -53,7 +53,7 @@
                  events.RequestMoved, events.PeerLoad, events.TargetsChanged,
                  events.TargetDied, events.Tick)
 _QUARANTINE_EVENTS = (events.AttemptEnded, events.Progressed,
-                      events.RequestMoved, events.TargetDied,
+                      events.RequestMoved, events.TargetDied, events.TargetLost,
                       events.TargetAlive, events.LoadReported, events.PeerLoad,
                       events.QuarantineShared, events.QuarantineLifted,
                       events.Tick)
@@ -446,6 +446,13 @@
     return eviction.refuse_quarantined(state, now_s, rng)
 
 
+@_handle_event.register
+def _(event: events.TargetLost, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del event
+    return eviction.refuse_quarantined(state, now_s, rng)
+
+
 @_handle_event.register
 def _(event: events.QuarantineShared, state: State, now_s: float,
       rng: random.Random) -> Result:
--- a/persimmonspan/request/tests/test_quarantine.py
+++ b/persimmonspan/request/tests/test_quarantine.py
@@ -288,3 +288,20 @@
     fleet.send("r9", "e9", later_s, (_BAD,))
     fleet.die("e9", later_s + 0.6)
     assert fleet.refused("r10", later_s + 1.0, (_BAD,)) == _BAD
+
+
+def test_target_that_was_lost_without_a_reset_counts(fleet):
+    # Failure: a request whose targets went silent was never refused.
+    for number, target in enumerate(("e1", "e2")):
+        fleet.send("r1", target, 10.0 * number)
+        fleet.step(events.TargetLost(target), 10.0 * number + 4.0)
+    assert fleet.refused("r1", 20.0) == "r1"
+
+
+def test_targets_lost_together_count_once(fleet):
+    # Failure: a failure domain that is cut off would condemn what runs there.
+    fleet.send("r1", "e1", 0.0)
+    fleet.send("r1", "e2", 2.0)
+    fleet.step(events.TargetLost("e1"), 4.0)
+    fleet.step(events.TargetLost("e2"), 5.2)
+    assert fleet.refused("r1", 6.0) is None
