--- a/persimmonspan/platform/tests/test_refusals_after_loss.py
+++ b/persimmonspan/platform/tests/test_refusals_after_loss.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from persimmonspan.connection import digest_links
+from persimmonspan.process import refusal_store
 from testbed import edge_world
 from testbed import replica
 
@@ -22,6 +24,7 @@
 _MAX_MORE_CRASHES = 3  # Of a request that has crashed three engines.
 _WRITE_S = 0.5  # In which a row is written.
 _LIVES = 4
+_DAEMONS = 4
 _MAX_SOUND = 40
 _START_S = 0.05
 _REPORT_S = 0.4  # In which the progress of a stream is reported.
@@ -166,3 +169,26 @@
         # The engines still run what the daemon had begun.
         engines.end_long()
     assert engines.crashes <= 3
+
+
+def test_daemons_that_do_not_hear_each_other_share_what_crashed(
+        engines, monkeypatch):
+    # Failure: each daemon ran the request until its own engines had crashed.
+    monkeypatch.setattr(digest_links.Links, "_send_digests",
+                        lambda links, digests: None)
+    monkeypatch.setattr(refusal_store, "_READ_INTERVAL_S", _WRITE_S / 4)
+    rows, engines = engines
+    with contextlib.ExitStack() as stack:
+        daemons = [
+            stack.enter_context(
+                edge_world.EdgeEnvironment(f"edge-{number}", rows).running())
+            for number in range(_DAEMONS)
+        ]
+        for number in range(2 * _DAEMONS):
+            daemons[number % _DAEMONS].send_request(
+                "/draft/1",
+                body=b"bad",
+                X_Attempt_Id=f"bad-{number}",
+                X_Token_Usage="100,10")
+            time.sleep(_WRITE_S)
+    assert 2 <= engines.crashes <= 3
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -125,7 +125,8 @@
         self._refusals = refusal_store.RefusalStore(
             platform.open_store, options.store_address, options.name,
             lambda: self._limits.daemons, self.scheduler.tell,
-            self.metrics.count)
+            self.metrics.count, lambda: self._peers is not None and self._peers.
+            evidence.hears_nobody())
         self._limits = shared_limits.SharedLimits(self.scheduler.tell)
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
--- a/persimmonspan/process/edge_peers.py
+++ b/persimmonspan/process/edge_peers.py
@@ -372,6 +372,16 @@
     return not peer.can_read, name
 
 
+def hears_nobody(state: State, now_s: float) -> bool:
+    """Returns whether no other daemon sends digests here.
+
+    It may be the only one. It may also not know the others, since it read their
+    addresses before they were written.
+    """
+    return all(now_s - peer.last_received_s > PEER_SILENCE_TIMEOUT_S
+               for peer in state.peers.values())
+
+
 def is_early(state: State, name: str) -> bool:
     """Returns whether a daemon is among the first to take the hub's place."""
     return sum(other < name for other in state.peers) < _EARLY_DAEMONS
--- a/persimmonspan/process/refusal_rows.py
+++ b/persimmonspan/process/refusal_rows.py
@@ -18,8 +18,12 @@
 kind of evidence lasts, and removes one that seems to be over only after that
 time.
 
-When it ends, the one daemon that comes first removes its row. An answer that
-clears a fingerprint removes it at once.
+A daemon to which no other one sends digests, such as one that is cut off from
+them, reads the rows again and again and writes first crashes too. The load is
+one read a second for each such daemon.
+
+When evidence ends, the one daemon that comes first removes its row. An answer
+that clears a fingerprint removes it at once.
 
 All functions are pure.
 
@@ -100,23 +104,33 @@
 
 
 class Read(typing.NamedTuple):
-    """Evidence in force, and the rows that were not understood, by their key.
-    """
+    """Evidence that is new here, and the rows that were not understood."""
 
     evidence: tuple[events.QuarantineShared, ...]
     faulty: immutables.Map[str, str]
 
 
-def record_own(state: State, report: events.QuarantineShared,
-               now_s: float) -> State:
-    """Records a report of this daemon's quarantine."""
+def record_own(state: State,
+               report: events.QuarantineShared,
+               now_s: float,
+               hears_nobody: bool = False) -> State:
+    """Records a report of this daemon's quarantine.
+
+    Args:
+        state: The state before.
+        report: The report.
+        now_s: Time.
+        hears_nobody: Whether no other daemon sends digests here. The others
+            then hear of the first crash from its row.
+    """
     fingerprint = report.fingerprint
     if report.crashes <= 0:
         if fingerprint not in state.known:
             return state
         return _forget(state, fingerprint)._replace(removals=state.removals |
                                                     {fingerprint})
-    if not _has_row(report) or _is_known(state, report, now_s):
+    if (not (_has_row(report) or hears_nobody) or
+            _is_known(state, report, now_s)):
         return state
     state = _know(state, report, now_s)
     return state._replace(writes=state.writes.set(
@@ -136,7 +150,7 @@
 
 def record_rows(state: State, rows: typing.Iterable[row_store.Row],
                 now_s: float, wall_s: float) -> tuple[State, Read]:
-    """Records the rows that were read at the start.
+    """Records the rows that were read.
 
     Args:
         state: The state before.
@@ -160,8 +174,8 @@
             report = events.QuarantineShared(row.key, stored.crashes, ttl_s,
                                              stored.crashes_alone,
                                              stored.requests, stored.is_refused)
-            evidence.append(report)
             if not _is_known(state, report, now_s):
+                evidence.append(report)
                 state = _know(state, report, now_s)
         elif row.key not in state.known:
             remove_s = now_s + quarantine.REFUSAL_TTL_S + _REMOVAL_MARGIN_S
--- a/persimmonspan/process/refusal_store.py
+++ b/persimmonspan/process/refusal_store.py
@@ -1,8 +1,8 @@
 """Writes and reads the rows of the quarantine on a thread of its own.
 
-The store is called once at the start, and then only to change rows. Without an
-answer the daemon serves all the same, and each call is repeated after a pause
-that doubles.
+The store is called once at the start, and then only to change rows, as long as
+other daemons send digests. Without an answer the daemon serves all the same,
+and each call is repeated after a pause that doubles.
 
 See Also:
     `persimmonspan.process.refusal_rows`: the decisions.
@@ -11,6 +11,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import random
 import threading
 import time
@@ -27,6 +28,8 @@
 # call is pending, the loss of all daemons loses evidence.
 _MIN_PAUSE_S = 0.5
 _MAX_PAUSE_S = 2.0
+# Between two reads of a daemon to which no other sends digests.
+_READ_INTERVAL_S = 1.0
 # Entries of a transaction; the platform's limit.
 _MAX_ENTRIES = 100
 # A start waits for so long for the rows; a read usually takes a few ms.
@@ -47,22 +50,29 @@
         list_daemons: Returns the names of all daemons.
         apply: Called with the evidence of each row that was read.
         count: Increments the counter of a reason.
+        hears_nobody: Returns whether no other daemon sends digests here.
     """
 
-    def __init__(self, open_store: collections.abc.Callable[[str],
-                                                            row_store.RowStore],
-                 address: str, name: str,
-                 list_daemons: collections.abc.Callable[
-                     [], collections.abc.Collection[str]],
-                 apply: collections.abc.Callable[[events.QuarantineShared],
-                                                 object],
-                 count: collections.abc.Callable[[str], object]) -> None:
+    def __init__(
+        self,
+        open_store: collections.abc.Callable[[str], row_store.RowStore],
+        address: str,
+        name: str,
+        list_daemons: collections.abc.Callable[[],
+                                               collections.abc.Collection[str]],
+        apply: collections.abc.Callable[[events.QuarantineShared], object],
+        count: collections.abc.Callable[[str], object],
+        hears_nobody: collections.abc.Callable[[],
+                                               bool] = lambda: False) -> None:
         self._open_store = open_store
         self._address = address
         self._name = name
         self._list_daemons = list_daemons
         self._apply = apply
         self._count = count
+        self._hears_nobody = hears_nobody
+        self._read_s = -math.inf
+        self._has_read = False
         self._state = refusal_rows.State()
         self._changed = threading.Condition()
         self._is_stopped = False
@@ -72,7 +82,8 @@
         """Records a report of this daemon's quarantine."""
         with self._changed:
             self._state = refusal_rows.record_own(self._state, report,
-                                                  clock.now_s())
+                                                  clock.now_s(),
+                                                  self._hears_nobody())
             self._changed.notify()
 
     def record_peer(self, report: events.QuarantineShared) -> None:
@@ -107,10 +118,22 @@
         store = self._open_store(self._address)
         self._repeat(lambda: self._read(store), "refusals not read")
         while self._await_change():
-            # A stop writes what is left, once.
-            self._repeat(lambda: self._write(store), "refusals not written")
+            if self._has_changes():
+                # A stop writes what is left, once.
+                self._repeat(lambda: self._write(store), "refusals not written")
             if self._is_stopped:
                 return
+            if self._must_read():
+                self._repeat(lambda: self._read(store), "refusals not read")
+
+    def _has_changes(self) -> bool:
+        return bool(self._state.writes or self._state.removals)
+
+    def _must_read(self) -> bool:
+        """Returns whether to read rows that no digest tells of."""
+        return (not self._is_stopped and
+                clock.now_s() - self._read_s >= _READ_INTERVAL_S and
+                self._hears_nobody())
 
     def _repeat(self, call: collections.abc.Callable[[], None],
                 problem: str) -> None:
@@ -142,22 +165,25 @@
 
     def _read(self, store: row_store.RowStore) -> None:
         rows = store.read(TABLE).rows
+        self._read_s = clock.now_s()
         with self._changed:
             self._state, read = refusal_rows.record_rows(
                 self._state, rows, clock.now_s(), time.time())
         if read.faulty:
             _logger.warning("rows of refusals not understood",
                             extra={"rows": dict(read.faulty)})
-        _logger.info("refusals read",
-                     extra={
-                         "rows": len(rows),
-                         "in_force": len(read.evidence)
-                     })
+        if read.evidence or not self._has_read:
+            _logger.info("refusals read",
+                         extra={
+                             "rows": len(rows),
+                             "new": len(read.evidence)
+                         })
+        self._has_read = True
         for report in read.evidence:
             self._apply(report)
 
     def _await_change(self) -> bool:
-        """Waits for rows to write or remove; returns whether to go on."""
+        """Waits for rows to read, write or remove; returns whether to go on."""
         with self._changed:
             while True:
                 now_s = clock.now_s()
@@ -167,11 +193,13 @@
                                                       self._list_daemons(),
                                                       now_s)
                     continue
-                if self._state.writes or self._state.removals:
+                if self._has_changes() or self._must_read():
                     return True
                 if self._is_stopped:
                     return False
-                self._changed.wait(None if due_s is None else due_s - now_s)
+                self._changed.wait(_READ_INTERVAL_S if due_s is
+                                   None else min(_READ_INTERVAL_S, due_s -
+                                                 now_s))
 
     def _write(self, store: row_store.RowStore) -> None:
         with self._changed:
--- a/persimmonspan/process/store_losses.py
+++ b/persimmonspan/process/store_losses.py
@@ -40,6 +40,10 @@
             (peer.confirmed for peer in self._read_state().peers.values()),
             lost_since_s, regained_s)
 
+    def hears_nobody(self) -> bool:
+        """Returns whether no other daemon sends digests here."""
+        return edge_peers.hears_nobody(self._read_state(), clock.now_s())
+
 
 class Peers(typing.Protocol):
     """Has the evidence of the peers."""
