Bound the answers of the store in bytes and time

A report: bytes that are no answer, without end, fill the memory of the process that called. Answers of targets are bounded; those of the store were not. Its client held any body, followed interim responses, trailers and pages, and its timeout began anew with each byte, so that the thread that reads targets or the configuration never came back.

Now a kept connection decodes with the same bounded reader as calls to targets: 4 MB and 10 s beside the idle timeout for an answer, 16 MB for a table.

test_answer_of_the_store_is_bounded and test_pages_without_end_are_given_up failed with the former client and pass now.

--- a/persimmonspan/platform/store.py
+++ b/persimmonspan/platform/store.py
@@ -12,10 +12,11 @@
 import urllib.parse
 
 import msgspec
-import urllib3
 
 from persimmonspan import decoding
 from persimmonspan import errors
+from persimmonspan.connection import exchange
+from persimmonspan.connection import kept_connection
 from persimmonspan.process import clock
 from persimmonspan.process import row_store
 
@@ -27,7 +28,14 @@
 # A connection that was idle for longer may have gone silent, which a call would
 # notice only by its timeout.
 _MAX_IDLE_S = 1.0
-_ERA_HEADER = "Store-Era"
+# A page has 1 MB of rows at most, encoded for JSON. Source: contract of the
+# platform.
+_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# A table that is larger would not fit on the smallest machine.
+_MAX_TABLE_BYTES = 16 * 1024 * 1024
+# For a page over a slow link.
+_MAX_CALL_S = 10.0
+_ERA_HEADER = b"store-era"
 # A store that comes back from a copy more often than this during one read of
 # several pages counts as unavailable.
 _MAX_READS = 3
@@ -62,17 +70,11 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._pool = self._open_pool()
+        self._connection = kept_connection.KeptConnection(
+            address, _CONNECT_TIMEOUT_S, _MAX_RESPONSE_BYTES, _MAX_CALL_S)
         self._used_s = clock.now_s()
         self._unreadable_era = ""
 
-    def _open_pool(self) -> urllib3.HTTPConnectionPool:
-        host, port = self._address.rsplit(":", 1)
-        return urllib3.HTTPConnectionPool(host,
-                                          int(port),
-                                          maxsize=1,
-                                          retries=False)
-
     def read(self, table: str) -> row_store.Rows:
         """Returns all rows of a table.
 
@@ -96,6 +98,7 @@
         start_key = ""
         first_page: _Rows | None = None
         first_era = 0
+        table_bytes = 0
         while True:
             query = {"tableName": table, "part": ""}
             if start_key:
@@ -107,6 +110,12 @@
             elif era != first_era:
                 return None
             rows += map(_decode_row, page.rows)
+            table_bytes += sum(
+                len(row.data) + len(row.key) for row in page.rows)
+            if table_bytes > _MAX_TABLE_BYTES:
+                raise errors.StoreError(
+                    errors.Code.STORE_UNAVAILABLE,
+                    f"the table has more than {_MAX_TABLE_BYTES} bytes")
             if not page.hasMore or not page.rows:
                 return row_store.Rows(tuple(rows), first_page.schemaVersion,
                                       era)
@@ -178,39 +187,35 @@
                       response_timeout_s: float,
                       body: bytes | None = None) -> _Response:
         if clock.now_s() - self._used_s > _MAX_IDLE_S:
-            self._pool.close()
-            self._pool = self._open_pool()
+            self._connection.close()
         try:
-            response = self._pool.request(
-                method,
-                target,
-                body=body,
-                headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S,
-                                        read=response_timeout_s))
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise errors.StoreError(
-                errors.Code.STORE_UNAVAILABLE,
-                f"no response: {type(error).__name__}") from error
+            head, data = self._connection.call(
+                exchange.Request(method, target,
+                                 ((b"Host", self._address.encode()),
+                                  (b"Content-Type", b"application/json")),
+                                 body or b""), response_timeout_s)
+        except errors.TargetError as error:
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE,
+                                    f"no response: {error}") from error
         finally:
             self._used_s = clock.now_s()
-        if response.status == http.HTTPStatus.OK:
-            return _Response(response.data, self._decode_era(response.headers))
-        if response.status == http.HTTPStatus.GONE:
+        if head.status == http.HTTPStatus.OK:
+            return _Response(data, self._decode_era(head))
+        if head.status == http.HTTPStatus.GONE:
             raise row_store.HistoryLostError(
                 errors.Code.STORE_UNAVAILABLE,
                 "the store no longer holds the changes")
         code = (errors.Code.STORE_THROTTLED
-                if response.status == http.HTTPStatus.TOO_MANY_REQUESTS else
+                if head.status == http.HTTPStatus.TOO_MANY_REQUESTS else
                 errors.Code.STORE_UNAVAILABLE)
-        raise errors.StoreError(code, f"status {response.status}")
+        raise errors.StoreError(code, f"status {head.status}")
 
-    def _decode_era(self, headers: collections.abc.Mapping[str, str]) -> int:
+    def _decode_era(self, head: exchange.RawResponseHead) -> int:
         """Returns the era of a response, or 0 if it has none that is a number.
 
         The versions of such a store are taken for those of one history.
         """
-        value = headers.get(_ERA_HEADER, "")
+        value = (head.get(_ERA_HEADER) or b"").decode("latin-1")
         if value.isascii() and value.isdecimal():
             return int(value)
         if value and value != self._unreadable_era:
--- a/persimmonspan/platform/tests/test_store.py
+++ b/persimmonspan/platform/tests/test_store.py
@@ -236,3 +236,33 @@
             assert time.monotonic() - began_s < 0.5
         finally:
             proxy.stop()
+
+
+def test_answer_of_the_store_is_bounded():
+    # Failure: an answer without end filled the memory of the process.
+    row = _row("a", b"x" * 60_000, 1)
+
+    def respond(*_):
+        return 200, {"rows": [row] * 500, "schemaVersion": 1, "hasMore": False}
+
+    with _serve_store(respond) as client:
+        with pytest.raises(errors.StoreError, match="more than"):
+            client.read("t")
+
+
+def test_pages_without_end_are_given_up():
+    # Failure: rows were collected as long as the store had more of them.
+    numbers = itertools.count()
+
+    def respond(*_):
+        number = next(numbers)
+        return 200, {
+            "rows": [_row(f"k{number:04}", b"x" * 500_000, 1)],
+            "schemaVersion": 1,
+            "hasMore": number < 60
+        }
+
+    with _serve_store(respond) as client:
+        with pytest.raises(errors.StoreError, match="more than"):
+            client.read("t")
+    assert next(numbers) < 60
