Know the targets as of a take-up before the only version is taken

Cause: the one version that the daemon knew was taken for the stream's, though others may have joined since it read the targets; and targets that leave were not counted, also in step. An outage of the store for all daemons, as peers tell, is no obstacle.

Three tests of test_software_versions.py bring the order of events about: 200 with the rest of another version's stream before, 503 now.

--- a/persimmonspan/platform/tests/test_software_versions.py
+++ b/persimmonspan/platform/tests/test_software_versions.py
@@ -2,13 +2,19 @@
 
 import contextlib
 import http.client
+import itertools
+import threading
+import time
 
 import pytest
 
+from persimmonspan import errors
+from persimmonspan.connection import digest_links
 from testbed import edge_world
 from testbed import replica
 
 _EVENTS = 4
+_READ_S = 0.5  # In which a daemon reads the targets.
 
 
 def _first_event(request):
@@ -183,3 +189,108 @@
     with _daemon_after_power_loss(version=None) as (_, world, _):
         with world.running():
             assert _take_up(world) == (200, [2, 3, 4])
+
+
+class _Gate:
+    """The store as one daemon sees it: cut off, or late, if told so."""
+
+    def __init__(self, rows):
+        self._rows = rows
+        self.is_cut_off = False
+        self.is_open = threading.Event()
+        self.is_open.set()
+
+    def __getattr__(self, name):
+        return getattr(self._rows, name)
+
+    def _pass(self):
+        self.is_open.wait(edge_world.TIMEOUT_S)
+        if self.is_cut_off:
+            raise errors.StoreError(errors.Code.STORE_UNAVAILABLE,
+                                    "no response")
+
+    def read(self, table):
+        """Returns all rows of a table."""
+        self._pass()
+        return self._rows.read(table)
+
+    def changes(self, table, since, wait_s):
+        """Waits for rows that changed after a version."""
+        self._pass()
+        return self._rows.changes(table, since, min(wait_s, 0.2))
+
+
+@contextlib.contextmanager
+def _out_of_step(monkeypatch):
+    """A daemon that knows one version, and one that also knows a later one."""
+    monkeypatch.setattr(digest_links.Links, "_send_digests",
+                        lambda links, digests: None)
+    sound = _environment()
+    old = sound.add_replica("i-1", "engines", _cut_or_rest, version="v1")
+    gate = _Gate(sound.rows)
+    late = _environment(gate, "edge-2")
+    with sound.running(), late.running():
+        assert _read_events(late, "first")[0] == 200
+        yield sound, late, gate, old
+
+
+def _begin_at_new_version(sound):
+    """Lets a target of another version join, and begins a stream there."""
+    new = sound.add_replica("i-2", "engines", _cut_or_rest, version="v2")
+    numbers = itertools.count()
+
+    def has_begun():
+        _read_events(sound, f"new-{next(numbers)}")
+        return new.requests
+
+    edge_world.wait_until(has_begun)
+    return new
+
+
+def _take_up_without_name(world):
+    return _read_events(world, "r2", **{"Last-Event-Id": "1"})
+
+
+def test_daemon_that_is_cut_off_takes_up_no_stream_of_a_new_version(
+        monkeypatch):
+    # Failure: the one version that it knew was taken for the stream's.
+    with _out_of_step(monkeypatch) as (sound, late, gate, old):
+        gate.is_cut_off = True
+        _begin_at_new_version(sound)
+        before = len(old.requests)
+        assert _take_up_without_name(late) == (503, [])
+        assert len(old.requests) == before
+
+
+def test_daemon_that_stood_still_reads_before_it_takes_up_a_stream(monkeypatch):
+    # Failure: just after it woke, it knew the targets of before.
+    with _out_of_step(monkeypatch) as (sound, late, gate, old):
+        gate.is_open.clear()
+        _begin_at_new_version(sound)
+        before = len(old.requests)
+        threading.Timer(0.3, gate.is_open.set).start()
+        assert _take_up_without_name(late) == (503, [])
+        assert len(old.requests) == before
+
+
+def test_take_up_without_a_name_goes_on_at_the_only_version(monkeypatch):
+    with _out_of_step(monkeypatch) as (_, late, _, _):
+        assert _take_up_without_name(late) == (200, [2, 3, 4])
+
+
+def test_stream_of_a_version_that_has_left_is_not_taken_up():
+    # Failure: a leaving target was not asked for its version.
+    world = _environment()
+    world.add_replica("i-1", "engines", _rest, version="v1")
+    other = world.add_replica("i-2", "engines", _rest, version="v2")
+    with world.running():
+        world.register_replica("i-2",
+                               "engines",
+                               other.address,
+                               "draining",
+                               version="v2")
+        edge_world.wait_until(lambda: len(world.edge._registrations) == 1)  # pylint: disable=protected-access
+        assert _take_up_without_name(world) == (503, [])
+        world.rows.write("servers", "i-2", None)
+        time.sleep(_READ_S)
+        assert _take_up_without_name(world) == (503, [])
--- a/persimmonspan/process/directory.py
+++ b/persimmonspan/process/directory.py
@@ -348,6 +348,18 @@
     return (*state.present.values(), *state.lapsed.values())
 
 
+def list_versions(state: State) -> dict[str, frozenset[str]]:
+    """Returns the software versions by service, also of recent targets.
+
+    A stream may have begun at a target that has left since.
+    """
+    versions: dict[str, set[str]] = {}
+    for entry in (*all_targets(state), *state.doubted.values(),
+                  *(item.entry for item in state.gone.values())):
+        versions.setdefault(entry.service, set()).add(entry.software_version)
+    return {service: frozenset(names) for service, names in versions.items()}
+
+
 def usable_targets(state: State) -> tuple[Registration, ...]:
     """Returns the targets that may get new work."""
     return tuple(entry for entry in all_targets(state) if not entry.is_leaving)
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -52,6 +52,7 @@
 from persimmonspan.process import settings as own_settings
 from persimmonspan.process import shared_limits
 from persimmonspan.process import stream_origins
+from persimmonspan.process import target_knowledge
 from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
 from persimmonspan.request import events
@@ -136,6 +137,7 @@
         self._targets: dict[str, events.Target] = {}
         self._moved_targets: set[str] = set()
         self._registrations: tuple[directory.Registration, ...] | None = None
+        self._versions: dict[str, frozenset[str]] = {}  # By service.
         self._lock = threading.Lock()
         self._targets_lock = threading.Lock()
         self._in_flight = 0
@@ -208,6 +210,7 @@
             errors.RefusalError: It is not known, or the store does not tell.
         """
         call, workspace = routed_call.call, routed_call.workspace
+        arrived_s = clock.now_s()
         known = None
         if call.resumes is not None:
             try:
@@ -220,15 +223,19 @@
                     errors.Code.STORE_UNAVAILABLE,
                     "the store does not tell what began the stream",
                     _NOT_READY_RETRY_S) from error
-        entries = self._registrations or ()
-        place = resumption.find_place(
-            known, call.resumes is not None, {
-                split.service:
-                    frozenset(entry.software_version
-                              for entry in entries
-                              if entry.service == split.service)
-                for split in routed_call.route.splits
-            })
+        versions = self._list_versions(routed_call.route)
+        is_named = call.resumes is not None
+        if resumption.is_guess(known, is_named,
+                               frozenset().union(*versions.values())):
+            if not target_knowledge.await_targets(self._peers, arrived_s,
+                                                  _CONFIRMATION_TIMEOUT_S):
+                self._log_take_up(call, None, "the targets are not confirmed")
+                raise errors.RefusalError(
+                    errors.Code.CONFIG_UNVERIFIED,
+                    "the software version that began the stream is not known, "
+                    "as the targets could not be confirmed", _NOT_READY_RETRY_S)
+            versions = self._list_versions(routed_call.route)
+        place = resumption.find_place(known, is_named, versions)
         self._log_take_up(call, place, "")
         if place is None:
             raise errors.RefusalError(
@@ -238,6 +245,13 @@
                                     routed_call.service,
                                     software_version=place.software_version)
 
+    def _list_versions(self, route: routes.Route) -> dict[str, frozenset[str]]:
+        """Returns the software versions by service of a route."""
+        return {
+            split.service: self._versions.get(split.service, frozenset())
+            for split in route.splits
+        }
+
     def _log_take_up(self, call: forwarded.Call,
                      place: resumption.Origin | None, reason: str) -> None:
         self.metrics.count("stream_taken_up"
@@ -394,6 +408,7 @@
         if is_first or not change.is_empty:
             self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
+        self._versions = directory.list_versions(state)
         self._apply_cold_entries()
         for entry in change.doubted:
             self.metrics.count("target_entry_doubted")
--- a/persimmonspan/process/store_losses.py
+++ b/persimmonspan/process/store_losses.py
@@ -44,6 +44,20 @@
         """Returns whether no other daemon sends digests here."""
         return edge_peers.hears_nobody(self._read_state(), clock.now_s())
 
+    def is_outage(self, since_s: float) -> bool:
+        """Returns whether no daemon can read the store, as peers tell.
+
+        Args:
+            since_s: Time, on `clock`, from which on a peer must have told it.
+        """
+        state = self._read_state()
+        heard = [
+            peer.can_read
+            for peer in state.peers.values()
+            if peer.last_received_s >= since_s
+        ]
+        return bool(heard) and not (state.can_read or any(heard))
+
 
 class Peers(typing.Protocol):
     """Has the evidence of the peers."""
--- a/persimmonspan/request/resumption.py
+++ b/persimmonspan/request/resumption.py
@@ -30,8 +30,8 @@
     Args:
         known: What began the stream, or None if nobody knows.
         is_named: Whether the caller says which call began the stream.
-        versions: Software versions of the registered targets, by service of the
-            route.
+        versions: Software versions of the targets that are registered, or were
+            recently, by service of the route.
 
     >>> versions = {"engines": frozenset({"v1", "v2"})}
     >>> find_place(Origin("engines", "v1"), True, versions).software_version
@@ -47,6 +47,20 @@
     if registered <= {""}:
         # The targets do not tell their versions.
         return Origin()
-    if not is_named and len(registered) == 1:
+    if is_guess(known, is_named, registered):
         return Origin("", *registered)
     return None
+
+
+def is_guess(known: Origin | None, is_named: bool,
+             registered: frozenset[str]) -> bool:
+    """Returns whether a stream is placed at the only version there is.
+
+    That is sound only if there is no other version that this daemon has not
+    read yet.
+
+    >>> is_guess(None, False, frozenset({"v1"}))
+    True
+    """
+    return (known is None and not is_named and len(registered) == 1 and
+            registered != {""})
