--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -137,7 +137,7 @@
         self._targets: dict[str, events.Target] = {}
         self._moved_targets: set[str] = set()
         self._registrations: tuple[directory.Registration, ...] | None = None
-        self._versions: dict[str, frozenset[str]] = {}  # By service.
+        self._directory = directory.State()
         self._lock = threading.Lock()
         self._targets_lock = threading.Lock()
         self._in_flight = 0
@@ -247,8 +247,9 @@
 
     def _list_versions(self, route: routes.Route) -> dict[str, frozenset[str]]:
         """Returns the software versions by service of a route."""
+        versions = directory.list_versions(self._directory)
         return {
-            split.service: self._versions.get(split.service, frozenset())
+            split.service: versions.get(split.service, frozenset())
             for split in route.splits
         }
 
@@ -408,7 +409,7 @@
         if is_first or not change.is_empty:
             self._departures.apply_entries(directory.all_targets(state))
         self._registrations = directory.usable_targets(state)
-        self._versions = directory.list_versions(state)
+        self._directory = state
         self._apply_cold_entries()
         for entry in change.doubted:
             self.metrics.count("target_entry_doubted")
