Name a test of probes for what it guards

Cause: test_end_before_an_answer_is_no_refusal connects to an address without a process, which is another matter than its name tells. Change: its name only.

--- a/persimmonspan/process/tests/test_lost_targets.py
+++ b/persimmonspan/process/tests/test_lost_targets.py
@@ -70,6 +70,6 @@
     assert reports == ([] if result is None else [result("t")])
 
 
-def test_end_before_an_answer_is_no_refusal():
+def test_address_without_a_process_is_told_from_a_silent_one():
     address = edge_world.free_address()
     assert exchange.probe(address, 0.5) is exchange.Reachability.REFUSED
