--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import struct
@@ -24,6 +25,7 @@
 KEY = "xd9dnn2ctnfzs989anu6"
 TENANT = "huka270"
 ZONES = ("recife", "suape", "caruaru")
+PREFILL_PER_S = 14_000  # Tokens of a prompt.
 LINGER_RESET = struct.pack("ii", 1, 0)
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "stabilityMs": 3000, "ackMs": 4000,
@@ -345,7 +347,6 @@
     kv_limit = 34371
     # Most replicas drop a request when its connection closes.
     drops_on_close = True
-    keeps_beyond = 0  # Further requests that wait in the replica's own queue.
 
     def __init__(self, world, name, service, slots):
         super().__init__(world, name, service, slots)
@@ -354,10 +355,37 @@
         self.cut_at = {}  # Attempt id: event after which it is cut.
         self.seen = set()  # Attempt ids that began to run here.
         self.prompts = {}  # Their tokens, by attempt id.
+        self.preempted = set()
+
+    def tokens(self, name):
+        return self.prompts[name] + 4 * self.running[name]
 
     def kv_in_use(self):
-        return sum(self.prompts[name] + 4 * made
-                   for name, made in self.running.items())
+        return sum(
+            self.tokens(name) for name in self.running
+            if name not in self.preempted)
+
+    async def await_memory(self, name):
+        """Waits until a run has memory for its next event.
+
+        When memory runs out, the newest run is preempted. It is read in again
+        once there is room. All runs of the scripts are equally urgent.
+        """
+        while name in self.running:
+            if name in self.preempted:
+                if self.kv_in_use() + self.tokens(name) <= self.kv_limit:
+                    self.preempted.discard(name)
+                    await asyncio.sleep(self.tokens(name) / PREFILL_PER_S)
+                    return
+                await asyncio.sleep(0.02)
+            elif self.kv_in_use() + 4 > self.kv_limit:
+                newest = [other for other in self.running
+                          if other not in self.preempted][-1]
+                self.preempted.add(newest)
+                self.record.write("preempted", replica=self.name, id=newest)
+            else:
+                return
+        self.preempted.discard(name)
 
     async def respond(self, request, reader, writer):
         if request.path == "/report":
@@ -377,13 +405,15 @@
         return await self.generate(request, reader, writer)
 
     def report(self):
-        runs = [[name, self.prompts[name] + 4 * made, made, 5]
-                for name, made in self.running.items()]
+        runs = [[name, self.tokens(name), made, 5]
+                for name, made in self.running.items()
+                if name not in self.preempted]
         document = {
             "phase": "mixed",
             "modelList": [{"name": "m", "version": 1, "loras": []}],
-            "busy": False, "sequence": 0, "waiting": 0, "running": len(runs),
-            "kvInUse": self.kv_in_use(), "kvLimit": self.kv_limit,
+            "busy": False, "sequence": 0, "waiting": len(self.preempted),
+            "running": len(runs), "kvInUse": self.kv_in_use(),
+            "kvLimit": self.kv_limit,
             "sessions": len(self.copies), "state": self.state,
             "born": self.born, "executions": runs
         }
@@ -419,7 +449,7 @@
             writer.write(self.refuse(request))
             return True
         prompt = int(request.headers.get("x-token-usage", "0,0").split(",")[0])
-        if (len(self.running) >= self.slots or
+        if (len(self.running) >= self.slots or self.preempted or
                 self.kv_in_use() + prompt > self.kv_limit):
             writer.write(self.refuse(request))
             return True
@@ -445,6 +475,7 @@
         location = f"{backup.address}/{request.id}" if backup else ""
         await asyncio.sleep(self.first_s)
         for number in range(begin + 1, total + 1):
+            await self.await_memory(request.id)
             if request.id not in self.running:
                 writer.transport.abort()
                 return
@@ -780,6 +811,8 @@
             traceback.print_exc()
         finally:
             world.end()
+            if not os.environ.get("KEEP_LOGS"):
+                shutil.rmtree(world.folder, ignore_errors=True)
         print({0: "held", 1: "broken", 2: "not run"}[code], flush=True)
         # The tasks of the stand-ins still wait for connections.
         os._exit(code)
