--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -425,11 +425,13 @@
         made = self.running.get(order["id"])
         if made is None:
             return 404, {}
-        if order.get("latest"):
-            self.stop(order["id"])
         to = self.world.engine_at(order["to"])
         handle = f"h{len(self.handles) + 1}"
         self.handles[handle] = order["id"]
+        if order.get("latest"):
+            self.stop(order["id"])
+            # The memory of a stopped run stays here too.
+            self.copies[f"{self.address}/{handle}"] = order["id"]
         await asyncio.sleep(0.2)
         if to is None:
             return 503, {"session": handle, "created": made}
