--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -255,14 +255,19 @@
         await self.crash()
 
     async def crash(self):
-        """Ends at once and sends nothing."""
+        """Ends at once and sends nothing; its entry lapses later."""
         self._beat.cancel()
+        self._lapse = asyncio.create_task(self._drop_entry())
         self.server.close()
         for writer in list(self.writers):
             reset(writer)
         self.running.clear()
         self.record.write("replica ended", replica=self.name)
 
+    async def _drop_entry(self):
+        await asyncio.sleep(3 * 1.2)
+        await self.world.store.write("servers", self.name, None)
+
     def load(self):
         return f"{min(len(self.running), self.slots)},0,{self.slots}"
 
