--- a/persimmonspan/connection/exchange.py
+++ b/persimmonspan/connection/exchange.py
@@ -245,16 +245,27 @@
                 if error.__cause__ else Reachability.ACCEPTED)
 
 
-def call(address: str, request: Request,
-         timeout_s: float) -> tuple[RawResponseHead, bytes]:
+def call(
+        address: str,
+        request: Request,
+        timeout_s: float,
+        connect_timeout_s: float | None = None
+) -> tuple[RawResponseHead, bytes]:
     """Sends a request and returns the head and body of the response.
 
+    Args:
+        address: Address of the target.
+        request: The request.
+        timeout_s: Time for all.
+        connect_timeout_s: Time for the target to accept the connection; None:
+            `timeout_s`.
+
     Raises:
         NotSentError: The target does not accept the connection in time.
         BrokenResponseError: No complete response arrived in time.
     """
     end_s = time.monotonic() + timeout_s
-    with open_socket(address, timeout_s) as sock:
+    with open_socket(address, connect_timeout_s or timeout_s) as sock:
         send(sock, encode(request), timeout_s)
         reader, body = receive(sock, request.method, end_s,
                                _MAX_CALL_BODY_BYTES)
--- a/persimmonspan/platform/tests/test_closed_targets.py
+++ b/persimmonspan/platform/tests/test_closed_targets.py
@@ -42,6 +42,7 @@
         self.retry_after = str(_PAUSE_S)
         self._script = script or self._answer
         self.stub = world.add_replica(name, service, self._respond)
+        self.stub.stop_script = self._respond
         self.is_closing = False
 
     def _respond(self, request):
@@ -281,8 +282,10 @@
 
     def add(self, name):
         """Starts an engine and registers it."""
-        self._replicas[name] = self._world.add_replica(
+        stub = self._world.add_replica(
             name, "engines", lambda request: self._respond(name, request))
+        stub.stop_script = stub.script
+        self._replicas[name] = stub
 
     def start_streams(self):
         """Starts streams; returns the threads of their callers."""
--- a/persimmonspan/platform/tests/test_hedged_requests.py
+++ b/persimmonspan/platform/tests/test_hedged_requests.py
@@ -33,16 +33,23 @@
             self.world.options._replace(hedge_share=share, grace_s=5.0))
         self.path = _PATHS[service]
         self.log = []
+        self.stops = []  # Names of the replicas that are told to stop a run.
         self._lock = threading.Lock()
         self._scripts = None
         usual = _answer(b"") if service == "desk" else _stream(b"u")
         self._next_scripts = [first, second]
         for name in ("i-1", "i-2", "i-3"):
-            self.world.add_replica(name, service, self._script(name, usual))
+            script = self._script(name, usual)
+            stub = self.world.add_replica(name, service, script)
+            stub.stop_script = script
 
     def _script(self, name, usual):
 
         def script(request):
+            if request.path == "/kv-move":
+                self.stops.append(name)
+                yield replica.complete_response(request, b"{}", 404)
+                return
             with self._lock:
                 run = usual if self._scripts is None else self._scripts.pop(0)
                 if self._scripts is not None:
@@ -161,6 +168,11 @@
         names = {name for name, _ in targets.log}
         assert len(targets.log) == len(names) == 2
         assert targets.outcomes() == {"hedge_sent": 1, outcome: 1}
+        if service == "engines":
+            # Failure: an engine that does not drop a run worked on for nobody.
+            loser, _ = targets.log[outcome == "hedge_lost"]
+            edge_world.wait_until(lambda: targets.stops)
+            assert set(targets.stops) == {loser}
     if outcome == "hedge_won":
         assert took_s < _SLOW_S
     left_ms = [
--- a/persimmonspan/platform/tests/test_leaving_answers.py
+++ b/persimmonspan/platform/tests/test_leaving_answers.py
@@ -213,6 +213,7 @@
         self.has_left = threading.Event()
         self.report_status = 200
         self.stub = world.add_replica(name, "engines", self._answer)
+        self.stub.stop_script = self._answer
 
     def _answer(self, request):
         if request.path == "/report":
--- a/persimmonspan/platform/tests/test_silent_runs.py
+++ b/persimmonspan/platform/tests/test_silent_runs.py
@@ -44,6 +44,7 @@
         for number in range(count):
             name = f"i-{number}"
             added = world.add_replica(name, "engines", self._script)
+            added.stop_script = self._script
             self.names[added.address] = name
 
     def end(self):
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -48,6 +48,7 @@
 from persimmonspan.process import read_schedule
 from persimmonspan.process import refusal_store
 from persimmonspan.process import row_store
+from persimmonspan.process import run_stopper
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import settings as own_settings
 from persimmonspan.process import shared_limits
@@ -55,10 +56,12 @@
 from persimmonspan.process import target_knowledge
 from persimmonspan.process import target_pauses
 from persimmonspan.process import threads
+from persimmonspan.request import choice
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
 from persimmonspan.request import forwarding
 from persimmonspan.request import resumption
+from persimmonspan.request import services
 from persimmonspan.version import routes
 
 _SEED_BITS = 64
@@ -128,6 +131,11 @@
             lambda: self._limits.daemons, self.scheduler.tell,
             self.metrics.count, lambda: self._peers is not None and self._peers.
             evidence.hears_nobody())
+        self._run_stopper = run_stopper.RunStopper(
+            services.Services(self.wire, self.metrics, self._pauses,
+                              self._departures.record_answer,
+                              self._cold.record_answer),
+            self._find_other_target, self.is_stopping)
         self._limits = shared_limits.SharedLimits(self.scheduler.tell)
         self._peers: peering.Peering | None = None
         self._follower: followers.Followers | None = None
@@ -135,6 +143,7 @@
         self._relay = relay.Relay(self.metrics.between_tokens.observe)
         self._configuration: routes.Configuration | None = None
         self._targets: dict[str, events.Target] = {}
+        self._usable_targets: tuple[events.Target, ...] = ()
         self._moved_targets: set[str] = set()
         self._registrations: tuple[directory.Registration, ...] | None = None
         self._directory = directory.State()
@@ -198,8 +207,8 @@
             configuration, self._find_target, self._record_moved_target,
             self._death_probe.check, self._named_rates.record, self._pauses,
             self.scheduler, self.metrics, self._relay, self.wire,
-            self._departures.record_answer, self._origins, self._find_obstacle,
-            self._cold.record_answer)
+            self._departures.record_answer, self._origins, self._run_stopper,
+            self._find_obstacle, self._cold.record_answer)
         return forwarding.serve(routed_call, context, responder)
 
     def _place_take_up(
@@ -241,6 +250,12 @@
             raise errors.RefusalError(
                 errors.Code.NO_TARGET,
                 "the software version that began the stream is not known")
+        former = self._find_target(place.target)
+        if former is not None:
+            # The daemon that ran it may have ended without stopping the run.
+            self._run_stopper.abandon(
+                former, place.request_id,
+                routed_call.arrived_s + routed_call.route.timeout_s, True)
         return routed_call._replace(service=place.service or
                                     routed_call.service,
                                     software_version=place.software_version)
@@ -352,6 +367,12 @@
         # that joined after the request arrived.
         return self._targets.get(name)
 
+    def _find_other_target(self, target: events.Target) -> events.Target | None:
+        return choice.choose_other_target(
+            target, self._usable_targets,
+            lambda other: not (self._find_obstacle(other) or self._pauses.
+                               is_closed(other.name)), self._rng)
+
     def _find_obstacle(self, target: events.Target) -> str:
         """Returns why a target gets nothing new besides load, or ""."""
         if self._evacuations.is_evacuated(target):
@@ -493,6 +514,7 @@
                 target.name: target for target in targets
             }
         }
+        self._usable_targets = targets
         kinds = {
             forwarded.route_kind(route): route for route in configuration.routes
         }
@@ -592,6 +614,7 @@
             self._share_limits()
             stack.enter_context(self._refusals.running())
             stack.enter_context(self._origins.running())
+            stack.enter_context(self._run_stopper.running())
             stack.enter_context(self._pauses.running())
             stack.enter_context(self._death_probe.running())
             stack.enter_context(follower.peers.running())
--- a/persimmonspan/process/stream_origins.py
+++ b/persimmonspan/process/stream_origins.py
@@ -43,6 +43,8 @@
 _MAX_REMEMBERED = 4096
 _KEY_BYTES = 16
 _MAX_ATTEMPTS_READ = 10
+# Row of a stream that goes on at another target than its first event's.
+_LAST_ATTEMPT = _MAX_ATTEMPTS_READ - 1
 
 _logger = logging.getLogger(__name__)
 _encoder = msgspec.msgpack.Encoder()
@@ -95,10 +97,7 @@
             origin: Service and software version of the target.
         """
         with self._changed:
-            self._remembered[stream] = origin
-            self._remembered.move_to_end(stream)
-            if len(self._remembered) > _MAX_REMEMBERED:
-                self._remembered.popitem(last=False)
+            self._remember(stream, origin)
             batch = self._batch
             if (self._is_stopped or len(batch.rows) >= _MAX_ENTRIES or
                     time.monotonic() < self._paused_until_s):
@@ -108,11 +107,32 @@
         batch.ended.wait(_MAX_WAIT_S)
         return batch.is_written
 
+    def update(self, stream: str, origin: resumption.Origin) -> None:
+        """Records where a stream that has begun goes on; waits for nothing.
+
+        Args:
+            stream: Id of the stream, see `stream_id`.
+            origin: Its origin, with the target of the run that goes on.
+        """
+        with self._changed:
+            self._remember(stream, origin)
+            rows = self._batch.rows
+            if len(rows) < _MAX_ENTRIES and not self._is_stopped:
+                rows[_row_key(stream, _LAST_ATTEMPT)] = _encoder.encode(origin)
+                self._changed.notify()
+
+    def _remember(self, stream: str, origin: resumption.Origin) -> None:
+        self._remembered[stream] = origin
+        self._remembered.move_to_end(stream)
+        if len(self._remembered) > _MAX_REMEMBERED:
+            self._remembered.popitem(last=False)
+
     def end(self, stream: str, attempts: int) -> None:
         """Has the rows of a stream removed that reached its caller whole."""
         with self._changed:
             self._ended_rows.update(
-                _row_key(stream, number) for number in range(1, attempts + 1))
+                _row_key(stream, number)
+                for number in (*range(1, attempts + 1), _LAST_ATTEMPT))
             if len(self._ended_rows) >= _MAX_ENDED_ROWS:
                 self._changed.notify()
 
--- a/persimmonspan/request/choice.py
+++ b/persimmonspan/request/choice.py
@@ -19,6 +19,7 @@
 """
 
 import collections
+import collections.abc
 import hashlib
 import math
 import random
@@ -379,3 +380,34 @@
             return now_s
         opens_s = opening_s if opens_s is None else min(opens_s, opening_s)
     return now_s if opens_s is None else opens_s + _MIN_RESPONSE_S
+
+
+def choose_other_target(target: events.Target, targets: tuple[events.Target,
+                                                              ...],
+                        is_usable: collections.abc.Callable[[events.Target],
+                                                            bool],
+                        rng: random.Random) -> events.Target | None:
+    """Returns a target to which the memory of a run at a target can be copied.
+
+    One with the same software version can continue the run, and a copy within
+    a failure domain takes half the time.
+
+    >>> source, other = (events.Target(name, "s", name, "a") for name in "tu")
+    >>> choose_other_target(source, (source, other), lambda target: True,
+    ...                     random.Random(1)).name
+    'u'
+    """
+    others = [
+        other for other in targets if other.service == target.service and
+        other.name != target.name and other.address != target.address
+    ]
+    if not others:
+        return None
+
+    def rank(other: events.Target) -> tuple[bool, bool, bool]:
+        return (is_usable(other),
+                other.software_version == target.software_version,
+                other.failure_domain == target.failure_domain)
+
+    best = max(rank(other) for other in others)
+    return rng.choice([other for other in others if rank(other) == best])
--- a/persimmonspan/request/copies.py
+++ b/persimmonspan/request/copies.py
@@ -15,9 +15,13 @@
 
 from persimmonspan import errors
 from persimmonspan.connection import exchange
+from persimmonspan.process import run_stopper
+from persimmonspan.request import abandoned_runs
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
+from persimmonspan.request import services
 from persimmonspan.request import session
+from persimmonspan.request import stop_call
 
 # Time to copy the memory of a long request over a shared link.
 _COPY_TIMEOUT_S = 2.5
@@ -33,26 +37,16 @@
     resume_from: str
 
 
-class ContextLike(session.ContextLike, typing.Protocol):
+class ContextLike(session.ContextLike, services.CallContext, typing.Protocol):
     """The part of the process that copies use."""
 
-    @property
-    def wire(self) -> forwarded.Wire:
-        """The formats of the platform."""
-
-    @property
-    def report_leaving(self) -> collections.abc.Callable[[events.Target], None]:
-        """Called with a target that says that it leaves."""
-
     @property
     def find_obstacle(self) -> collections.abc.Callable[[events.Target], str]:
         """Returns why a target gets nothing new, or an empty string."""
 
     @property
-    def report_cold(
-            self
-    ) -> collections.abc.Callable[[events.Target, float | None], None]:
-        """Called with for how long a target says that it is cold, or None."""
+    def run_stopper(self) -> run_stopper.RunStopper:
+        """Stops runs that may go on."""
 
 
 class Copies:
@@ -66,6 +60,11 @@
         self._copy_handle: str | None = None
         # The run that stopped at its target, which keeps its memory.
         self._stopped: Handover | None = None
+        # How the last call that stops the run ended; None: none was made.
+        self.stop_result: abandoned_runs.StopResult | None = None
+        # Deadline of the run at its target, on the monotonic clock.
+        self.run_end_s = 0.0
+        self.has_run_started = False  # It has made an event.
 
     @property
     def has_copy(self) -> bool:
@@ -83,6 +82,7 @@
     def reset(self) -> None:
         """Forgets the copy, because the stream continues at another target."""
         self._handover, self._copy_handle, self._stopped = None, None, None
+        self.stop_result = None
 
     def copy(self, source: events.Target, target_name: str) -> None:
         """Has the memory of the running stream copied to another target.
@@ -106,10 +106,12 @@
 
     def stop(self, source: events.Target, backup_target: events.Target | None,
              timeout_s: float) -> bool:
-        """Stops the run at a target whose connection brings nothing more.
+        """Stops the run at a target whose connection is dead or has ended.
 
         The rest of its memory goes to the target at which the stream would
-        continue. Without one, the run still stops, and its target keeps it.
+        continue, or to any other one. If it cannot be copied, the run still
+        stops, and its target keeps the memory. Without an answer in time, the
+        call goes on in the background.
 
         Args:
             source: The target.
@@ -117,40 +119,25 @@
             timeout_s: Time for the answer.
 
         Returns:
-            Whether the target confirms that the run has stopped.
+            Whether the target confirms that it has stopped the run.
         """
         if not self._may_call(source, "stop"):
             return False
-        to = self._handover.target if self._handover else backup_target
-        order = self._context.wire.encode_stop(
-            self._routed_call.call.request_id,
-            source.address if to is None else to.address)
-        move, reason = None, ""
-        try:
-            head, body = exchange.call(source.address, order, timeout_s)
-            self._record_pause(source, head, "stop")
-            self._check_leaving(source, head)
-            move = self._context.wire.decode_move(head, body)
-        except errors.TargetError as error:
-            reason = str(error)
-        is_stopped = move is not None and move.handle is not None
-        if is_stopped:
-            location = self._context.wire.copy_location(source.address,
-                                                        move.handle)
-            self._stopped = Handover(source, location)
-            if move.is_done and to is not None:
-                self._handover = Handover(to, location)
-        self._context.metrics.count(
-            "silent_run_stopped" if is_stopped else "silent_run_not_stopped")
-        _logger.info("stop of a silent run",
-                     extra={
-                         "target": source.name,
-                         "refuge": to and to.name,
-                         "status": move and move.status,
-                         "is_stopped": is_stopped,
-                         "reason": reason
-                     })
-        return is_stopped
+        stopper = self._context.run_stopper
+        to = (self._handover.target if self._handover else backup_target or
+              stopper.find_other(source))
+        answer = stopper.stop(
+            stop_call.Order(source, self._routed_call.call.request_id, to),
+            self.run_end_s, self.has_run_started, timeout_s)
+        self.stop_result = answer.result
+        if answer.result is not abandoned_runs.StopResult.STOPPED:
+            return False
+        location = self._context.wire.copy_location(source.address,
+                                                    answer.handle)
+        self._stopped = Handover(source, location)
+        if answer.is_copied and to is not None:
+            self._handover = Handover(to, location)
+        return True
 
     def select_handover(self, backup_target: events.Target | None,
                         software_version: str) -> Handover | None:
@@ -213,8 +200,7 @@
             head, _ = exchange.call(source.address,
                                     self._context.wire.encode_drop(handle),
                                     _DROP_TIMEOUT_S)
-            self._record_pause(source, head, "drop")
-            self._check_leaving(source, head)
+            services.record_call(self._context, source, head, "drop")
         except errors.TargetError as error:
             _logger.info("failed to free the copy of a stream",
                          extra={"reason": str(error)})
@@ -227,7 +213,7 @@
             self._routed_call.call.request_id, target.address)
         try:
             head, body = exchange.call(source.address, order, _COPY_TIMEOUT_S)
-            self._record_pause(source, head, "copy")
+            services.record_call(self._context, source, head, "copy")
         except errors.TargetError as error:
             _logger.warning("move failed",
                             extra={
@@ -236,7 +222,6 @@
                                 "reason": str(error)
                             })
             return None
-        self._check_leaving(source, head)
         move = self._context.wire.decode_move(head, body)
         _logger.info("move",
                      extra={
@@ -248,6 +233,10 @@
 
     def _may_continue_at(self, target: events.Target) -> bool:
         obstacle = self._context.find_obstacle(target)
+        # The call that stops a former run there would stop the stream.
+        if not obstacle and self._context.run_stopper.is_pending(
+                target, self._routed_call.call.request_id):
+            obstacle = "run_to_stop"
         if not obstacle:
             return True
         self._context.metrics.count(f"stream_kept_from_{obstacle}")
@@ -268,16 +257,3 @@
                             "purpose": purpose
                         })
         return False
-
-    def _record_pause(self, target: events.Target,
-                      head: exchange.RawResponseHead, source: str) -> None:
-        self._context.pauses.record(target.name,
-                                    self._context.wire.decode_retry_after(head),
-                                    source)
-        self._context.report_cold(target,
-                                  self._context.wire.decode_cold_start(head))
-
-    def _check_leaving(self, source: events.Target,
-                       head: exchange.RawResponseHead) -> None:
-        if self._context.wire.says_leaving(head):
-            self._context.report_leaving(source)
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -27,12 +27,14 @@
 from persimmonspan.connection import exchange
 from persimmonspan.connection import relay
 from persimmonspan.process import metrics
+from persimmonspan.process import run_stopper
 from persimmonspan.process import scheduler_actor
 from persimmonspan.process import stream_origins
 from persimmonspan.process import target_pauses
 from persimmonspan.request import arrival
 from persimmonspan.request import classification
 from persimmonspan.request import copies
+from persimmonspan.request import current_run
 from persimmonspan.request import event_stream
 from persimmonspan.request import events
 from persimmonspan.request import forwarded
@@ -74,6 +76,7 @@
     wire: forwarded.Wire
     report_leaving: collections.abc.Callable[[events.Target], None]
     origins: stream_origins.StreamOrigins
+    run_stopper: run_stopper.RunStopper
     # Returns why a target gets nothing new, or an empty string.
     find_obstacle: collections.abc.Callable[[events.Target],
                                             str] = lambda target: ""
@@ -162,7 +165,7 @@
                                              route.token_pause_s,
                                              request_session.remaining_s())
         self._copies = copies.Copies(routed_call, context)
-        self._target_silence: silent_runs.Silence | None = None
+        self._run = current_run.CurrentRun(routed_call, context, self._copies)
         self._timing = pauses.Pauses()
         self._handover_times_s: list[float] = []
         # Head of the stream that the caller receives, once it has begun.
@@ -236,13 +239,11 @@
         try:
             return self._run_attempt(dispatch, target)
         except (session.CallerLeftError, errors.PersimmonspanError) as error:
-            # The closed connection makes the target stop its work. The
-            # scheduler ignores this report if the attempt has already ended.
+            # The scheduler ignores this report if the attempt has already
+            # ended.
             self._hedge.cancel()
             self._report_end(events.Outcome.CANCELLED)
-            if (isinstance(error, session.CallerLeftError) and
-                    self.event_count > self._events_before_attempt):
-                self._target_silence.stop_left_run(self._timing.last_s)
+            self._run.abandon()
             _logger.info("request ended early",
                          extra={
                              "target": self._target.name,
@@ -274,9 +275,11 @@
                 target, outcome = self._settle_hedge(target, outcome)
             has_progressed = self.event_count > before
             if outcome is events.Outcome.COMPLETED:
+                self._run.end()
                 self._report_end(outcome)
                 return True
             self._record_failure(target, outcome)
+            self._stop_run(outcome, backup, has_progressed)
             handover = None
             if has_progressed and outcome is events.Outcome.INTERRUPTED:
                 handover = self._copies.select_handover(
@@ -290,6 +293,20 @@
             backup = self._wait_for_backup()
         return self._end_failed_attempt(outcome)
 
+    def _stop_run(self, outcome: events.Outcome, backup_name: str | None,
+                  has_progressed: bool) -> None:
+        """Stops the run of a failed attempt, if it may go on."""
+        if outcome is not events.Outcome.INTERRUPTED:
+            # The target's own response has ended it.
+            self._run.end()
+            return
+        backup = self._copies.find_backup(backup_name)
+        has_other_place = self._can_continue_elsewhere(backup)
+        if has_progressed or has_other_place:
+            self._run.stop(backup, has_other_place)
+        else:
+            self._run.abandon()
+
     def _record_failure(self, target: events.Target,
                         outcome: events.Outcome) -> None:
         if self._is_connection_lost:
@@ -321,8 +338,11 @@
         else:
             self._record_failure(target, outcome)
         self._report_end(outcome)
+        if outcome in (events.Outcome.CANCELLED, events.Outcome.INTERRUPTED):
+            self._run.abandon()
         taken = self._hedge.take()
         self._target = taken.target
+        self._run.begin(taken.target, self._session.remaining_s())
         if outcome is not events.Outcome.REFUSED:
             self._may_have_run_before = True
         self._session.may_have_run = True
@@ -410,6 +430,7 @@
                                           time_left_s)) as sock:
                 self._may_have_run_before = self._session.may_have_run
                 self._session.may_have_run = True
+                self._run.begin(target, time_left_s)
                 exchange.send(sock, head, _SEND_TIMEOUT_S, order.body,
                               time.monotonic() + time_left_s)
                 self._record_origin(target)
@@ -430,6 +451,7 @@
         self._is_connection_lost = False
         self._events_before_attempt = self.event_count
         self._copies.reset()
+        self._run.end()
         self._body.clear()
         self._stream = event_stream.prepare_resume(self._stream)
 
@@ -447,10 +469,12 @@
         call, version = self._routed_call.call, target.software_version
         if (not version or call.is_take_up or self.has_response_begun or
                 not self._routed_call.route.is_resumable):
+            if self._routed_call.route.is_resumable:
+                self._update_origin(target)
             return
-        is_written = self._context.origins.record(
-            self._stream_id(), self._attempts,
-            resumption.Origin(self._routed_call.service, version))
+        is_written = self._context.origins.record(self._stream_id(),
+                                                  self._attempts,
+                                                  self._origin(target))
         if not is_written:
             self._context.metrics.count("stream_origin_not_written")
             if self._recorded_versions - {version}:
@@ -459,14 +483,26 @@
                     "the software version of the stream is not recorded")
         self._recorded_versions.add(version)
 
+    def _origin(self, target: events.Target) -> resumption.Origin:
+        return resumption.Origin(self._routed_call.service,
+                                 target.software_version, target.name,
+                                 self._routed_call.call.request_id)
+
+    def _update_origin(self, target: events.Target) -> None:
+        """Records where a stream goes on, for callers that take it up."""
+        if (self._recorded_versions or
+                self._routed_call.call.resumes is not None):
+            self._context.origins.update(self._stream_id(),
+                                         self._origin(target))
+
     def _stream_id(self) -> str:
-        workspace = self._routed_call.workspace
+        workspace, call = self._routed_call.workspace, self._routed_call.call
         return stream_origins.stream_id(workspace.name if workspace else "",
-                                        self._routed_call.call.request_id)
+                                        call.resumes or call.request_id)
 
     def end_origin(self) -> None:
         """Has the rows of a stream removed that its caller has whole."""
-        if self._recorded_versions:
+        if self._recorded_versions or self._routed_call.call.resumes:
             self._context.origins.end(self._stream_id(), self._attempts)
 
     def _relay_response(self, target: events.Target,
@@ -477,8 +513,8 @@
         if not self._is_stream:
             unlimited_s = self._session.remaining_s() + 1
             limits = pauses.SilenceLimits(unlimited_s, unlimited_s)
-        silence = self._target_silence = silent_runs.Silence(
-            limits, self._routed_call, self._context, target, self._copies)
+        silence = silent_runs.Silence(limits, self._routed_call, self._context,
+                                      target, self._copies)
         silence_timeout_s = silence.first_s
         attach = functools.partial(self._context.relay.attach_engine,
                                    self._transfer, sock, self._consume)
@@ -602,6 +638,7 @@
             self._software_version = self._target.software_version
             output = self._responder.stream_head(self._head.status,
                                                  self._head.headers) + output
+        self._run.start()
         if is_first:
             self._hedge.note_first_event()
         self._timing = self._timing.after(now_s)
--- a/persimmonspan/request/hedged_exchange.py
+++ b/persimmonspan/request/hedged_exchange.py
@@ -23,6 +23,7 @@
 from persimmonspan.connection import exchange
 from persimmonspan.connection import memory_budget
 from persimmonspan.connection import relay
+from persimmonspan.process import run_stopper
 from persimmonspan.request import classification
 from persimmonspan.request import event_stream
 from persimmonspan.request import events
@@ -56,6 +57,10 @@
     def report_wrong_target(self) -> collections.abc.Callable[[str], None]:
         """Called with a target at whose address another process responds."""
 
+    @property
+    def run_stopper(self) -> run_stopper.RunStopper:
+        """Stops runs that may go on."""
+
     @property
     def report_broken_target(
             self) -> collections.abc.Callable[[events.Target], None]:
@@ -170,6 +175,7 @@
         self._sock: socket.socket | None = None
         self._first_sent_s = 0.0
         self._sent_s = 0.0
+        self._end_s = 0.0  # Deadline that the target received.
 
     def arm(self, dispatch: events.Dispatch) -> None:
         """Sets the time to ask for a second attempt, as the first is sent."""
@@ -227,6 +233,7 @@
 
     def _send(self, priority: int) -> None:
         left_s = self._session.remaining_s()
+        self._end_s = time.monotonic() + left_s
         workspace = self._routed_call.workspace
         order = self._context.wire.encode_order(
             self._routed_call.call,
@@ -336,6 +343,7 @@
             return
         self.is_running = False
         self.release()
+        self._abandon_run()
         self._record(reason, None)
         self._context.metrics.hedge_lost_seconds.inc(time.monotonic() -
                                                      self._sent_s)
@@ -345,6 +353,8 @@
               error: errors.TargetError | None) -> None:
         self.is_running = False
         self.release()
+        if outcome is events.Outcome.INTERRUPTED:
+            self._abandon_run()
         if isinstance(error, classification.RejectedResponseError):
             self._context.metrics.count(f"response_{error.reason}")
         self._record("hedge_failed", error)
@@ -356,6 +366,13 @@
         else:
             self._session.end_attempt(*end)
 
+    def _abandon_run(self) -> None:
+        """Has the run at its target stopped, if it goes on."""
+        response = self._response
+        self._context.run_stopper.abandon(
+            self._target, self._routed_call.call.request_id, self._end_s,
+            response is not None and response.has_event)
+
     def _end_unsent(self, target: str) -> None:
         self._context.metrics.count("hedge_unsent")
         _logger.info("hedge not sent", extra={"target": target})
--- a/persimmonspan/request/resumption.py
+++ b/persimmonspan/request/resumption.py
@@ -15,10 +15,19 @@
 
 
 class Origin(msgspec.Struct, frozen=True, array_like=True):
-    """What began a stream; what is empty does not matter."""
+    """What began a stream; what is empty does not matter.
+
+    Attributes:
+        service: Service of the target.
+        software_version: Software version of the target.
+        target: Name of the target that ran the stream last.
+        request_id: Id of that run at the target.
+    """
 
     service: str = ""
     software_version: str = ""
+    target: str = ""
+    request_id: str = ""
 
 
 def find_place(
@@ -39,7 +48,7 @@
     >>> find_place(None, True, versions) is None
     True
     >>> find_place(None, True, {"engines": frozenset({""})})
-    Origin(service='', software_version='')
+    Origin(service='', software_version='', target='', request_id='')
     """
     if known is not None:
         return known if known.service in versions else None
--- a/persimmonspan/request/silent_runs.py
+++ b/persimmonspan/request/silent_runs.py
@@ -141,15 +141,6 @@
         return max(0.0,
                    self._since_s + self._steps_s[self._step] - time.monotonic())
 
-    def stop_left_run(self, last_event_s: float) -> None:
-        """Stops a run whose caller left while it was silent.
-
-        Args:
-            last_event_s: When its last event arrived, on the monotonic clock.
-        """
-        if self._ask_s and time.monotonic() - last_event_s >= self._ask_s[0]:
-            self._copies.stop(self._target, None, _UNANSWERED_STOP_TIMEOUT_S)
-
     def _stop(self, backup: events.Target | None) -> bool:
         # A target that is slow to answer still stops the run.
         timeout_s = (_UNANSWERED_STOP_TIMEOUT_S
--- a/testbed/replica.py
+++ b/testbed/replica.py
@@ -13,6 +13,10 @@
 import typing
 
 _READ_BYTES = 65536
+# Connections that fill the queue of a listener, and the time that each one may
+# take if there is room.
+_MAX_FILLERS = 8
+_FILLER_TIMEOUT_S = 0.03
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -86,14 +90,22 @@
 
 
 class Replica:
-    """A listening replica and the requests that it received."""
+    """A listening replica and the requests that it received.
+
+    Like most replicas it drops a run when its connection closes: it answers
+    calls that stop one with 404, unless `stop_script` responds to them.
+    """
 
     def __init__(self, script: Script) -> None:
-        self.requests: list[Request] = []
+        self.requests: list[Request] = []  # Without calls that stop a run.
         self.script = script
+        self.stop_script: Script | None = None
         self.is_stopped = False
         self.is_leaving = False  # Said in all answers.
         self.greeting = b""  # Sent before the first request is read.
+        self._reachable = threading.Event()
+        self._reachable.set()
+        self._fillers: list[socket.socket] = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
 
@@ -110,17 +122,49 @@
 
     def stop(self) -> None:
         """Stops accepting connections."""
+        self.unblock()
         self.is_stopped = True
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
+    def block(self) -> None:
+        """Lets new connections wait, like those to a host out of reach."""
+        self._reachable.clear()
+        self._listener.listen(0)
+        for _ in range(_MAX_FILLERS):
+            filler = socket.socket()
+            self._fillers.append(filler)
+            filler.settimeout(_FILLER_TIMEOUT_S)
+            try:
+                filler.connect(self._listener.getsockname())
+            except TimeoutError:
+                return
+
+    def unblock(self) -> None:
+        """Ends the effect of `block`."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        if not self._reachable.is_set():
+            self._listener.listen()
+            self._reachable.set()
+
+    def _respond(
+            self, request: Request
+    ) -> collections.abc.Iterable[bytes | ConnectionReset]:
+        if _stops_run(request):
+            return (self.stop_script or _no_run)(request)
+        self.requests.append(request)
+        return self.script(request)
+
     def _accept(self) -> None:
         while True:
             try:
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            self._reachable.wait()
             threading.Thread(target=self._serve,
                              args=(connection,),
                              daemon=True).start()
@@ -129,8 +173,7 @@
         with connection, contextlib.suppress(OSError):
             connection.sendall(self.greeting)
             request = _read_request(connection)
-            self.requests.append(request)
-            for part in self.script(request):
+            for part in self._respond(request):
                 if isinstance(part, ConnectionReset):
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                           _LINGER_RESET)
@@ -140,6 +183,15 @@
                 connection.sendall(part)
 
 
+def _stops_run(request: Request) -> bool:
+    return (request.path == "/kv-move" and
+            b'"latest"' in bytes(request.body).replace(b" ", b""))
+
+
+def _no_run(request: Request) -> list[bytes]:
+    return [complete_response(request, b"{}", 404)]
+
+
 def _read_request(connection: socket.socket) -> Request:
     data = b""
     while b"\r\n\r\n" not in data:
