--- a/persimmonspan/platform/tests/test_planned_stop.py
+++ b/persimmonspan/platform/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import threading
 import time
 
 from cheroot import server
@@ -88,3 +89,60 @@
     with _stopping_world(1.5, 3.0) as (_, connection):
         _send(connection, "late")
         assert connection.getresponse().status == 200
+
+
+class _Engine:
+    """An engine with one slot, and a stream that runs until it is released."""
+
+    def __init__(self, world):
+        self.released = threading.Event()
+        document = edge_world.configuration()
+        document["services"][1]["runtime"] = {"slots": 1, "kvCapacity": 700}
+        world.rows.write("op", "config", document)
+        self.stub = world.add_replica("e-1", "engines", self._stream, slots=1)
+
+    def _stream(self, request):
+        yield replica.stream_head(request) + replica.event_chunk(1)
+        self.released.wait(edge_world.TIMEOUT_S)
+        yield replica.event_chunk(2) + replica.STREAM_END
+
+
+def _ask(world, request_id, results):
+    try:
+        results[request_id] = world.send_request("/draft/1",
+                                                 X_Attempt_Id=request_id,
+                                                 X_Token_Usage="100,500",
+                                                 X_Deadline_Ms="20000")
+    except (http.client.HTTPException, OSError) as error:
+        results[request_id] = error
+
+
+def test_request_that_waits_and_may_outlast_the_stop_is_refused_at_once():
+    # Failure: it waited until the end of the grace period, and its connection
+    # was closed without a response (review case 11).
+    world = edge_world.EdgeEnvironment(grace_s=3.0)
+    engine, results = _Engine(world), {}
+    with world.running():
+        callers = [
+            threading.Thread(target=_ask, args=(world, name, results))
+            for name in ("runs", "waits-1", "waits-2")
+        ]
+        for caller in callers:
+            caller.start()
+            edge_world.wait_until(lambda: engine.stub.requests)
+            time.sleep(0.1)
+        with threads.running(world.edge.stop, lambda: None):
+            edge_world.wait_until(lambda: len(results) == 2)
+            assert not engine.released.is_set()
+            engine.released.set()
+            for caller in callers:
+                caller.join()
+    returns_s = []
+    for name in ("waits-1", "waits-2"):
+        status, headers, _ = results[name]
+        assert status == 503
+        returns_s.append(float(headers["Retry-After"]))
+    # The caller that waited longest returns first.
+    assert returns_s[0] < returns_s[1] < 1.0
+    assert results["runs"][0] == 200
+    assert [request.id for request in engine.stub.requests] == ["runs"]
--- a/persimmonspan/process/edge.py
+++ b/persimmonspan/process/edge.py
@@ -638,8 +638,9 @@
         """
         self._stop_s = time.monotonic()
         self._limits.send_hedge_limits(self._options, self.is_stopping())
-        planned_stop.run(planned_stop.plan(self._stop_s, self._options.grace_s),
-                         self._stop_s + _MIN_STOP_S, self._server,
+        times = planned_stop.plan(self._stop_s, self._options.grace_s)
+        self.scheduler.tell(events.StopBegan(times.cut_s))
+        planned_stop.run(times, self._stop_s + _MIN_STOP_S, self._server,
                          lambda: self._in_flight, self.metrics.count,
                          end_process)
 
--- a/persimmonspan/request/events.py
+++ b/persimmonspan/request/events.py
@@ -120,6 +120,12 @@
     target: str  # Of the first attempt.
 
 
+class StopBegan(typing.NamedTuple):
+    """A planned stop of this daemon began; it ends what runs at `cut_s`."""
+
+    cut_s: float
+
+
 class HedgeLimitsChanged(typing.NamedTuple):
     """The limits of hedged requests changed; see `hedging.set_limits`."""
 
@@ -417,7 +423,7 @@
          RequestAbandoned | LoadReported | PeerLoad | TargetsChanged |
          TargetLeaving | TargetReturned | TargetDied | TargetLost |
          TargetAlive | RateNamed | TargetClosed | TargetOpened | TargetCold |
-         ColdSharesChanged | DaemonsChanged | QuarantineShared |
+         ColdSharesChanged | DaemonsChanged | StopBegan | QuarantineShared |
          QuarantineLifted | RetryLimitsChanged | Tick)
 Command = (Dispatch | Evacuate | AssignBackup | Refuse | CancelAttempt |
            ShareQuarantine | TargetClassified | Count)
--- a/persimmonspan/request/placement.py
+++ b/persimmonspan/request/placement.py
@@ -109,6 +109,7 @@
     cold: cold_targets.State = cold_targets.State()
     speeds: target_speeds.State = target_speeds.State()
     hedges: hedging.State = hedging.State()
+    cut_s: float = math.inf  # When a planned stop ends what still runs.
 
 
 Result = tuple[State, list[events.Command]]
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -26,6 +26,7 @@
 from persimmonspan.process import target_speeds
 from persimmonspan.request import choice
 from persimmonspan.request import cold_targets
+from persimmonspan.request import draining
 from persimmonspan.request import evacuated_domains
 from persimmonspan.request import evacuation
 from persimmonspan.request import events
@@ -130,6 +131,8 @@
                                 rng)
     if decision.is_repeat:
         item = item._replace(is_repeat=True)
+    if draining.outlasts_stop(state, item):
+        return draining.refuse(state, item, 0.0, now_s)
     if not choice.has_eligible_target(state.view, event.service, state.leaving,
                                       (), event.software_version):
         return placement.refuse(state, item, errors.Code.NO_TARGET, now_s, rng)
@@ -241,6 +244,13 @@
     return hedge_placement.start(state, event, now_s, rng)
 
 
+@_handle_event.register
+def _(event: events.StopBegan, state: State, now_s: float,
+      rng: random.Random) -> Result:
+    del rng
+    return draining.refuse_waiting(state._replace(cut_s=event.cut_s), now_s)
+
+
 @_handle_event.register
 def _(event: events.HedgeLimitsChanged, state: State, now_s: float,
       rng: random.Random) -> Result:
@@ -489,6 +499,9 @@
         commands += refusal
     state, refusals = eviction.refuse_late(state, now_s, rng)
     commands += refusals
+    # Retries that began to wait after the stop did.
+    state, refusals = draining.refuse_waiting(state, now_s)
+    commands += refusals
     for service in {key[0] for key in state.queue.ranked_lanes}:
         state, more = placement.dispatch_waiting(state, service, (), now_s, rng)
         commands += more
