--- a/persimmonspan/platform/tests/test_crashing_requests.py
+++ b/persimmonspan/platform/tests/test_crashing_requests.py
@@ -4,6 +4,7 @@
 new one takes its place under another name.
 """
 
+import http.client
 import itertools
 import logging
 import threading
@@ -26,6 +27,9 @@
 _CALLER_PAUSE_S = 0.2
 _DARK_S = 0.3
 _SILENT_REQUESTS = 10
+_EVENTS_BEFORE_CRASH = 10
+_EVENT_S = 0.12
+_MANY_ENGINES = 12
 
 
 class _Engines:
@@ -115,6 +119,48 @@
     assert engines.crashes <= _MAX_CRASHES_BY_A_REQUEST
 
 
+def test_stream_that_crashes_each_engine_is_not_handed_on_for_ever(
+        daemons, caplog):
+    # Failure: only arrivals were refused; one stream went on from copy to copy
+    # and crashed an engine each time (review case 7).
+    engines = _CrashingStreams(daemons[0])
+    engines.add(_MANY_ENGINES)
+    edge_world.wait_until(
+        lambda: caplog.text.count("target joined") >= 2 * _MANY_ENGINES)
+    with pytest.raises((http.client.HTTPException, OSError)):
+        daemons[0].send_request(_PATH,
+                                body=b"bad",
+                                timeout_s=20.0,
+                                X_Token_Usage="100,500",
+                                X_Deadline_Ms="20000")
+    assert 2 <= engines.crashes <= _MAX_CRASHES_BY_A_REQUEST
+    counts = daemons[0].edge.metrics.counts()
+    assert counts["stream_move_refused_quarantined"] == 1
+
+
+class _CrashingStreams(_Engines):
+    """Engines that crash some time after the first event of any stream."""
+
+    def __init__(self, world):
+        super().__init__(world, lambda request: True)
+
+    def _make_script(self, name, stub):
+
+        def answer(request):
+            first = int(request.headers.get("last-event-id", 0)) + 1
+            yield replica.stream_head(request)
+            for number in range(first, first + _EVENTS_BEFORE_CRASH):
+                yield replica.event_chunk(number)
+                time.sleep(_EVENT_S)
+            self.crashes += 1
+            stub.stop()
+            self._world.rows.write("servers", name, None)
+            self.add(1)
+            yield replica.ConnectionReset()
+
+        return answer
+
+
 def test_request_whose_engines_go_silent_is_refused_everywhere(daemons):
     # Failure: an engine that ended without a reset was no evidence at all.
     crashes = []
--- a/persimmonspan/request/crash_evidence.py
+++ b/persimmonspan/request/crash_evidence.py
@@ -9,6 +9,8 @@
 
 CRASHES_TO_REFUSE = 3
 CRASHES_TO_REFUSE_ALONE = 2  # Of a whole request that was alone once.
+# Of targets that ran one request one after the other, whatever ran beside it.
+DEATHS_TO_REFUSE = 3
 # Targets that die together, such as those of a failure domain, die within this.
 MIN_CRASH_INTERVAL_S = 0.5
 SUSPECT_TTL_S = 300.0
@@ -40,6 +42,7 @@
     started_s: float
     is_answered: bool = False  # The target survived the start of its answer.
     disconnected_s: float = math.inf
+    deaths: int = 0  # Of the targets that ran the same request before.
 
 
 def list_suspects(runs: typing.Iterable[Run]) -> dict[str, tuple[Run, ...]]:
@@ -81,6 +84,15 @@
         set(record.requests)) > 1)
 
 
+def condemn(record: Record, run: Run, now_s: float) -> Record:
+    """Returns a record of a request that outlived the deaths of its targets."""
+    requests = (*record.requests, run.fingerprints.request)
+    return record._replace(expires_s=now_s + SUSPECT_TTL_S,
+                           crashes=max(record.crashes, run.deaths),
+                           requests=requests[-_MAX_COUNTED_REQUESTS:],
+                           crashed_s=_end_s(run, now_s))
+
+
 def is_explained(fingerprint: str, runs: typing.Iterable[Run],
                  guilty: typing.Container[str]) -> bool:
     """Returns whether a later part of a prompt is as likely the cause.
--- a/persimmonspan/request/evacuation.py
+++ b/persimmonspan/request/evacuation.py
@@ -13,10 +13,12 @@
 import math
 import random
 
+from persimmonspan import errors
 from persimmonspan.process import load_view
 from persimmonspan.request import choice
 from persimmonspan.request import events
 from persimmonspan.request import placement
+from persimmonspan.request import quarantine
 from persimmonspan.request import target_backoff
 
 # The source updates a backup several times a second. With the time of the
@@ -115,6 +117,29 @@
             now_s - running.first_token_s >= _BACKUP_READY_S)
 
 
+def refuse_move(state: placement.State, event: events.RequestMoved,
+                running: placement.RunningRequest,
+                now_s: float) -> placement.Result:
+    """Ends a stream that crashed too many targets before it reaches another.
+
+    Its response has begun, so its caller sees a broken connection.
+    """
+    state = placement.release_attempt(state, event.request_id, running,
+                                      running.tokens, now_s)
+    state = placement.record_request_end(state, running.item.arrived, False,
+                                         now_s)
+    # The quarantine has recorded the run at the next target.
+    not_sent = events.AttemptEnded(event.request_id, event.target,
+                                   events.Outcome.CONNECT_FAILED)
+    state = state._replace(
+        suspects=quarantine.step(state.suspects, not_sent, now_s)[0])
+    return state, [
+        events.Refuse(event.request_id, errors.Code.QUARANTINED, None,
+                      errors.RunState.RAN, running.item.arrived.fingerprint),
+        events.Count("stream_move_refused_quarantined")
+    ]
+
+
 def record_move(state: placement.State, event: events.RequestMoved,
                 running: placement.RunningRequest, now_s: float,
                 rng: random.Random) -> placement.Result:
--- a/persimmonspan/request/forwarding.py
+++ b/persimmonspan/request/forwarding.py
@@ -278,18 +278,22 @@
                 self._run.end()
                 self._report_end(outcome)
                 return True
-            self._record_failure(target, outcome)
+            self._log_failure(target, outcome)
             self._stop_run(outcome, backup, has_progressed)
             handover = None
             if has_progressed and outcome is events.Outcome.INTERRUPTED:
                 handover = self._copies.select_handover(
                     self._copies.find_backup(backup), self._software_version)
+            if handover is not None:
+                self._context.scheduler.tell(
+                    events.RequestMoved(self._routed_call.request_id,
+                                        handover.target.name))
+            # The quarantine has to know of the move before the death.
+            self._report_broken_target(target)
             if handover is None:
                 break
             target, resume_from = handover
             self._handover_times_s.append(time.monotonic())
-            self._context.scheduler.tell(
-                events.RequestMoved(self._routed_call.request_id, target.name))
             backup = self._wait_for_backup()
         return self._end_failed_attempt(outcome)
 
@@ -307,10 +311,12 @@
         else:
             self._run.abandon()
 
-    def _record_failure(self, target: events.Target,
-                        outcome: events.Outcome) -> None:
+    def _report_broken_target(self, target: events.Target) -> None:
         if self._is_connection_lost:
             self._context.report_broken_target(target)
+
+    def _log_failure(self, target: events.Target,
+                     outcome: events.Outcome) -> None:
         if isinstance(self._target_error, classification.RejectedResponseError):
             self._context.metrics.count(f"response_{self._target_error.reason}")
         _logger.info("attempt ended",
@@ -336,7 +342,8 @@
         if self._hedge.has_succeeded:
             outcome = events.Outcome.CANCELLED
         else:
-            self._record_failure(target, outcome)
+            self._report_broken_target(target)
+            self._log_failure(target, outcome)
         self._report_end(outcome)
         if outcome in (events.Outcome.CANCELLED, events.Outcome.INTERRUPTED):
             self._run.abandon()
--- a/persimmonspan/request/quarantine.py
+++ b/persimmonspan/request/quarantine.py
@@ -17,6 +17,11 @@
   always came together, the last one in the prompt is condemned; the next crash
   shows whether it was another.
 
+A stream goes on from copies of its memory, and counts as answered. The deaths
+of the targets that ran it one after the other are counted with its run,
+whatever ran beside it: `crash_evidence.DEATHS_TO_REFUSE` of them condemn the
+request, and the stream goes on at no other target.
+
 A condemned fingerprint is refused for `REFUSAL_TTL_S`. It then needs one more
 crash to be refused again.
 
@@ -206,7 +211,10 @@
         runs = state.runs.set((request_id, target),
                               run._replace(disconnected_s=now_s))
         runs = runs.set((request_id, event.target),
-                        crash_evidence.Run(run.fingerprints, now_s, True))
+                        crash_evidence.Run(run.fingerprints,
+                                           now_s,
+                                           True,
+                                           deaths=run.deaths))
         return state._replace(runs=runs), []
     return state, []
 
@@ -215,13 +223,13 @@
 @_step.register(events.TargetLost)
 def _(event: events.TargetDied | events.TargetLost, state: State,
       now_s: float) -> Result:
-    is_late = isinstance(event, events.TargetLost)
     in_flight = {
         key: run
         for key, run in state.runs.items()
         if key[1] == event.target and now_s - run.disconnected_s < DEATH_GRACE_S
     }
     state = state._replace(runs=_remove(state.runs, *in_flight))
+    state, outlived = _count_deaths(state, in_flight)
     suspects = crash_evidence.list_suspects(in_flight.values())
     most = max(
         (_crashes(state, fingerprint, now_s) for fingerprint in suspects),
@@ -231,10 +239,8 @@
     counted: dict[str, crash_evidence.Record] = {}
     for fingerprint, runs in sorted(suspects.items()):
         record = _find_record(state, fingerprint, now_s)
-        run = next(
-            (run for run in runs
-             if crash_evidence.is_another_crash(record, run, now_s, is_late)),
-            None)
+        run = next((run for run in runs if crash_evidence.is_another_crash(
+            record, run, now_s, isinstance(event, events.TargetLost))), None)
         if record.crashes == most and run is not None:
             counted[fingerprint] = crash_evidence.add_crash(
                 record, run, is_alone, now_s)
@@ -242,6 +248,12 @@
         fingerprint for fingerprint, record in counted.items()
         if crash_evidence.is_proven(fingerprint, record)
     }
+    for fingerprint, run in outlived.items():
+        record = counted.get(fingerprint, _find_record(state, fingerprint,
+                                                       now_s))
+        counted[fingerprint] = crash_evidence.condemn(record, run, now_s)
+        suspects.setdefault(fingerprint, (run,))
+    guilty.update(outlived)
     commands: list[events.Command] = []
     for fingerprint, record in counted.items():
         if fingerprint in guilty and not crash_evidence.is_explained(
@@ -263,6 +275,31 @@
     return state, commands
 
 
+def _count_deaths(
+    state: State, in_flight: dict[tuple[str, str], crash_evidence.Run]
+) -> tuple[State, dict[str, crash_evidence.Run]]:
+    """Counts a death in the runs that go on elsewhere.
+
+    Returns:
+        The state, and the runs of requests that too many targets ran when they
+        died, by fingerprint.
+    """
+    outlived: dict[str, crash_evidence.Run] = {}
+    deaths = {
+        request_id: run._replace(deaths=run.deaths + 1)
+        for (request_id, _), run in in_flight.items()
+    }
+    runs = state.runs
+    for key, run in state.runs.items():
+        died = deaths.get(key[0])
+        if died is not None and run.deaths < died.deaths:
+            runs = runs.set(key, run._replace(deaths=died.deaths))
+    for run in deaths.values():
+        if run.deaths >= crash_evidence.DEATHS_TO_REFUSE:
+            outlived[run.fingerprints.request] = run
+    return state._replace(runs=runs), outlived
+
+
 @_step.register(events.LoadReported)
 @_step.register(events.TargetAlive)
 def _(event: events.LoadReported | events.TargetAlive, state: State,
--- a/persimmonspan/request/scheduler.py
+++ b/persimmonspan/request/scheduler.py
@@ -265,6 +265,14 @@
     running = state.running.get(event.request_id)
     if running is None or running.target == event.target:
         return state, [events.AssignBackup(event.request_id, None)]
+    # Parts of its prompt are not held against a stream that made progress.
+    if quarantine.refused_for_s(state.suspects,
+                                running.item.arrived.fingerprint, now_s):
+        state, commands = evacuation.refuse_move(state, event, running, now_s)
+        state, more = placement.dispatch_waiting(state,
+                                                 running.item.arrived.service,
+                                                 (running.target,), now_s, rng)
+        return state, commands + more
     state = state._replace(
         rates=rate_limits.record_dispatch(state.rates, event.target, now_s),
         cold=cold_targets.record_dispatch(state.cold, event.target, now_s))
--- a/persimmonspan/request/tests/test_quarantine.py
+++ b/persimmonspan/request/tests/test_quarantine.py
@@ -198,6 +198,24 @@
     assert fleet.state.records["moved"].crashes == 1
 
 
+def _move_after_deaths(fleet, request, count):
+    """Has a stream outlive targets, beside new requests on each of them."""
+    for number in range(count):
+        fleet.send(f"new-{number}", f"e{number}", number)
+        fleet.step(events.RequestMoved(request, f"e{number + 1}"), number + 0.8)
+        fleet.die(f"e{number}", number + 0.9)
+
+
+def test_stream_whose_targets_die_one_after_the_other_is_refused(fleet):
+    # Failure: new requests beside it took the blame each time (review case 7).
+    fleet.send("stream", "e0", 0.0)
+    fleet.step(events.Progressed("stream", "e0", 50), 0.5)
+    _move_after_deaths(fleet, "stream", 2)
+    assert not fleet.refused("stream", 3.0)
+    _move_after_deaths(fleet, "stream", 3)
+    assert fleet.refused("stream", 3.0) == "stream"
+
+
 def test_broken_attempt_counts_once_its_death_is_known_and_is_then_forgotten(
         fleet):
     fleet.send("r", "e1", 0.0)
