Let no run wait for an answer with a busy schedule

A target that hung with more runs than it gets calls for had the thread of the run stopper wake up a thousand times a second until it answered. Runs that wait for an answer at their target now have no time of their own; each answer wakes the thread. A process that cannot start a thread puts the stop off instead of failing the stream.

test_runs_that_wait_for_an_answer_cause_no_calls_to_select fails before. Found by reading.

--- a/persimmonspan/process/run_stopper.py
+++ b/persimmonspan/process/run_stopper.py
@@ -91,9 +91,15 @@
             state = abandoned_runs.add(self._state, run, end_s,
                                        time.monotonic(), has_started)
             self._state = abandoned_runs.begin_call(state, run)
-        threading.Thread(target=self._stop_for_stream,
-                         args=(order, run, call),
-                         daemon=True).start()
+        try:
+            threading.Thread(target=self._stop_for_stream,
+                             args=(order, run, call),
+                             daemon=True).start()
+        except RuntimeError:
+            # The process has too many threads; the run is stopped later.
+            _logger.exception("stop of a run put off")
+            self._record(run, abandoned_runs.StopResult.UNCLEAR)
+            return stop_call.Answer(abandoned_runs.StopResult.UNCLEAR)
         call.answered.wait(timeout_s)
         with self._changed:
             call.is_late = call.answer is None
@@ -172,8 +178,7 @@
             self._changed.wait()
             return
         wait_s = abandoned_runs.next_due_s(self._state) - time.monotonic()
-        # While calls are made, the limits on their number may put off others.
-        self._changed.wait(min(max(0.001, wait_s), _CHECK_INTERVAL_S))
+        self._changed.wait(min(max(0.0, wait_s), _CHECK_INTERVAL_S))
 
     def _call(self, run: abandoned_runs.Run) -> None:
         try:
--- a/persimmonspan/request/abandoned_runs.py
+++ b/persimmonspan/request/abandoned_runs.py
@@ -135,8 +135,13 @@
 
 
 def next_due_s(state: State) -> float:
-    """Returns when to call `select_due` next; infinite if never."""
-    return min((min(entry.end_s, _due_s(state, run, entry))
+    """Returns when to call `select_due` next; infinite if never.
+
+    Runs at targets that get no more calls now wait for an answer there.
+    """
+    calls = _count_calls(state)
+    return min((entry.end_s if calls[run.target] >= _max_calls(
+        state, run.target) else min(entry.end_s, _due_s(state, run, entry))
                 for run, entry in state.entries.items()
                 if not entry.is_called),
                default=math.inf)
@@ -154,15 +159,12 @@
     for run in expired:
         entries = entries.delete(run)
     state = state._replace(entries=entries)
-    calls = collections.Counter(
-        run.target for run, entry in entries.items() if entry.is_called)
+    calls = _count_calls(state)
     due: list[Run] = []
     for run, entry in entries.items():
         if entry.is_called or _due_s(state, run, entry) > now_s:
             continue
-        # Of a target that did not answer, one call tells for all of its runs.
-        limit = 1 if run.target in state.silences else _MAX_CALLS_PER_TARGET
-        if calls[run.target] < limit:
+        if calls[run.target] < _max_calls(state, run.target):
             calls[run.target] += 1
             due.append(run)
     state = state._replace(entries=entries)
@@ -237,6 +239,17 @@
     return state
 
 
+def _count_calls(state: State) -> collections.Counter[str]:
+    """Returns the number of calls that are being made, by target."""
+    return collections.Counter(
+        run.target for run, entry in state.entries.items() if entry.is_called)
+
+
+def _max_calls(state: State, target: str) -> int:
+    # Of a target that did not answer, one call tells for all of its runs.
+    return 1 if target in state.silences else _MAX_CALLS_PER_TARGET
+
+
 def _due_s(state: State, run: Run, entry: _Entry) -> float:
     silence = state.silences.get(run.target)
     return (entry.due_s
--- a/persimmonspan/request/tests/test_abandoned_runs.py
+++ b/persimmonspan/request/tests/test_abandoned_runs.py
@@ -62,6 +62,19 @@
     assert not any(abandoned_runs.is_pending(state, run) for run in runs)
 
 
+def test_runs_that_wait_for_an_answer_cause_no_calls_to_select():
+    # Failure: a target that hung kept the schedule busy until it answered.
+    runs = [abandoned_runs.Run("t", f"r{number}") for number in range(9)]
+    state = abandoned_runs.State()
+    for run in runs:
+        state = _add(state, run)
+    state, due, _ = abandoned_runs.select_due(state, 0.0)
+    assert 0 < len(due) < len(runs)
+    assert abandoned_runs.next_due_s(state) == _END_S
+    state, _ = abandoned_runs.record_answer(state, due[0], Result.STOPPED, 0.1)
+    assert abandoned_runs.next_due_s(state) <= 0.1
+
+
 def test_silent_target_does_not_delay_another():
     other = abandoned_runs.Run("u", "r1")
     state, _ = _call(_add(abandoned_runs.State(), _RUN), 0.0, Result.NO_ANSWER)
