Let the stand-in of the store encode its answer in time

Cause: the stand-in encodes 40 MB of JSON before its first byte, which takes about 1 s alone, and the client waits 1 s for it. The code under test is unchanged.

--- a/persimmonspan/platform/tests/test_store.py
+++ b/persimmonspan/platform/tests/test_store.py
@@ -243,7 +243,9 @@
     row = _row("a", b"x" * 60_000, 1)
 
     def respond(*_):
-        return 200, {"rows": [row] * 500, "schemaVersion": 1, "hasMore": False}
+        # 8 MB, twice the bound. The client waits for the first byte for 1 s, in
+        # which the stand-in has to encode all of it.
+        return 200, {"rows": [row] * 100, "schemaVersion": 1, "hasMore": False}
 
     with _serve_store(respond) as client:
         with pytest.raises(errors.StoreError, match="more than"):
